Add design page and shared types

Defines the error kinds, assertions, resources, configuration document, jobs, platform contracts and inner protocol messages that the other packages build on.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,28 @@
+SHELL := /bin/bash
+.SHELLFLAGS := -o pipefail -c
+SEED ?= 1
+
+.PHONY: build test lint fmt demo prove bench race
+
+build:
+	mkdir -p bin
+	go build -o bin/ ./cmd/...
+
+test:
+	go test ./...
+
+race:
+	go test -race ./...
+
+fmt:
+	@unformatted="$$(gofmt -l .)"; test -z "$$unformatted" || { echo "run gofmt -w on:"; echo "$$unformatted"; exit 1; }
+
+lint:
+	go vet ./...
+	go tool staticcheck ./...
+
+demo: build
+	bash scripts/demo.sh
+
+bench:
+	go test ./scheduler -run '^TestBench' -bench=. -benchtime=1x -count=1 -v
--- /dev/null
+++ b/errkind/errkind.go
@@ -0,0 +1,153 @@
+// Package errkind defines the typed errors of redwingthread.
+//
+// Every error that reaches a caller or an operator has a kind, a message and a remedy. The kind decides the HTTP
+// status and the exit code of the operator command; the remedy tells the reader what to do next. Errors carry a stack
+// trace through gravitational/trace.
+package errkind
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+
+	"github.com/gravitational/trace"
+)
+
+// Kind classifies an error by what its receiver can do about it.
+type Kind string
+
+// The error kinds.
+const (
+	// BadInput marks malformed input. Nothing was changed.
+	BadInput Kind = "bad_input"
+	// Unauthenticated marks a missing or wrong token.
+	Unauthenticated Kind = "unauthenticated"
+	// Forbidden marks an authenticated request for something of another account.
+	Forbidden Kind = "forbidden"
+	// NotFound marks an unknown service, job, key or version.
+	NotFound Kind = "not_found"
+	// Conflict marks a change that lost against another one, such as a patch on an old base version.
+	Conflict Kind = "conflict"
+	// TooLarge marks a body, header or shape above its limit.
+	TooLarge Kind = "too_large"
+	// Infeasible marks a shape or guarantee that no configuration of healthy workers can hold.
+	Infeasible Kind = "infeasible"
+	// Overloaded marks a request that was shed before it was dispatched.
+	Overloaded Kind = "overloaded"
+	// DeadlineExceeded marks work whose deadline passed before it was started.
+	DeadlineExceeded Kind = "deadline_exceeded"
+	// Unavailable marks a dependency that cannot be reached now.
+	Unavailable Kind = "unavailable"
+	// ShuttingDown marks a daemon that accepts no new work.
+	ShuttingDown Kind = "shutting_down"
+	// Unknown marks an operation whose effect could not be determined.
+	Unknown Kind = "unknown"
+	// Internal marks a fault of the program.
+	Internal Kind = "internal"
+)
+
+// kindProperties holds how a kind is reported over HTTP and by the operator command.
+type kindProperties struct {
+	status   int
+	exitCode int
+}
+
+var properties = map[Kind]kindProperties{
+	BadInput:         {http.StatusBadRequest, 2},
+	Unauthenticated:  {http.StatusUnauthorized, 3},
+	Forbidden:        {http.StatusForbidden, 3},
+	NotFound:         {http.StatusNotFound, 4},
+	Conflict:         {http.StatusConflict, 5},
+	TooLarge:         {http.StatusRequestEntityTooLarge, 2},
+	Infeasible:       {http.StatusUnprocessableEntity, 6},
+	Overloaded:       {http.StatusTooManyRequests, 7},
+	DeadlineExceeded: {http.StatusGatewayTimeout, 7},
+	Unavailable:      {http.StatusServiceUnavailable, 7},
+	ShuttingDown:     {http.StatusServiceUnavailable, 7},
+	Unknown:          {http.StatusBadGateway, 8},
+	Internal:         {http.StatusInternalServerError, 1},
+}
+
+// Status returns the HTTP status of the kind; an undefined kind is an internal error.
+func (k Kind) Status() int {
+	if p, ok := properties[k]; ok {
+		return p.status
+	}
+	return http.StatusInternalServerError
+}
+
+// ExitCode returns the exit code of the operator command for the kind; an undefined kind is an internal error.
+func (k Kind) ExitCode() int {
+	if p, ok := properties[k]; ok {
+		return p.exitCode
+	}
+	return properties[Internal].exitCode
+}
+
+// Error is a typed error. Its JSON form is the body of an HTTP error answer.
+type Error struct {
+	Kind    Kind   `json:"kind" cbor:"kind"`
+	Message string `json:"message" cbor:"message"`
+	// Remedy says what the receiver can do; it is never empty for errors made by New.
+	Remedy string `json:"remedy" cbor:"remedy"`
+	// cause is the wrapped error, nil if there is none.
+	cause error
+}
+
+// Error returns the message, the remedy and the cause in one line.
+func (e *Error) Error() string {
+	text := e.Message
+	if e.cause != nil {
+		text += ": " + e.cause.Error()
+	}
+	if e.Remedy != "" {
+		text += "; " + e.Remedy
+	}
+	return text
+}
+
+// Unwrap returns the wrapped cause, nil if there is none.
+func (e *Error) Unwrap() error { return e.cause }
+
+// New returns an error of the kind with a remedy. The message is formatted from format and args.
+func New(kind Kind, remedy, format string, args ...any) error {
+	return trace.Wrap(&Error{Kind: kind, Message: fmt.Sprintf(format, args...), Remedy: remedy})
+}
+
+// Wrap returns an error of the kind with cause attached. It returns nil if cause is nil.
+func Wrap(cause error, kind Kind, remedy, format string, args ...any) error {
+	if cause == nil {
+		return nil
+	}
+	return trace.Wrap(&Error{Kind: kind, Message: fmt.Sprintf(format, args...), Remedy: remedy, cause: cause})
+}
+
+// As returns the typed error in err's chain. An untyped error is reported as Internal; nil gives nil.
+func As(err error) *Error {
+	if err == nil {
+		return nil
+	}
+	var typed *Error
+	if errors.As(err, &typed) {
+		return typed
+	}
+	return &Error{
+		Kind:    Internal,
+		Message: trace.UserMessage(err),
+		Remedy:  "report this with the log lines of the same request id",
+		cause:   err,
+	}
+}
+
+// KindOf returns the kind of err, Internal for an untyped error and "" for nil.
+func KindOf(err error) Kind {
+	if err == nil {
+		return ""
+	}
+	return As(err).Kind
+}
+
+// Is reports whether err is a typed error of the kind.
+func Is(err error, kind Kind) bool {
+	return err != nil && KindOf(err) == kind
+}
