Add placement core

The core decides feasibility and ranking, binds guaranteed shapes to concrete workers, reclaims lent capacity from the work with the least to lose, reserves capacity for blocked gangs, quarantines bad workers and condemns bad jobs, and explains what a job waits for.

Waiting jobs are kept in classes of interchangeable jobs, so that a failed search is paid once per class; a search that found nothing is repeated only in racks that had capacity freed since.

Focused tests cover refusal, reclaim, choice of victims, reservation and urgent jobs.

--- a/scheduler/api.go
+++ b/scheduler/api.go
@@ -116,6 +116,8 @@
 	StopReservation StopReason = "reservation"
 	StopCancelled   StopReason = "cancelled"
 	StopDrain       StopReason = "drain"
+	// StopLost stops the other members of a gang that lost one.
+	StopLost StopReason = "lost"
 )
 
 // Stop asks the shell to stop an attempt.
--- /dev/null
+++ b/scheduler/core_test.go
@@ -0,0 +1,241 @@
+package scheduler
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/redwingthread/redwingthread/config"
+	"github.com/redwingthread/redwingthread/errkind"
+	"github.com/redwingthread/redwingthread/invariant"
+	"github.com/redwingthread/redwingthread/jobs"
+	"github.com/redwingthread/redwingthread/resource"
+)
+
+const testDomain = "fd-a"
+
+var testStart = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// fixture drives a core by hand.
+type fixture struct {
+	t    *testing.T
+	core *Core
+	doc  *config.Document
+	now  time.Time
+}
+
+// newFixture returns a core with n healthy workers of 8 accelerators, 4 to a rack, and accounts a and b.
+func newFixture(t *testing.T, n int, change func(*config.Document)) *fixture {
+	t.Helper()
+	doc := &config.Document{
+		Workers:  map[string]resource.Worker{},
+		Accounts: map[string]config.Account{"a": {Name: "a"}, "b": {Name: "b"}},
+		Policy: config.Policy{
+			FragmentationWeight: 0.5, ReclaimBoundMS: 10_000, MaxWaitMS: 60_000, QuarantinePercent: 25,
+			StandardLargeShape: shape(4, 8, resource.AdjacencyRack),
+		},
+	}
+	for i := range n {
+		id := fmt.Sprintf("w-%02d", i)
+		doc.Workers[id] = resource.Worker{
+			ID: id, FailureDomain: testDomain, Rack: fmt.Sprintf("r-%d", i/4),
+			Capacity: resource.Resources{Accelerators: 8, MilliCPU: 32_000, MemoryMB: 64_000},
+		}
+	}
+	if change != nil {
+		change(doc)
+	}
+	f := &fixture{t: t, core: New(testDomain), doc: doc, now: testStart}
+	f.core.SetConfig(doc, f.now)
+	for id := range doc.Workers {
+		f.core.SetWorkerHealth(id, HealthUp, f.now)
+	}
+	log := &invariant.Log{}
+	restore := invariant.SetRecorder(log.Record)
+	t.Cleanup(func() {
+		restore()
+		for _, v := range log.Violations() {
+			t.Errorf("violation: %s", v)
+		}
+	})
+	return f
+}
+
+// shape returns members of so many accelerators with 1 core and 1 GB for each.
+func shape(members, accelerators int, adjacency resource.Adjacency) resource.Shape {
+	n := int64(max(accelerators, 1))
+	return resource.Shape{
+		Members: members, Adjacency: adjacency,
+		PerMember: resource.Resources{Accelerators: accelerators, MilliCPU: 1000 * n, MemoryMB: 1024 * n},
+	}
+}
+
+// guarantee gives an account n copies of a shape.
+func guarantee(account string, n int, s resource.Shape) func(*config.Document) {
+	return func(doc *config.Document) {
+		a := doc.Accounts[account]
+		a.Guarantees = append(a.Guarantees, config.Guarantee{FailureDomain: testDomain, Shape: s, Count: n})
+		doc.Accounts[account] = a
+	}
+}
+
+// kind changes a job.
+type kind func(*jobs.Job)
+
+func checkpoints(j *jobs.Job) { j.CanCheckpoint = true }
+func once(j *jobs.Job)        { j.RunOnce = true }
+func urgent(j *jobs.Job)      { j.Urgent = true }
+
+// submit submits a job and fails the test on an error.
+func (f *fixture) submit(id, account string, s resource.Shape, kinds ...kind) {
+	f.t.Helper()
+	j := jobs.Job{ID: id, Account: account, FailureDomain: testDomain, Shape: s}
+	for _, k := range kinds {
+		k(&j)
+	}
+	if err := f.core.Submit(j, f.now); err != nil {
+		f.t.Fatalf("submit %s: %v", id, err)
+	}
+}
+
+func (f *fixture) plan() Plan { return f.core.Plan(f.now) }
+
+func (f *fixture) after(d time.Duration) { f.now = f.now.Add(d) }
+
+// run plans and reports all starts as running.
+func (f *fixture) run() Plan {
+	p := f.plan()
+	for _, s := range p.Starts {
+		f.core.Started(s.Job.ID, s.Attempt, f.now)
+	}
+	return p
+}
+
+// end reports the end of the present attempt.
+func (f *fixture) end(id string, r Result) {
+	s, _ := f.core.Status(id)
+	f.core.Ended(id, s.Attempt, r, f.now)
+}
+
+// state asserts the state of a job.
+func (f *fixture) state(id string, want jobs.State) {
+	f.t.Helper()
+	if s, _ := f.core.Status(id); s.State != want {
+		f.t.Errorf("job %s is %s (%s), want %s", id, s.State, f.core.Why(id, f.now), want)
+	}
+}
+
+// stopped lists the jobs that a plan stops.
+func stopped(p Plan) string {
+	var ids []string
+	for _, s := range p.Stops {
+		ids = append(ids, s.Job)
+	}
+	return strings.Join(ids, " ")
+}
+
+// TestSubmitRefuses guards against never-runnable jobs that wait for ever.
+func TestSubmitRefuses(t *testing.T) {
+	cases := map[string]struct {
+		account string
+		shape   resource.Shape
+		want    errkind.Kind
+	}{
+		"fits":                 {"a", shape(4, 8, resource.AdjacencyRack), ""},
+		"no accelerator":       {"a", shape(64, 0, resource.AdjacencyNone), ""},
+		"too large a member":   {"a", shape(1, 9, resource.AdjacencyNone), errkind.Infeasible},
+		"too many for a rack":  {"a", shape(5, 8, resource.AdjacencyRack), errkind.Infeasible},
+		"too many for workers": {"a", shape(9, 1, resource.AdjacencyWorker), errkind.Infeasible},
+		"over quota":           {"b", shape(2, 8, resource.AdjacencyNone), errkind.Infeasible},
+		"unknown account":      {"c", shape(1, 1, resource.AdjacencyNone), errkind.NotFound},
+		"malformed":            {"a", shape(65, 1, resource.AdjacencyNone), errkind.BadInput},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, 8, func(doc *config.Document) { doc.Accounts["b"] = config.Account{Name: "b", Quota: 8} })
+			err := f.core.Submit(jobs.Job{ID: "j", Account: c.account, Shape: c.shape}, f.now)
+			if got := errkind.KindOf(err); got != c.want {
+				t.Errorf("got %q (%v), want %q", got, err, c.want)
+			}
+		})
+	}
+}
+
+// TestReclaim guards against a guarantee that is lent out and not given back.
+func TestReclaim(t *testing.T) {
+	f := newFixture(t, 4, guarantee("a", 1, shape(4, 8, resource.AdjacencyRack)))
+	for i := range 4 {
+		f.submit(fmt.Sprint("lent-", i), "b", shape(1, 8, resource.AdjacencyNone), checkpoints)
+	}
+	f.submit("once", "b", shape(1, 8, resource.AdjacencyNone), once)
+	if p := f.run(); len(p.Starts) != 4 || !p.Starts[0].Borrowed {
+		t.Fatalf("want 4 borrowed starts, got %+v", p.Starts)
+	}
+	f.state("once", jobs.StateWaiting)
+	f.submit("claim", "a", shape(4, 8, resource.AdjacencyRack))
+	p := f.run()
+	if len(p.Stops) != 4 || !p.Stops[0].Checkpoint || p.Stops[0].Reason != StopReclaim {
+		t.Fatalf("want 4 stops with checkpoint, got %+v", p.Stops)
+	}
+	for i := range 4 {
+		f.end(fmt.Sprint("lent-", i), Result{Kind: ResultStopped, Checkpointed: true})
+	}
+	f.run()
+	f.state("claim", jobs.StateRunning)
+	f.state("lent-0", jobs.StateWaiting)
+}
+
+// TestLeastLostWork guards against a reclaim that stops the job with the most to lose.
+func TestLeastLostWork(t *testing.T) {
+	f := newFixture(t, 2, guarantee("a", 1, shape(1, 8, resource.AdjacencyNone)))
+	f.submit("old", "b", shape(1, 8, resource.AdjacencyNone))
+	f.run()
+	f.after(time.Hour)
+	f.submit("young", "b", shape(1, 8, resource.AdjacencyNone))
+	f.run()
+	f.submit("claim", "a", shape(1, 8, resource.AdjacencyNone))
+	if got := stopped(f.run()); got != "young" {
+		t.Errorf("stopped %q, want young", got)
+	}
+}
+
+// TestReservation guards against a gang that an endless stream of small jobs starves.
+func TestReservation(t *testing.T) {
+	f := newFixture(t, 4, nil)
+	for i := range 31 {
+		f.submit(fmt.Sprint("small-", i), "b", shape(1, 1, resource.AdjacencyNone), checkpoints)
+	}
+	f.run()
+	f.submit("gang", "a", shape(4, 8, resource.AdjacencyRack))
+	p := f.run()
+	if want := f.now.Add(time.Minute); !p.NextCheck.Equal(want) {
+		t.Fatalf("next check at %v, want %v", p.NextCheck, want)
+	}
+	f.after(time.Minute)
+	p = f.run()
+	if len(p.Stops) != 31 || p.Stops[0].Reason != StopReservation {
+		t.Fatalf("want 31 stops for the reservation, got %d", len(p.Stops))
+	}
+	f.submit("late", "b", shape(1, 1, resource.AdjacencyNone), checkpoints)
+	f.run()
+	f.state("late", jobs.StateWaiting)
+	if why := f.core.Why("late", f.now); !strings.Contains(why, "reserved for job gang") {
+		t.Error(why)
+	}
+	for i := range 31 {
+		f.end(fmt.Sprint("small-", i), Result{Kind: ResultStopped, Checkpointed: true})
+	}
+	f.run()
+	f.state("gang", jobs.StateRunning)
+}
+
+// TestUrgentFirst guards against urgent work that waits behind earlier submissions.
+func TestUrgentFirst(t *testing.T) {
+	f := newFixture(t, 1, nil)
+	f.submit("first", "a", shape(1, 8, resource.AdjacencyNone))
+	f.submit("urgent", "b", shape(1, 8, resource.AdjacencyNone), urgent)
+	f.run()
+	f.state("urgent", jobs.StateRunning)
+	f.state("first", jobs.StateWaiting)
+}
--- /dev/null
+++ b/scheduler/learn.go
@@ -0,0 +1,73 @@
+package scheduler
+
+import (
+	"math/bits"
+	"slices"
+	"time"
+
+	"github.com/redwingthread/redwingthread/resource"
+)
+
+// The learned run times.
+const (
+	// runSamples is the number of latest run times kept per account and class.
+	runSamples = 64
+	// minRunSamples is the number of run times from which a quantile is used at all.
+	minRunSamples = 5
+	// runQuantilePercent is the share of jobs that end within the learned run time.
+	runQuantilePercent = 80
+)
+
+// runTimes holds the latest run times of one account and size class. Declared run times are wrong by up to ten times
+// either way, so they are not used.
+type runTimes struct {
+	samples  []time.Duration
+	next     int
+	quantile time.Duration
+}
+
+// add records one run time.
+func (r *runTimes) add(d time.Duration) {
+	if len(r.samples) < runSamples {
+		r.samples = append(r.samples, d)
+	} else {
+		r.samples[r.next] = d
+		r.next = (r.next + 1) % runSamples
+	}
+	if len(r.samples) < minRunSamples {
+		return
+	}
+	sorted := slices.Clone(r.samples)
+	slices.Sort(sorted)
+	r.quantile = sorted[(len(sorted)-1)*runQuantilePercent/100]
+}
+
+// sizeClass groups shapes whose accelerators, or else members, agree up to a factor of two.
+func sizeClass(s resource.Shape) int {
+	if n := s.Total().Accelerators; n > 0 {
+		return bits.Len(uint(n))
+	}
+	return -bits.Len(uint(s.Members))
+}
+
+// learn records how long a completed attempt of j ran.
+func (c *Core) learn(j *job, now time.Time) {
+	if j.ranSince.IsZero() {
+		return
+	}
+	a := c.account(j.Account)
+	k := sizeClass(j.Shape)
+	if a.runs[k] == nil {
+		a.runs[k] = &runTimes{}
+	}
+	a.runs[k].add(now.Sub(j.ranSince))
+}
+
+// learned returns the run time within which most jobs like j end; ok is false while too few have ended.
+func (c *Core) learned(j *job) (d time.Duration, ok bool) {
+	r := c.account(j.Account).runs[sizeClass(j.Shape)]
+	if r == nil || len(r.samples) < minRunSamples {
+		return 0, false
+	}
+	return r.quantile, true
+}
--- /dev/null
+++ b/scheduler/reserve.go
@@ -0,0 +1,305 @@
+package scheduler
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// The limits of reservations.
+const (
+	// maxReservations bounds the reservations at one time, so that they do not take the failure domain from small jobs.
+	maxReservations = 8
+	// reservedShare bounds the share of accelerators under reservations, except for a single one.
+	reservedShare = 0.5
+	// maxReservationStops caps how often one job is stopped for reservations; after that it runs to its end.
+	maxReservationStops = 2
+	// promptLossShare is the share of the gang's own work during policy.max_wait_ms that stops may lose without waiting
+	// for the ends of the victims first.
+	promptLossShare = 0.5
+	// reservationRetry is the share of policy.max_wait_ms after which a reservation that found no place is tried again.
+	reservationRetry = 0.25
+)
+
+// setHold takes a waiting job out of its queue and keeps capacity for it.
+func (c *Core) setHold(j *job, h *hold) {
+	c.dequeue(j)
+	j.hold = h
+	c.holds = append(c.holds, j)
+	c.countHold(j, 1)
+}
+
+// dropHold gives the capacity back. The caller enqueues, starts or ends the job.
+func (c *Core) dropHold(j *job) {
+	c.countHold(j, -1)
+	for _, w := range j.hold.placement {
+		c.touch(w, true)
+	}
+	j.hold = nil
+	i := slices.Index(c.holds, j)
+	c.holds = slices.Delete(c.holds, i, i+1)
+}
+
+// countHold adds the needs of a hold to its workers, or takes them away with sign -1.
+func (c *Core) countHold(j *job, sign int) {
+	h := j.hold
+	c.account(j.Account).holding += sign * j.Shape.Total().Accelerators
+	forEachWorker(h.placement, func(w *worker, n int) {
+		need := j.Shape.PerMember.Times(sign * n)
+		switch {
+		case h.claim && c.options.forgetHeld:
+		case h.claim:
+			w.held = w.held.Add(need)
+		default:
+			w.reserved = w.reserved.Add(need)
+			if h.closed {
+				w.closed = w.closed.Add(need)
+			}
+		}
+		c.touch(w, false)
+	})
+}
+
+// startHeld starts the held jobs whose capacity is there, claims first, and repairs holds that lost capacity.
+func (c *Core) startHeld() {
+	if len(c.holds) == 0 {
+		return
+	}
+	held := slices.Clone(c.holds)
+	slices.SortStableFunc(held, func(a, b *job) int {
+		if a.hold.claim != b.hold.claim {
+			if a.hold.claim {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Or(a.arrived.Compare(b.arrived), cmp.Compare(a.seq, b.seq))
+	})
+	for _, j := range held {
+		if j.hold == nil {
+			continue
+		}
+		c.advanceHold(j)
+	}
+}
+
+// advanceHold starts the job, closes its reservation at the deadline, or gives the hold up if its workers failed.
+func (c *Core) advanceHold(j *job) {
+	h := j.hold
+	if !usableBy(j, h.placement) || c.overdue(h) {
+		c.giveUpHold(j)
+		return
+	}
+	c.countHold(j, -1)
+	ready := c.ready(j)
+	c.countHold(j, 1)
+	if ready && c.quotaAllowsHeld(j) {
+		placement := h.placement
+		c.dropHold(j)
+		c.start(j, placement)
+		return
+	}
+	if h.claim || h.closed {
+		c.repairStops(j)
+		return
+	}
+	if place := c.findElsewhere(j); place != nil {
+		c.dropHold(j)
+		c.start(j, place)
+		return
+	}
+	if !c.now.Before(h.deadline) {
+		c.closeReservation(j)
+	}
+}
+
+// overdue reports whether a closed reservation has waited so long that another place may be better.
+func (c *Core) overdue(h *hold) bool {
+	return !h.claim && h.closed && c.now.Sub(h.since) > 4*c.maxWait()
+}
+
+// giveUpHold lets the job wait in its queue again.
+func (c *Core) giveUpHold(j *job) {
+	c.dropHold(j)
+	c.releaseCell(j)
+	c.enqueue(j)
+}
+
+// usableBy reports whether all workers of the placement may still get the job.
+func usableBy(j *job, placement []*worker) bool {
+	for _, w := range placement {
+		if !w.eligible() || j.failedOn(w) {
+			return false
+		}
+	}
+	return true
+}
+
+// ready reports whether the held placement is free. The hold itself must not be counted at the time.
+func (c *Core) ready(j *job) bool {
+	h := j.hold
+	ok := true
+	forEachWorker(h.placement, func(w *worker, n int) {
+		room := w.free()
+		if h.claim {
+			room = w.capacity.Sub(w.used)
+		}
+		if !h.claim && j.hard() {
+			room = atMost(room, w.entitled(nil))
+		}
+		ok = ok && j.Shape.PerMember.Times(n).Fits(room)
+	})
+	return ok
+}
+
+// quotaAllowsHeld reports whether the account stays within its quota when the held job starts.
+func (c *Core) quotaAllowsHeld(j *job) bool {
+	a := c.account(j.Account)
+	need := j.Shape.Total().Accelerators
+	return a.quota == 0 || need == 0 || a.used+need <= a.quota
+}
+
+// repairStops plans further stops if the ones under way do not make enough room any more.
+func (c *Core) repairStops(j *job) {
+	h := j.hold
+	e := &eviction{core: c, job: j, cell: j.cell}
+	c.countHold(j, -1)
+	reason := StopReservation
+	if h.claim {
+		reason = StopReclaim
+		c.reclaimQuota(j)
+	}
+	e.stopFor(h.placement, reason)
+	c.countHold(j, 1)
+}
+
+// findElsewhere returns free capacity for a job with an open reservation.
+func (c *Core) findElsewhere(j *job) []*worker {
+	if !c.rackFreedSince(j.hold) {
+		return nil
+	}
+	c.countHold(j, -1)
+	place := c.find(c.request(j))
+	c.countHold(j, 1)
+	j.hold.checked = c.seq
+	return place
+}
+
+// rackFreedSince reports whether capacity was freed since the last search for the held job.
+func (c *Core) rackFreedSince(h *hold) bool { return c.seq > h.checked }
+
+// closeReservation stops what still runs on the reserved capacity.
+func (c *Core) closeReservation(j *job) {
+	c.countHold(j, -1)
+	j.hold.closed = true
+	e := &eviction{core: c, job: j}
+	e.stopFor(j.hold.placement, StopReservation)
+	c.countHold(j, 1)
+}
+
+// reserve makes reservations for gangs that have been blocked too long, the oldest first.
+func (c *Core) reserve() {
+	if c.options.noReservations {
+		return
+	}
+	for c.reservationRoom() {
+		j := c.longestBlocked()
+		if j == nil || !c.reserveFor(j) {
+			return
+		}
+	}
+}
+
+// reservationRoom reports whether another reservation is within the limits.
+func (c *Core) reservationRoom() bool {
+	n, accelerators, all := 0, 0, 0
+	for _, j := range c.holds {
+		if !j.hold.claim {
+			n++
+			accelerators += j.Shape.Total().Accelerators
+		}
+	}
+	for _, k := range c.racks {
+		all += k.accelerators
+	}
+	return n == 0 || n < maxReservations && float64(accelerators) < reservedShare*float64(all)
+}
+
+// gang reports whether a job can be starved by smaller ones.
+func gang(j *job) bool {
+	return j.Shape.Members > 1 || j.Shape.PerMember.Accelerators > 1
+}
+
+// longestBlocked returns the first job of a class that has waited past the bound the longest, nil if there is none.
+func (c *Core) longestBlocked() *job {
+	var oldest *job
+	for _, cl := range c.active {
+		j := cl.head
+		if !gang(j) || c.now.Before(c.reservationDue(cl)) || c.now.Before(j.notBefore) || !c.withinQuota(j) {
+			continue
+		}
+		if oldest == nil || j.waitingSince.Before(oldest.waitingSince) {
+			oldest = j
+		}
+	}
+	return oldest
+}
+
+// reservationDue returns when the first job of a class may get a reservation.
+func (c *Core) reservationDue(cl *class) time.Time {
+	due := cl.head.waitingSince.Add(c.maxWait())
+	if due.Before(cl.retryReserve) {
+		return cl.retryReserve
+	}
+	return due
+}
+
+// reserveFor reserves the place with the least loss for a gang. Where the loss is small or bounded by the gang's own
+// wait, its victims are stopped at once; otherwise they get until the deadline to end by themselves.
+func (c *Core) reserveFor(j *job) bool {
+	e := &eviction{core: c, job: j}
+	place, cost := e.find()
+	if place == nil {
+		e.patient = true
+		place, cost = e.find()
+	}
+	if place == nil {
+		j.class.retryReserve = c.now.Add(time.Duration(reservationRetry * float64(c.maxWait())))
+		return false
+	}
+	h := &hold{placement: place, since: c.now, deadline: c.now.Add(c.maxWait())}
+	c.setHold(j, h)
+	own := float64(max(j.Shape.Total().Accelerators, 1)) * c.maxWait().Seconds()
+	if cost <= promptLossShare*own {
+		c.closeReservation(j)
+	}
+	return true
+}
+
+// untilClose returns the time until the first open reservation closes; ok is false if there is none.
+func (c *Core) untilClose() (d time.Duration, ok bool) {
+	for _, j := range c.holds {
+		if j.hold.claim || j.hold.closed {
+			continue
+		}
+		left := j.hold.deadline.Sub(c.now)
+		if !ok || left < d {
+			d, ok = left, true
+		}
+	}
+	return d, ok
+}
+
+// backfills reports whether j may use reserved capacity: it can be stopped, and the stop either loses nothing or most
+// jobs of its kind end before. Where that is wrong, the loss is capped by the deadline of the reservation.
+func (c *Core) backfills(j *job) bool {
+	if j.hard() {
+		return false
+	}
+	left, ok := c.untilClose()
+	if !ok || j.CanCheckpoint {
+		return ok
+	}
+	run, known := c.learned(j)
+	return known && run <= left
+}
--- /dev/null
+++ b/scheduler/why.go
@@ -0,0 +1,164 @@
+package scheduler
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/redwingthread/redwingthread/jobs"
+	"github.com/redwingthread/redwingthread/resource"
+)
+
+// Why implements Planner.
+func (c *Core) Why(id string, now time.Time) string {
+	c.advance(now)
+	j := c.jobs[id]
+	if j == nil {
+		return fmt.Sprintf("job %s is not known", id)
+	}
+	if j.state != jobs.StateWaiting {
+		return c.whyNotWaiting(j)
+	}
+	return fmt.Sprintf("job %s waits: %s", id, c.cause(j))
+}
+
+// whyNotWaiting describes a job that is placed or ended.
+func (c *Core) whyNotWaiting(j *job) string {
+	text := fmt.Sprintf("job %s is %s", j.ID, j.state)
+	if j.reason != "" {
+		text += ": " + j.reason
+	}
+	return text
+}
+
+// cause names what a waiting job lacks, the first obstacle first.
+func (c *Core) cause(j *job) string {
+	a := c.account(j.Account)
+	switch {
+	case !a.known:
+		return fmt.Sprintf("account %s is not in the configuration", j.Account)
+	case j.hold != nil && j.hold.claim:
+		return c.reclaimCause(j)
+	case j.hold != nil:
+		return c.reservationCause(j)
+	case c.now.Before(j.notBefore):
+		return fmt.Sprintf("retry in %s after %d failures", j.notBefore.Sub(c.now).Round(time.Second), j.failureCount)
+	case !c.holdsEmpty(j.Shape):
+		return "no configured workers hold " + shapeText(j.Shape)
+	case !c.withinQuota(j):
+		return fmt.Sprintf("quota: account %s uses %d of %d accelerators and the job needs %d",
+			a.name, a.used+a.holding, a.quota, j.Shape.Total().Accelerators)
+	}
+	if text := c.degradedCause(j); text != "" {
+		return text
+	}
+	return c.capacityCause(j)
+}
+
+// reclaimCause describes a claim under way.
+func (c *Core) reclaimCause(j *job) string {
+	n := 0
+	forEachWorker(j.hold.placement, func(w *worker, _ int) {
+		for _, o := range w.occupants {
+			if o.job.stopPlanned {
+				n++
+			}
+		}
+	})
+	return fmt.Sprintf("reclaim of its guarantee under way since %s, %d jobs being stopped", c.ago(j.hold.since), n)
+}
+
+// reservationCause describes the job's own reservation.
+func (c *Core) reservationCause(j *job) string {
+	if j.hold.closed {
+		return fmt.Sprintf("its reservation of %s is being emptied since %s", shapeText(j.Shape), c.ago(j.hold.since))
+	}
+	return fmt.Sprintf("its reservation of %s is emptied in %s at the latest",
+		shapeText(j.Shape), j.hold.deadline.Sub(c.now).Round(time.Second))
+}
+
+// degradedCause says that the guarantee of the job's shape has no healthy capacity.
+func (c *Core) degradedCause(j *job) string {
+	for _, cl := range c.account(j.Account).cells {
+		if cl.place == nil && cl.matches(j.Shape) {
+			return fmt.Sprintf("degraded guarantee: healthy workers do not hold %s of account %s",
+				shapeText(cl.shape), j.Account)
+		}
+	}
+	return ""
+}
+
+// capacityCause tells adjacency, reservations, guarantees and plain capacity apart.
+func (c *Core) capacityCause(j *job) string {
+	fits := func(change func(*request)) bool {
+		r := c.request(j)
+		change(r)
+		return c.find(r) != nil
+	}
+	switch {
+	case fits(func(*request) {}):
+		return "the next plan"
+	case !j.hard() && fits(func(r *request) { r.backfill = true }), c.fitsWithoutReservations(j):
+		return c.reservationBefore()
+	case j.hard() && fits(func(r *request) { r.hard = false }):
+		return "free capacity is bound to guarantees and the job cannot be stopped"
+	case fits(func(r *request) { r.shape.Adjacency = resource.AdjacencyNone }):
+		return fmt.Sprintf("adjacency: the free capacity is not in one %s", j.Shape.Adjacency)
+	}
+	return c.lacking(j)
+}
+
+// fitsWithoutReservations reports whether only reservations keep the job from starting.
+func (c *Core) fitsWithoutReservations(j *job) bool {
+	r := c.request(j)
+	for _, h := range c.holds {
+		if !h.hold.claim {
+			c.countHold(h, -1)
+		}
+	}
+	fits := c.find(r) != nil
+	for _, h := range c.holds {
+		if !h.hold.claim {
+			c.countHold(h, 1)
+		}
+	}
+	return fits
+}
+
+// reservationBefore names the oldest reservation.
+func (c *Core) reservationBefore() string {
+	var first *job
+	for _, h := range c.holds {
+		if !h.hold.claim && (first == nil || h.hold.since.Before(first.hold.since)) {
+			first = h
+		}
+	}
+	if first == nil {
+		return "capacity"
+	}
+	return fmt.Sprintf("free capacity is reserved for job %s", first.ID)
+}
+
+// lacking counts the free capacity of all workers against the need.
+func (c *Core) lacking(j *job) string {
+	fits := 0
+	for _, w := range c.ordered {
+		if w.eligible() {
+			fits += fitCount(j.Shape.PerMember, w.free())
+		}
+	}
+	return fmt.Sprintf("capacity: %d of %d members of %s fit on free workers",
+		min(fits, j.Shape.Members), j.Shape.Members, memberText(j.Shape.PerMember))
+}
+
+// ago formats the time since t.
+func (c *Core) ago(t time.Time) string { return c.now.Sub(t).Round(time.Millisecond).String() }
+
+// shapeText describes a shape in one line.
+func shapeText(s resource.Shape) string {
+	return fmt.Sprintf("%d members of %s, adjacency %s", s.Members, memberText(s.PerMember), s.Adjacency)
+}
+
+// memberText describes the resources of one member.
+func memberText(r resource.Resources) string {
+	return fmt.Sprintf("%d accelerators, %d milli-CPU and %d MB", r.Accelerators, r.MilliCPU, r.MemoryMB)
+}
