--- /dev/null
+++ b/scheduler/baseline_test.go
@@ -0,0 +1,157 @@
+package scheduler
+
+import (
+	"slices"
+	"time"
+
+	"github.com/redwingthread/redwingthread/config"
+	"github.com/redwingthread/redwingthread/jobs"
+	"github.com/redwingthread/redwingthread/resource"
+)
+
+// baseline is a scheduler to compare with. Both kinds place gangs whole and adjacent on the first workers that fit, in
+// submission order, and stop nothing. First-fit starts every waiting job that fits. Counting admits jobs against the
+// accounts' quotas and the total of accelerators, whatever their shapes; an admitted job keeps its count while it waits
+// for a place, and a job that is not admitted holds back the later jobs of its account.
+type baseline struct {
+	Planner
+	counting bool
+	workers  []resource.Worker
+	free     []resource.Resources
+	quota    map[string]int
+	total    int
+	admitted map[string]int
+	taken    int
+	waiting  []*baselineJob
+	placed   map[string]*baselineJob
+}
+
+type baselineJob struct {
+	jobs.Job
+	admitted  bool
+	attempt   uint64
+	placement []int
+}
+
+func newBaseline(doc *config.Document, counting bool) *baseline {
+	b := &baseline{counting: counting, quota: map[string]int{}, admitted: map[string]int{}, placed: map[string]*baselineJob{}}
+	for _, w := range doc.Workers {
+		b.workers = append(b.workers, w)
+		b.total += w.Capacity.Accelerators
+	}
+	slices.SortFunc(b.workers, func(x, y resource.Worker) int {
+		if x.Rack != y.Rack {
+			return compareText(x.Rack, y.Rack)
+		}
+		return compareText(x.ID, y.ID)
+	})
+	for _, w := range b.workers {
+		b.free = append(b.free, w.Capacity)
+	}
+	for name, a := range doc.Accounts {
+		b.quota[name] = a.Quota
+	}
+	return b
+}
+
+func compareText(a, b string) int {
+	if a < b {
+		return -1
+	}
+	if a > b {
+		return 1
+	}
+	return 0
+}
+
+func (b *baseline) Submit(j jobs.Job, _ time.Time) error {
+	b.waiting = append(b.waiting, &baselineJob{Job: j})
+	return nil
+}
+
+func (b *baseline) Started(string, uint64, time.Time) {}
+
+func (b *baseline) Ended(id string, _ uint64, _ Result, _ time.Time) {
+	j := b.placed[id]
+	delete(b.placed, id)
+	for _, i := range j.placement {
+		b.free[i] = b.free[i].Add(j.Shape.PerMember)
+	}
+	n := j.Shape.Total().Accelerators
+	b.admitted[j.Account] -= n
+	b.taken -= n
+}
+
+func (b *baseline) Plan(time.Time) Plan {
+	var p Plan
+	left := b.waiting[:0]
+	held := map[string]bool{}
+	for _, j := range b.waiting {
+		if !b.admit(j, held) || !b.place(j) {
+			left = append(left, j)
+			continue
+		}
+		j.attempt++
+		b.placed[j.ID] = j
+		names := make(Placement, 0, len(j.placement))
+		for _, i := range j.placement {
+			names = append(names, b.workers[i].ID)
+		}
+		p.Starts = append(p.Starts, Start{Job: j.Job, Attempt: j.attempt, Placement: names})
+	}
+	b.waiting = left
+	return p
+}
+
+// admit counts the job against the quota, and with counting also against the total.
+func (b *baseline) admit(j *baselineJob, held map[string]bool) bool {
+	if j.admitted {
+		return true
+	}
+	n := j.Shape.Total().Accelerators
+	over := b.quota[j.Account] > 0 && b.admitted[j.Account]+n > b.quota[j.Account]
+	if b.counting && (held[j.Account] || over || b.taken+n > b.total) {
+		held[j.Account] = true
+		return false
+	}
+	if !b.counting {
+		if over || !b.find(j) {
+			return false
+		}
+	}
+	j.admitted = true
+	b.admitted[j.Account] += n
+	b.taken += n
+	return true
+}
+
+func (b *baseline) place(j *baselineJob) bool {
+	if !b.find(j) {
+		return false
+	}
+	for _, i := range j.placement {
+		b.free[i] = b.free[i].Sub(j.Shape.PerMember)
+	}
+	return true
+}
+
+// find looks for the first workers that fit.
+func (b *baseline) find(j *baselineJob) bool {
+	j.placement = j.placement[:0]
+	for i := range b.workers {
+		if s := j.Shape; len(j.placement) > 0 {
+			last := j.placement[len(j.placement)-1]
+			if s.Adjacency == resource.AdjacencyWorker ||
+				s.Adjacency == resource.AdjacencyRack && b.workers[last].Rack != b.workers[i].Rack {
+				j.placement = j.placement[:0]
+			}
+		}
+		for n := fitCount(j.Shape.PerMember, b.free[i]); n > 0; n-- {
+			j.placement = append(j.placement, i)
+			if len(j.placement) == j.Shape.Members {
+				return true
+			}
+		}
+	}
+	return false
+}
--- a/scheduler/conduct.go
+++ b/scheduler/conduct.go
@@ -124,7 +124,7 @@
 		c.plan.Condemned = append(c.plan.Condemned, Condemned{Job: j.ID, Detail: j.reason})
 	default:
 		c.delay(j)
-		c.requeue(j, result, placement)
+		c.requeue(j)
 	}
 }
 
@@ -196,11 +196,6 @@
 		different > 1 && !c.holdsElsewhere(j)
 }
 
-// holdsElsewhere reports whether workers on which the job did not fail could hold it.
-func (c *Core) holdsElsewhere(j *job) bool {
-	return c.holdsEmptyExcept(j.Shape, j.failedOn)
-}
-
 // exonerate withdraws the failures of a job from the records of its workers once it failed on another worker in good
 // standing, since then the job is at fault.
 func (c *Core) exonerate(j *job) {
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -27,6 +27,8 @@
 	// ordered lists the configured workers by rack and id; racks groups them.
 	ordered []*worker
 	racks   []*rack
+	// largestRack is the number of accelerators of the largest rack.
+	largestRack int
 	// nowhere is the rack of workers that are not configured.
 	nowhere *rack
 
@@ -57,7 +59,10 @@
 	// suspended counts workers in quarantine or on trial.
 	suspended int
 
-	plan    Plan
+	plan Plan
+	// plans counts the calls of Plan; recheck asks for another one soon.
+	plans   uint64
+	recheck bool
 	scratch []candidate
 	visit   []*class
 }
@@ -141,7 +146,7 @@
 			c.unsettled = append(c.unsettled, w)
 		}
 	}
-	c.ordered, c.racks = nil, nil
+	c.ordered, c.racks, c.largestRack = nil, nil, 0
 	for id, spec := range doc.Workers {
 		if spec.FailureDomain != c.failureDomain {
 			if w := c.workers[id]; w != nil {
@@ -178,6 +183,7 @@
 		w.rack = k
 		k.workers = append(k.workers, w)
 		k.accelerators += w.capacity.Accelerators
+		c.largestRack = max(c.largestRack, k.accelerators)
 		c.touch(w, true)
 	}
 }
--- a/scheduler/events.go
+++ b/scheduler/events.go
@@ -108,6 +108,7 @@
 	placement := j.placement
 	c.vacate(j)
 	c.endTrial(j, placement, result.Kind)
+	planned := j.stopPlanned
 	j.stopPlanned = false
 	switch {
 	case result.Kind == ResultCompleted:
@@ -121,7 +122,10 @@
 	case j.cancelled:
 		c.finish(j, jobs.StateCancelled, "cancelled")
 	default:
-		c.requeue(j, result, placement)
+		if result.Kind == ResultNotStarted && !planned {
+			c.refused(j, placement, result)
+		}
+		c.requeue(j)
 	}
 }
 
@@ -140,13 +144,10 @@
 }
 
 // requeue lets a job wait again after an attempt that was stopped, lost or never ran.
-func (c *Core) requeue(j *job, result Result, placement []*worker) {
+func (c *Core) requeue(j *job) {
 	j.state = jobs.StateWaiting
 	j.reason = ""
 	j.waitingSince = c.now
-	if result.Kind == ResultNotStarted {
-		c.refused(j, placement, result)
-	}
 	j.ranSince, j.began = time.Time{}, time.Time{}
 	j.key = c.queueKey(j)
 	c.enqueue(j)
--- a/scheduler/feasible.go
+++ b/scheduler/feasible.go
@@ -214,19 +214,36 @@
 
 // holdsEmpty reports whether the shape fits the configured workers if they were all empty and healthy.
 func (c *Core) holdsEmpty(s resource.Shape) bool {
-	return c.holdsEmptyExcept(s, func(*worker) bool { return false })
+	return c.fitsRooms(s, func(w *worker) resource.Resources { return w.capacity })
 }
 
-// holdsEmptyExcept is holdsEmpty without the workers for which avoid is true.
-func (c *Core) holdsEmptyExcept(s resource.Shape, avoid func(*worker) bool) bool {
+// holdsElsewhere reports whether workers on which the job did not fail could hold it.
+func (c *Core) holdsElsewhere(j *job) bool {
+	return c.fitsRooms(j.Shape, func(w *worker) resource.Resources {
+		if j.failedOn(w) {
+			return resource.Resources{}
+		}
+		return w.capacity
+	})
+}
+
+// holdsUnbound reports whether the shape fits the capacity of healthy workers that no guarantee is bound to.
+func (c *Core) holdsUnbound(s resource.Shape) bool {
+	return c.fitsRooms(s, func(w *worker) resource.Resources {
+		if !w.eligible() {
+			return resource.Resources{}
+		}
+		return w.capacity.Sub(w.bound)
+	})
+}
+
+// fitsRooms reports whether the shape fits the rooms of the workers.
+func (c *Core) fitsRooms(s resource.Shape, room func(*worker) resource.Resources) bool {
 	all := 0
 	for _, k := range c.racks {
 		inRack := 0
 		for _, w := range k.workers {
-			if avoid(w) {
-				continue
-			}
-			n := fitCount(s.PerMember, w.capacity)
+			n := fitCount(s.PerMember, room(w))
 			if n >= s.Members {
 				return true
 			}
--- a/scheduler/plan.go
+++ b/scheduler/plan.go
@@ -11,9 +11,14 @@
 // blockedSearches bounds the memory of searches that found nothing.
 const blockedSearches = 4096
 
+// recheckDelay is the time to the next plan when a victim could not be stopped because the present plan started it.
+const recheckDelay = 10 * time.Millisecond
+
 // Plan implements Planner.
 func (c *Core) Plan(now time.Time) Plan {
 	c.advance(now)
+	c.plans++
+	c.recheck = false
 	c.reviewQuarantine()
 	c.settle()
 	c.rebind()
@@ -129,9 +134,10 @@
 	if !j.hard() {
 		return false
 	}
-	// Unstoppable work gets no borrowed capacity, so it may use up a larger guarantee of its own account.
+	// Unstoppable work gets no borrowed capacity. Where nothing but bound capacity would ever hold it, it uses up a
+	// larger guarantee of its own account.
 	cl := c.openCell(j, true)
-	return cl != nil && c.claim(j, cl)
+	return cl != nil && !c.holdsUnbound(j.Shape) && c.claim(j, cl)
 }
 
 // tryClaim starts or reclaims for a job that matches an unclaimed guarantee of its account.
@@ -192,6 +198,7 @@
 	j.state = jobs.StateStarting
 	j.reason = ""
 	j.began, j.ranSince = c.now, time.Time{}
+	j.startedIn = c.plans
 	c.occupy(j, placement)
 	names := make(Placement, len(placement))
 	for i, w := range placement {
@@ -223,6 +230,9 @@
 			next = t
 		}
 	}
+	if c.recheck {
+		soonest(c.now.Add(recheckDelay))
+	}
 	for _, cl := range c.active {
 		soonest(cl.head.notBefore)
 		if gang(cl.head) && !c.options.noReservations {
@@ -231,7 +241,7 @@
 	}
 	for _, j := range c.holds {
 		if !j.hold.claim {
-			soonest(j.hold.deadline)
+			soonest(j.hold.review)
 		}
 	}
 	if c.suspended > 0 {
--- a/scheduler/rank.go
+++ b/scheduler/rank.go
@@ -13,9 +13,9 @@
 	rackSpreadWeight = 0.5
 	// strandedWeight ranks accelerators left without processors or memory as worse than any other leftover.
 	strandedWeight = 2.0
-	// overtakeShare is the part of policy.max_wait_ms by which the ranking may move a job ahead of its submission
-	// time. Above 1 an endless stream of favoured jobs could hold back others past their reservation.
-	overtakeShare = 0.5
+	// overtakeWaits is the number of policy.max_wait_ms by which the ranking may move a job ahead of its submission
+	// time. It bounds how long an endless stream of favoured jobs holds back another.
+	overtakeWaits = 12
 )
 
 // score ranks w for n members of the request; lower is better. The weight of fragmentation counts capacity that becomes
@@ -52,8 +52,8 @@
 		score += fractionLeft(after, w.capacity)
 	}
 	w.rack.refresh()
-	if w.rack.accelerators > 0 {
-		score += rackSpreadWeight * float64(w.rack.total) / float64(w.rack.accelerators)
+	if c.largestRack > 0 {
+		score += rackSpreadWeight * float64(w.rack.total) / float64(c.largestRack)
 	}
 	return score
 }
@@ -119,23 +119,32 @@
 	score /= float64(r.shape.Members)
 	if k.accelerators > 0 {
 		spare := k.total - r.shape.Total().Accelerators
-		score += c.weight() * float64(spare) / float64(k.accelerators)
+		score += c.weight() * float64(spare) / float64(c.largestRack)
 	}
 	return score
 }
 
 // queueKey orders the waiting jobs. Without weight on fragmentation, jobs that are learned to be short go ahead; with
-// it, large gangs do. Both are bounded by overtakeShare, so every job is overtaken for a bounded time only.
+// it, large gangs do. Both are bounded by overtakeWaits, so every job is overtaken for a bounded time only.
 func (c *Core) queueKey(j *job) time.Time {
-	span := float64(c.maxWait()) * overtakeShare
+	span := float64(c.maxWait()) * overtakeWaits
 	weight := c.weight()
 	ahead := weight * c.largeness(j)
-	if run, ok := c.learned(j); ok {
-		ahead += (1 - weight) * (1 - min(1, float64(run)/float64(c.maxWait())))
-	}
+	ahead += (1 - weight) * c.brevity(j)
 	return j.arrived.Add(-time.Duration(span * ahead))
 }
 
+// brevity returns how small the learned work of j is, from 0 for that of the standard large shape over
+// overtakeWaits upwards to 1 for none.
+func (c *Core) brevity(j *job) float64 {
+	run, ok := c.learned(j)
+	standard := float64(c.policy.StandardLargeShape.Total().Accelerators) * overtakeWaits * c.maxWait().Seconds()
+	if !ok || standard <= 0 {
+		return 0
+	}
+	return 1 - min(1, c.weightOf(j)*run.Seconds()/standard)
+}
+
 // largeness returns the size of j relative to the standard large shape, at most 1.
 func (c *Core) largeness(j *job) float64 {
 	standard := sizeOf(c.policy.StandardLargeShape)
--- a/scheduler/reclaim.go
+++ b/scheduler/reclaim.go
@@ -28,8 +28,8 @@
 	claim bool
 	// closed marks a reservation whose victims are being stopped; backfill does not enter any more.
 	closed bool
-	// since is when the hold was made; deadline is when an open reservation is closed.
-	since, deadline time.Time
+	// since is when the hold was made; an open reservation is looked at again at review and closed at deadline.
+	since, review, deadline time.Time
 	// checked is the value of Core.seq at the last search for other free capacity.
 	checked uint64
 }
@@ -46,11 +46,15 @@
 			break
 		}
 	}
-	weight := float64(j.Shape.Total().Accelerators)
-	if weight == 0 {
-		weight = plainTaskLoss * float64(j.Shape.Members)
+	return c.weightOf(j) * lost.Seconds()
+}
+
+// weightOf returns the accelerators of a job, or the part of one that its plain tasks count for.
+func (c *Core) weightOf(j *job) float64 {
+	if n := j.Shape.Total().Accelerators; n > 0 {
+		return float64(n)
 	}
-	return weight * lost.Seconds()
+	return plainTaskLoss * float64(j.Shape.Members)
 }
 
 // eviction is the search for a place for one job by stops of others.
@@ -68,6 +72,10 @@
 	if v.hard() || v.cell != nil || v.stopPlanned {
 		return false
 	}
+	if v.startedIn == e.core.plans {
+		e.core.recheck = true
+		return false
+	}
 	if e.cell != nil {
 		return true
 	}
@@ -352,7 +360,7 @@
 	for _, v := range a.placed {
 		if v.stopPlanned {
 			over -= v.Shape.Total().Accelerators
-		} else if !v.hard() && v.cell == nil && v.Shape.Total().Accelerators > 0 {
+		} else if !v.hard() && v.cell == nil && v.startedIn != c.plans && v.Shape.Total().Accelerators > 0 {
 			victims = append(victims, v)
 		}
 	}
--- a/scheduler/reserve.go
+++ b/scheduler/reserve.go
@@ -14,9 +14,16 @@
 	reservedShare = 0.5
 	// maxReservationStops caps how often one job is stopped for reservations; after that it runs to its end.
 	maxReservationStops = 2
-	// promptLossShare is the share of the gang's own work during policy.max_wait_ms that stops may lose without waiting
-	// for the ends of the victims first.
-	promptLossShare = 0.5
+	// lossShare is the share of the accelerator time for which the gang has waited that stops for it may lose. The
+	// allowance grows while the gang waits, so dear victims get time to end by themselves.
+	lossShare = 0.5
+	// reviewShare is the share of policy.max_wait_ms between two looks at the cost of an open reservation.
+	reviewShare = 0.5
+	// closeAfter is the number of policy.max_wait_ms after which a reservation is emptied whatever is lost.
+	closeAfter = 4
+	// patientAfter is the number of policy.max_wait_ms after which a gang may reserve capacity of work that may not be
+	// stopped, whose end has no bound.
+	patientAfter = 2
 	// reservationRetry is the share of policy.max_wait_ms after which a reservation that found no place is tried again.
 	reservationRetry = 0.25
 )
@@ -99,23 +106,26 @@
 		c.start(j, placement)
 		return
 	}
-	if h.claim || h.closed {
+	if h.claim {
 		c.repairStops(j)
 		return
 	}
+	if h.closed {
+		c.repairStops(j)
+	}
 	if place := c.findElsewhere(j); place != nil {
 		c.dropHold(j)
 		c.start(j, place)
 		return
 	}
-	if !c.now.Before(h.deadline) {
-		c.closeReservation(j)
+	if !h.closed && !c.now.Before(h.review) {
+		c.reviewReservation(j)
 	}
 }
 
 // overdue reports whether a closed reservation has waited so long that another place may be better.
 func (c *Core) overdue(h *hold) bool {
-	return !h.claim && h.closed && c.now.Sub(h.since) > 4*c.maxWait()
+	return !h.claim && h.closed && c.now.Sub(h.since) > c.waits(2*closeAfter)
 }
 
 // giveUpHold lets the job wait in its queue again.
@@ -203,7 +213,7 @@
 		return
 	}
 	for c.reservationRoom() {
-		j := c.longestBlocked()
+		j := c.mostBlocked()
 		if j == nil || !c.reserveFor(j) {
 			return
 		}
@@ -230,19 +240,21 @@
 	return j.Shape.Members > 1 || j.Shape.PerMember.Accelerators > 1
 }
 
-// longestBlocked returns the first job of a class that has waited past the bound the longest, nil if there is none.
-func (c *Core) longestBlocked() *job {
-	var oldest *job
+// mostBlocked returns the gang past the bound with the most accelerator time of waiting, nil if there is none. A small
+// gang that waits goes ahead of larger ones in the end.
+func (c *Core) mostBlocked() *job {
+	var first *job
+	var most float64
 	for _, cl := range c.active {
 		j := cl.head
 		if !gang(j) || c.now.Before(c.reservationDue(cl)) || c.now.Before(j.notBefore) || !c.withinQuota(j) {
 			continue
 		}
-		if oldest == nil || j.waitingSince.Before(oldest.waitingSince) {
-			oldest = j
+		if urgency := c.weightOf(j) * c.now.Sub(j.waitingSince).Seconds(); first == nil || urgency > most {
+			first, most = j, urgency
 		}
 	}
-	return oldest
+	return first
 }
 
 // reservationDue returns when the first job of a class may get a reservation.
@@ -254,35 +266,70 @@
 	return due
 }
 
-// reserveFor reserves the place with the least loss for a gang. Where the loss is small or bounded by the gang's own
-// wait, its victims are stopped at once; otherwise they get until the deadline to end by themselves.
+// reserveFor reserves the place with the least loss for a gang. Where the loss is within the allowance, its victims are
+// stopped at once; otherwise they get time to end by themselves.
 func (c *Core) reserveFor(j *job) bool {
-	e := &eviction{core: c, job: j}
-	place, cost := e.find()
-	if place == nil {
-		e.patient = true
-		place, cost = e.find()
-	}
+	place, cost, strict := c.placeByStops(j)
 	if place == nil {
-		j.class.retryReserve = c.now.Add(time.Duration(reservationRetry * float64(c.maxWait())))
+		j.class.retryReserve = c.now.Add(c.waits(reservationRetry))
 		return false
 	}
-	h := &hold{placement: place, since: c.now, deadline: c.now.Add(c.maxWait())}
+	h := &hold{placement: place, since: c.now, deadline: c.now.Add(c.waits(closeAfter))}
 	c.setHold(j, h)
-	own := float64(max(j.Shape.Total().Accelerators, 1)) * c.maxWait().Seconds()
-	if cost <= promptLossShare*own {
+	c.settleReservation(j, cost, strict)
+	return true
+}
+
+// placeByStops returns the place for a reservation with the least loss. Strict places need only stops; others wait for
+// work that may not be stopped.
+func (c *Core) placeByStops(j *job) (place []*worker, cost float64, strict bool) {
+	e := &eviction{core: c, job: j}
+	place, cost = e.find()
+	if place != nil || c.now.Sub(j.waitingSince) < c.waits(patientAfter) {
+		return place, cost, true
+	}
+	e.patient = true
+	place, cost = e.find()
+	return place, cost, false
+}
+
+// settleReservation closes a reservation whose cost is within the allowance or whose time is up, and otherwise sets the
+// time of its next review.
+func (c *Core) settleReservation(j *job, cost float64, strict bool) {
+	h := j.hold
+	allowance := lossShare * c.weightOf(j) * c.now.Sub(j.waitingSince).Seconds()
+	if strict && cost <= allowance || !c.now.Before(h.deadline) {
 		c.closeReservation(j)
+		return
 	}
-	return true
+	h.review = c.now.Add(c.waits(reviewShare))
+}
+
+// reviewReservation moves an open reservation to the place with the least loss now, and closes it if it is due.
+func (c *Core) reviewReservation(j *job) {
+	h := j.hold
+	c.countHold(j, -1)
+	place, cost, strict := c.placeByStops(j)
+	if place != nil {
+		for _, w := range h.placement {
+			c.touch(w, true)
+		}
+		h.placement = place
+	}
+	c.countHold(j, 1)
+	c.settleReservation(j, cost, strict && place != nil)
 }
 
+// waits returns a multiple of policy.max_wait_ms.
+func (c *Core) waits(n float64) time.Duration { return time.Duration(n * float64(c.maxWait())) }
+
 // untilClose returns the time until the first open reservation closes; ok is false if there is none.
 func (c *Core) untilClose() (d time.Duration, ok bool) {
 	for _, j := range c.holds {
 		if j.hold.claim || j.hold.closed {
 			continue
 		}
-		left := j.hold.deadline.Sub(c.now)
+		left := j.hold.review.Sub(c.now)
 		if !ok || left < d {
 			d, ok = left, true
 		}
@@ -291,7 +338,8 @@
 }
 
 // backfills reports whether j may use reserved capacity: it can be stopped, and the stop either loses nothing or most
-// jobs of its kind end before. Where that is wrong, the loss is capped by the deadline of the reservation.
+// jobs of its kind end before the next review of a reservation. Where that is wrong, the loss is capped by the
+// allowance of the reservation and, past it, by its deadline.
 func (c *Core) backfills(j *job) bool {
 	if j.hard() {
 		return false
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -155,8 +155,11 @@
 	// began is when the present attempt was started; ranSince when all its members ran.
 	began, ranSince time.Time
 	waitingSince    time.Time
-	cancelled       bool
-	stopPlanned     bool
+	// startedIn is the number of the plan that started the present attempt. The same plan must not stop it, since the
+	// shell carries out stops before starts.
+	startedIn   uint64
+	cancelled   bool
+	stopPlanned bool
 	// placedAt is the index in account.placed.
 	placedAt int
 	// stopsSuffered counts stops for reservations, which are capped.
