Consolidate scattered capacity and give reservations to gangs first

Changed: jobs of one member get a reservation after 12 max_wait_ms only; a reservation is closed only where stops alone empty it; jobs that lose their progress gather in few racks; with weight on fragmentation, jobs that save their progress are moved so that a standard large shape fits.

--- a/scheduler/api.go
+++ b/scheduler/api.go
@@ -118,6 +118,8 @@
 	StopDrain       StopReason = "drain"
 	// StopLost stops the other members of a gang that lost one.
 	StopLost StopReason = "lost"
+	// StopConsolidate moves a job that saves its progress, so that free accelerators become adjacent.
+	StopConsolidate StopReason = "consolidate"
 )
 
 // Stop asks the shell to stop an attempt.
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -53,6 +53,8 @@
 	blocked map[shapeKey]uint64
 	// holds lists the jobs with a hold, claims and reservations.
 	holds []*job
+	// nextConsolidation is the earliest time of the next consolidation.
+	nextConsolidation time.Time
 
 	// unsettled lists workers whose occupants have to be looked at: leaving, gone or overcommitted.
 	unsettled []*worker
@@ -78,7 +80,9 @@
 	// noReservations leaves blocked gangs to chance.
 	noReservations bool
 	noQuarantine   bool
-	noCondemnation bool
+	// noConsolidation leaves scattered free capacity as it is.
+	noConsolidation bool
+	noCondemnation  bool
 	// restartRunOnce treats run-once jobs like others.
 	restartRunOnce bool
 	// placeOnUnreachable treats unreachable workers as up.
@@ -183,6 +187,9 @@
 		w.rack = k
 		k.workers = append(k.workers, w)
 		k.accelerators += w.capacity.Accelerators
+		for _, o := range w.occupants {
+			k.settled += o.job.settledOn(o.members)
+		}
 		c.largestRack = max(c.largestRack, k.accelerators)
 		c.touch(w, true)
 	}
--- a/scheduler/plan.go
+++ b/scheduler/plan.go
@@ -25,6 +25,7 @@
 	c.startHeld()
 	c.startWaiting()
 	c.reserve()
+	c.consolidate()
 	c.assertReclaimable()
 	plan := c.plan
 	plan.NextCheck = c.nextCheck()
--- a/scheduler/rank.go
+++ b/scheduler/rank.go
@@ -13,6 +13,8 @@
 	rackSpreadWeight = 0.5
 	// strandedWeight ranks accelerators left without processors or memory as worse than any other leftover.
 	strandedWeight = 2.0
+	// mixWeight is the weight of keeping jobs that lose their progress apart from those that do not.
+	mixWeight = 0.3
 	// overtakeWaits is the number of policy.max_wait_ms by which the ranking may move a job ahead of its submission
 	// time. It bounds how long an endless stream of favoured jobs holds back another.
 	overtakeWaits = 12
@@ -30,9 +32,25 @@
 	if weight < 1 && r.cell == nil && !r.hard {
 		score += (1 - weight) * c.risk(w, need)
 	}
+	if r.job != nil && need.Accelerators > 0 {
+		score += mixWeight * c.mixing(w.rack, r.job)
+	}
 	return score
 }
 
+// mixing ranks racks so that jobs that lose their progress when stopped gather in few racks. The others are then cheap
+// to empty for large gangs.
+func (c *Core) mixing(k *rack, j *job) float64 {
+	if k.accelerators == 0 {
+		return 0
+	}
+	share := float64(k.settled) / float64(k.accelerators)
+	if j.CanCheckpoint {
+		return share
+	}
+	return 1 - share
+}
+
 // weight is policy.fragmentation_weight within 0..1.
 func (c *Core) weight() float64 { return min(max(c.policy.FragmentationWeight, 0), 1) }
 
@@ -129,8 +147,7 @@
 func (c *Core) queueKey(j *job) time.Time {
 	span := float64(c.maxWait()) * overtakeWaits
 	weight := c.weight()
-	ahead := weight * c.largeness(j)
-	ahead += (1 - weight) * c.brevity(j)
+	ahead := weight*c.largeness(j) + (1-weight)*c.brevity(j)
 	return j.arrived.Add(-time.Duration(span * ahead))
 }
 
--- a/scheduler/reclaim.go
+++ b/scheduler/reclaim.go
@@ -65,6 +65,8 @@
 	cell *cell
 	// patient allows capacity of work that may not be stopped; the job then waits for its end.
 	patient bool
+	// moving looks for jobs to be moved by a consolidation.
+	moving bool
 }
 
 // mayStop reports whether v may be stopped for the job.
@@ -79,7 +81,10 @@
 	if e.cell != nil {
 		return true
 	}
-	return !v.Urgent && v.size() < e.job.size() && v.stopsSuffered < maxReservationStops
+	if e.moving {
+		return e.core.movable(v)
+	}
+	return v.size() < e.job.size() && v.stopsSuffered < maxReservationStops
 }
 
 // ceiling returns the most that the job may hold on w in the end.
--- a/scheduler/reserve.go
+++ b/scheduler/reserve.go
@@ -21,6 +21,9 @@
 	reviewShare = 0.5
 	// closeAfter is the number of policy.max_wait_ms after which a reservation is emptied whatever is lost.
 	closeAfter = 4
+	// singleWaits is the number of policy.max_wait_ms after which a job of one member with several accelerators gets a
+	// reservation. It needs one worker only, so the order of the queue serves it; sooner, it would stop many smaller jobs.
+	singleWaits = 12
 	// patientAfter is the number of policy.max_wait_ms after which a gang may reserve capacity of work that may not be
 	// stopped, whose end has no bound.
 	patientAfter = 2
@@ -260,6 +263,9 @@
 // reservationDue returns when the first job of a class may get a reservation.
 func (c *Core) reservationDue(cl *class) time.Time {
 	due := cl.head.waitingSince.Add(c.maxWait())
+	if cl.head.Shape.Members == 1 {
+		due = cl.head.waitingSince.Add(c.waits(singleWaits))
+	}
 	if due.Before(cl.retryReserve) {
 		return cl.retryReserve
 	}
@@ -298,7 +304,7 @@
 func (c *Core) settleReservation(j *job, cost float64, strict bool) {
 	h := j.hold
 	allowance := lossShare * c.weightOf(j) * c.now.Sub(j.waitingSince).Seconds()
-	if strict && cost <= allowance || !c.now.Before(h.deadline) {
+	if strict && (cost <= allowance || !c.now.Before(h.deadline)) {
 		c.closeReservation(j)
 		return
 	}
@@ -341,7 +347,7 @@
 // jobs of its kind end before the next review of a reservation. Where that is wrong, the loss is capped by the
 // allowance of the reservation and, past it, by its deadline.
 func (c *Core) backfills(j *job) bool {
-	if j.hard() {
+	if j.hard() || j.stopsSuffered >= maxReservationStops {
 		return false
 	}
 	left, ok := c.untilClose()
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -113,6 +113,8 @@
 	limit resource.Resources
 	// total is the sum of the free accelerators of eligible workers, accelerators that of all its workers.
 	total, accelerators int
+	// settled sums the accelerators of ordinary jobs that lose their progress when stopped.
+	settled int
 }
 
 // refresh recomputes the aggregates after a change on one of the workers.
@@ -164,8 +166,10 @@
 	placedAt int
 	// stopsSuffered counts stops for reservations, which are capped.
 	stopsSuffered int
-	failures      []failure
-	failureCount  int
+	// movedAt is the time of the last consolidation that moved the job.
+	movedAt      time.Time
+	failures     []failure
+	failureCount int
 	// notBefore delays the next attempt after a failure.
 	notBefore time.Time
 }
@@ -173,6 +177,14 @@
 // hard reports whether the job may not be stopped for anybody.
 func (j *job) hard() bool { return !j.Stoppable() }
 
+// settledOn returns the accelerators of n members that lose their progress when stopped.
+func (j *job) settledOn(n int) int {
+	if j.CanCheckpoint {
+		return 0
+	}
+	return n * j.Shape.PerMember.Accelerators
+}
+
 // placed reports whether the job uses resources.
 func (j *job) placed() bool { return len(j.placement) > 0 }
 
@@ -253,6 +265,7 @@
 		if j.hard() && j.cell == nil {
 			w.hard = w.hard.Add(need)
 		}
+		w.rack.settled += j.settledOn(n)
 		w.addOccupant(j, n)
 		c.touch(w, false)
 	})
@@ -289,6 +302,7 @@
 		return
 	}
 	need := j.Shape.PerMember.Times(n)
+	w.rack.settled -= j.settledOn(n)
 	w.used = w.used.Sub(need)
 	if j.hard() && j.cell == nil {
 		w.hard = w.hard.Sub(need)
