--- a/scheduler/conduct.go
+++ b/scheduler/conduct.go
@@ -9,8 +9,12 @@
 
 // The rules for bad workers and bad jobs.
 const (
-	// suspectJobs is the number of different jobs whose failure on one worker quarantines it.
-	suspectJobs = 3
+	// suspectJobs is the number of different jobs whose failure on one worker quarantines it, and confirmedJobs the
+	// number of those that must run elsewhere by then. In a burst of bad jobs none does.
+	suspectJobs   = 3
+	confirmedJobs = 2
+	// confirmTime is how long a job must run elsewhere to confirm that its failure was the worker's.
+	confirmTime = time.Minute
 	// suspicionWindow is how long a failure counts against a worker.
 	suspicionWindow = time.Hour
 	// vouchWindow is how long a completed job counts in favour of a worker.
@@ -50,13 +54,16 @@
 	until time.Time
 	spell time.Duration
 	trial *job
-	// good is when a job last completed here.
+	// good is when a job that completed here was started.
 	good time.Time
 }
 
+// suspicion is a failure of a job on a worker.
 type suspicion struct {
 	job *job
 	at  time.Time
+	// confirmed marks a job that completed on another worker.
+	confirmed bool
 }
 
 // failure is a worker to be avoided by a job.
@@ -64,8 +71,6 @@
 	worker *worker
 	// refused marks a worker that did not start the job; it is avoided only while others are free.
 	refused bool
-	// vouched marks a worker in good standing at the time.
-	vouched bool
 }
 
 // acceptsTrial reports whether a worker on trial may get j: one restartable job without earlier failures, on this
@@ -79,19 +84,33 @@
 	return !j.RunOnce && j.Shape.Members == 1 && len(j.failures) == 0
 }
 
-// vouch records that a job completed on the workers.
-func (c *Core) vouch(placement []*worker) {
+// vouch records that a job completed on the workers, which speaks for them since its start and against
+// those where it failed.
+func (c *Core) vouch(j *job, placement []*worker) {
+	for _, f := range j.failures {
+		for i := range f.worker.conduct.suspicions {
+			s := &f.worker.conduct.suspicions[i]
+			s.confirmed = s.confirmed || s.job == j
+		}
+	}
 	for _, w := range placement {
-		w.conduct.good = c.now
-		w.conduct.suspicions = nil
+		w.conduct.good = j.began
+		w.conduct.suspicions = slices.DeleteFunc(w.conduct.suspicions, func(s suspicion) bool {
+			return !s.at.After(j.began)
+		})
 	}
 }
 
-// inGoodStanding reports whether other work succeeds on w.
-func (c *Core) inGoodStanding(w *worker) bool {
+// inGoodStanding reports whether other work than j succeeds on w and none failed there without explanation.
+func (c *Core) inGoodStanding(w *worker, j *job) bool {
 	if w.conduct.phase != phaseTrusted {
 		return false
 	}
+	for _, s := range w.conduct.suspicions {
+		if s.job != j {
+			return false
+		}
+	}
 	if !w.conduct.good.IsZero() && c.now.Sub(w.conduct.good) < vouchWindow {
 		return true
 	}
@@ -110,7 +129,7 @@
 		if j.failedOn(w) {
 			continue
 		}
-		j.failures = append(j.failures, failure{worker: w, vouched: c.inGoodStanding(w)})
+		j.failures = append(j.failures, failure{worker: w})
 		c.suspect(w, j)
 	}
 	c.exonerate(j)
@@ -188,7 +207,7 @@
 			continue
 		}
 		different++
-		if f.vouched {
+		if c.inGoodStanding(f.worker, j) {
 			vouched++
 		}
 	}
@@ -196,63 +215,58 @@
 		different > 1 && !c.holdsElsewhere(j)
 }
 
-// exonerate withdraws the failures of a job from the records of its workers once it failed on another worker in good
-// standing, since then the job is at fault.
+// exonerate withdraws the failures of a job from the records of its workers once it failed on several: then the job is
+// more likely at fault.
 func (c *Core) exonerate(j *job) {
-	vouched := 0
-	for _, f := range j.failures {
-		if f.vouched {
-			vouched++
-		}
-	}
-	if len(j.failures) < 2 || vouched == 0 && len(j.failures) < vouchedFailures {
+	if len(j.failures) < 2 {
 		return
 	}
 	for _, f := range j.failures {
 		f.worker.conduct.suspicions = slices.DeleteFunc(f.worker.conduct.suspicions,
-			func(s suspicion) bool { return s.job == j })
+			func(s suspicion) bool { return s.job == j && !s.confirmed })
 	}
 }
 
-// suspect records a failure of j on w and quarantines w if several different jobs failed there and clearly fewer on the
-// other workers; a burst of bad jobs fails everywhere alike.
+// suspect records a failure of j on w and quarantines w if several different jobs failed there of which some run
+// elsewhere. A burst of bad jobs fails everywhere alike and quarantines nothing.
 func (c *Core) suspect(w *worker, j *job) {
-	w.conduct.suspicions = append(c.recent(w), suspicion{j, c.now})
-	n := len(w.conduct.suspicions)
-	if w.conduct.phase != phaseTrusted || n < suspectJobs || c.options.noQuarantine {
+	w.conduct.suspicions = append(c.recent(w), suspicion{job: j, at: c.now})
+	if w.conduct.phase != phaseTrusted || len(w.conduct.suspicions) < suspectJobs || c.options.noQuarantine {
 		return
 	}
-	if n > 2+2*c.meanSuspicions(w) && c.mayQuarantine() {
+	if (c.options.blameEveryWorker || c.confirmed(w) >= confirmedJobs) && c.mayQuarantine() {
 		c.quarantine(w)
 	}
 }
 
-// recent returns the suspicions that still count, those of the job's earlier failures here replaced.
+// recent returns the suspicions that still count.
 func (c *Core) recent(w *worker) []suspicion {
 	return slices.DeleteFunc(w.conduct.suspicions, func(s suspicion) bool {
 		return c.now.Sub(s.at) > suspicionWindow
 	})
 }
 
-// meanSuspicions returns the rounded-up mean number of suspicions on the other healthy workers.
-func (c *Core) meanSuspicions(except *worker) int {
-	sum, n := 0, 0
-	for _, w := range c.ordered {
-		if w != except && w.eligible() {
-			w.conduct.suspicions = c.recent(w)
-			sum += len(w.conduct.suspicions)
+// confirmed counts the jobs that failed on w and run, or completed, elsewhere.
+func (c *Core) confirmed(w *worker) int {
+	n := 0
+	for _, s := range w.conduct.suspicions {
+		runs := s.job.placed() && !s.job.ranSince.IsZero() && c.now.Sub(s.job.ranSince) >= confirmTime
+		if s.confirmed || runs {
 			n++
 		}
 	}
-	if n == 0 {
-		return 0
-	}
-	return sum / n
+	return n
+}
+
+// underSuspicion reports whether an unexplained failure on w speaks against work that cannot be repeated.
+func (c *Core) underSuspicion(w *worker) bool {
+	n := len(w.conduct.suspicions)
+	return n > 0 && c.now.Sub(w.conduct.suspicions[n-1].at) <= suspicionWindow
 }
 
 // mayQuarantine reports whether one more suspended worker stays within policy.quarantine_percent.
 func (c *Core) mayQuarantine() bool {
-	return (c.suspended+1)*100 <= c.policy.QuarantinePercent*len(c.ordered)
+	return c.options.noQuarantineBound || (c.suspended+1)*100 <= c.policy.QuarantinePercent*len(c.ordered)
 }
 
 // quarantine takes a worker out of use. Jobs that failed there are free of that failure.
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -89,6 +89,10 @@
 	placeOnUnreachable bool
 	// ignoreAdjacency places gangs anywhere.
 	ignoreAdjacency bool
+	// blameEveryWorker quarantines without comparing with the other workers, and noQuarantineBound without a bound.
+	blameEveryWorker, noQuarantineBound bool
+	// stopUnstoppable takes unstoppable work for a victim.
+	stopUnstoppable bool
 	// forgetHeld lets others start on capacity whose victims are being stopped.
 	forgetHeld bool
 }
--- a/scheduler/driver_test.go
+++ b/scheduler/driver_test.go
@@ -27,7 +27,9 @@
 	// startDelay is the time from a plan to running members; stopDelay and checkpointDelay are those of a stop.
 	startDelay, stopDelay, checkpointDelay time.Duration
 	// onStart, onStop, onEnd and onPlan observe; afterPlan runs after every plan was applied. Nil for none.
-	onStart   func(*task, Start)
+	onStart func(*task, Start)
+	// fails names the worker on which an attempt fails, nil for none.
+	fails     func(*task) (string, bool)
 	onStop    func(*task, Stop)
 	onEnd     func(*task, Result)
 	onAdvance func(from, to time.Time)
@@ -211,9 +213,22 @@
 	}
 	t.ran = d.now
 	d.call(func() { d.planner.Started(t.ID, attempt, d.now) })
+	if d.fails != nil {
+		if id, ok := d.fails(t); ok {
+			d.after(d.startDelay, func() { d.fail(t, attempt, id) })
+			return
+		}
+	}
 	d.after(t.left, func() { d.complete(t, attempt) })
 }
 
+// fail ends the attempt as failed on a worker.
+func (d *driver) fail(t *task, attempt uint64, id string) {
+	if d.present(t, attempt) && !t.stopping {
+		d.end(t, Result{Kind: ResultFailed, Workers: []string{id}, Detail: "exit status 1"})
+	}
+}
+
 func (d *driver) complete(t *task, attempt uint64) {
 	if t.attempt != attempt || t.placement == nil || t.stopping {
 		return
@@ -230,6 +245,13 @@
 	if t.placement == nil {
 		return
 	}
+	d.settle(t, r)
+	attempt := t.attempt
+	d.call(func() { d.planner.Ended(t.ID, attempt, r, d.now) })
+}
+
+// settle records the end of the present attempt without a report.
+func (d *driver) settle(t *task, r Result) {
 	d.account(t, -1)
 	if d.onEnd != nil {
 		d.onEnd(t, r)
@@ -247,14 +269,13 @@
 	default:
 		t.wasted += ran
 	}
-	t.ended = r.Kind == ResultCompleted || r.Kind == ResultUnknown || t.cancelled
+	final := r.Kind == ResultFailed || r.Kind == ResultLost || r.Kind == ResultStopped && !r.Checkpointed
+	t.ended = r.Kind == ResultCompleted || r.Kind == ResultUnknown || t.cancelled || t.RunOnce && final
 	if t.ended {
 		t.outcome, t.endAt = r.Kind, d.now
 		delete(d.live, t.ID)
 	}
 	t.mayRunAgain = t.mayRunAgain || r.Kind == ResultNotStarted || r.Kind == ResultStopped && r.Checkpointed
-	attempt := t.attempt
-	d.call(func() { d.planner.Ended(t.ID, attempt, r, d.now) })
 }
 
 // stop ends the attempt after the delay of a stop, longer with a checkpoint.
--- a/scheduler/events.go
+++ b/scheduler/events.go
@@ -113,7 +113,7 @@
 	switch {
 	case result.Kind == ResultCompleted:
 		c.learn(j, now)
-		c.vouch(placement)
+		c.vouch(j, placement)
 		c.finish(j, jobs.StateCompleted, result.Detail)
 	case result.Kind == ResultUnknown, c.mustNotRepeat(j, result):
 		c.finish(j, jobs.StateUnknown, "may have run: "+result.Detail)
--- a/scheduler/feasible.go
+++ b/scheduler/feasible.go
@@ -83,7 +83,9 @@
 // admits reports whether the request may be placed on w at all.
 func (c *Core) admits(w *worker, r *request) bool {
 	if w.eligible() {
-		return r.job == nil || !r.job.failedOn(w)
+		// Run-once work that fails is lost, so it avoids workers under suspicion unless it claims its guarantee.
+		risky := r.job != nil && r.job.RunOnce && r.cell == nil && c.underSuspicion(w)
+		return !risky && (r.job == nil || !r.job.failedOn(w))
 	}
 	return r.cell == nil && r.job != nil && w.acceptsTrial(r.job)
 }
--- a/scheduler/plan.go
+++ b/scheduler/plan.go
@@ -158,7 +158,13 @@
 	if a.used+a.holding+need > a.quota {
 		return false
 	}
-	return !j.hard() || j.cell != nil || a.hardUsed+need <= a.quota-a.guaranteed || a.guaranteed == 0
+	return c.unstoppableWithinQuota(j)
+}
+
+// unstoppableWithinQuota reports whether ordinary unstoppable work leaves the account's guarantees within its quota.
+func (c *Core) unstoppableWithinQuota(j *job) bool {
+	a := c.account(j.Account)
+	return !j.hard() || a.guaranteed == 0 || a.hardUsed+j.Shape.Total().Accelerators <= a.quota-a.guaranteed
 }
 
 // request returns the search for j as ordinary work.
@@ -180,7 +186,7 @@
 		}
 		return place
 	}
-	key := shapeKey{r.shape, r.hard, r.backfill, mayTry(j)}
+	key := shapeKey{r.shape, r.hard, r.backfill, mayTry(j), j.RunOnce}
 	r.since = c.blocked[key]
 	place := c.find(r)
 	if place == nil {
--- a/scheduler/queue.go
+++ b/scheduler/queue.go
@@ -26,6 +26,8 @@
 	backfill bool
 	// trial marks jobs that workers on trial accept.
 	trial bool
+	// runOnce marks jobs that avoid workers under suspicion.
+	runOnce bool
 }
 
 // class is a first-in first-out queue of interchangeable waiting jobs. One failed search blocks the whole class, so a
--- a/scheduler/rank.go
+++ b/scheduler/rank.go
@@ -13,6 +13,8 @@
 	rackSpreadWeight = 0.5
 	// strandedWeight ranks accelerators left without processors or memory as worse than any other leftover.
 	strandedWeight = 2.0
+	// suspicionWeight ranks workers with unexplained failures behind others.
+	suspicionWeight = 1.0
 	// mixWeight is the weight of keeping jobs that lose their progress apart from those that do not.
 	mixWeight = 0.3
 	// overtakeWaits is the number of policy.max_wait_ms by which the ranking may move a job ahead of its submission
@@ -32,6 +34,9 @@
 	if weight < 1 && r.cell == nil && !r.hard {
 		score += (1 - weight) * c.risk(w, need)
 	}
+	if n := len(w.conduct.suspicions); n > 0 {
+		score += suspicionWeight * float64(min(n, suspectJobs))
+	}
 	if r.job != nil && need.Accelerators > 0 {
 		score += mixWeight * c.mixing(w.rack, r.job)
 	}
--- a/scheduler/reclaim.go
+++ b/scheduler/reclaim.go
@@ -71,7 +71,7 @@
 
 // mayStop reports whether v may be stopped for the job.
 func (e *eviction) mayStop(v *job) bool {
-	if v.hard() || v.cell != nil || v.stopPlanned {
+	if v.hard() && !e.core.options.stopUnstoppable || v.cell != nil || v.stopPlanned {
 		return false
 	}
 	if v.startedIn == e.core.plans {
@@ -262,7 +262,7 @@
 	if c.options.noReclaim || !c.quotaReclaimable(j) {
 		return false
 	}
-	if place := c.freePlace(j, cl); place != nil && c.withinQuota(j) {
+	if place := c.freePlace(j, cl); place != nil && c.claimWithinQuota(j) {
 		c.moveCell(cl, place)
 		c.take(j, cl)
 		c.start(j, place)
@@ -337,6 +337,12 @@
 	c.bind(cl, place)
 }
 
+// claimWithinQuota reports whether the claim needs no stop of the account's other work.
+func (c *Core) claimWithinQuota(j *job) bool {
+	a := c.account(j.Account)
+	return a.quota == 0 || a.used+a.claiming+j.Shape.Total().Accelerators <= a.quota
+}
+
 // quotaReclaimable reports whether the quota allows the claim once ordinary work of the account is stopped.
 func (c *Core) quotaReclaimable(j *job) bool {
 	_, ok := c.quotaVictims(j)
@@ -358,7 +364,7 @@
 	if a.quota == 0 {
 		return nil, true
 	}
-	over := a.used + a.holding + j.Shape.Total().Accelerators - a.quota
+	over := a.used + a.claiming + j.Shape.Total().Accelerators - a.quota
 	if over <= 0 {
 		return nil, true
 	}
--- a/scheduler/reserve.go
+++ b/scheduler/reserve.go
@@ -24,6 +24,10 @@
 	// singleWaits is the number of policy.max_wait_ms after which a job of one member with several accelerators gets a
 	// reservation. It needs one worker only, so the order of the queue serves it; sooner, it would stop many smaller jobs.
 	singleWaits = 12
+	// overdueWaits is the number of policy.max_wait_ms after which gangs get reservations in the order of their waits, and
+	// overdueRank a weight above that of any gang.
+	overdueWaits = 8
+	overdueRank  = 1e6
 	// patientAfter is the number of policy.max_wait_ms after which a gang may reserve capacity of work that may not be
 	// stopped, whose end has no bound.
 	patientAfter = 2
@@ -53,7 +57,11 @@
 // countHold adds the needs of a hold to its workers, or takes them away with sign -1.
 func (c *Core) countHold(j *job, sign int) {
 	h := j.hold
-	c.account(j.Account).holding += sign * j.Shape.Total().Accelerators
+	a := c.account(j.Account)
+	a.holding += sign * j.Shape.Total().Accelerators
+	if h.claim {
+		a.claiming += sign * j.Shape.Total().Accelerators
+	}
 	forEachWorker(h.placement, func(w *worker, n int) {
 		need := j.Shape.PerMember.Times(sign * n)
 		switch {
@@ -169,7 +177,10 @@
 func (c *Core) quotaAllowsHeld(j *job) bool {
 	a := c.account(j.Account)
 	need := j.Shape.Total().Accelerators
-	return a.quota == 0 || need == 0 || a.used+need <= a.quota
+	if a.quota == 0 || need == 0 || c.options.noQuota {
+		return true
+	}
+	return a.used+need <= a.quota && (j.cell != nil || c.unstoppableWithinQuota(j))
 }
 
 // repairStops plans further stops if the ones under way do not make enough room any more.
@@ -188,7 +199,7 @@
 
 // findElsewhere returns free capacity for a job with an open reservation.
 func (c *Core) findElsewhere(j *job) []*worker {
-	if !c.rackFreedSince(j.hold) {
+	if !c.rackFreedSince(j.hold) || !c.quotaAllowsHeld(j) {
 		return nil
 	}
 	c.countHold(j, -1)
@@ -253,13 +264,24 @@
 		if !gang(j) || c.now.Before(c.reservationDue(cl)) || c.now.Before(j.notBefore) || !c.withinQuota(j) {
 			continue
 		}
-		if urgency := c.weightOf(j) * c.now.Sub(j.waitingSince).Seconds(); first == nil || urgency > most {
+		if urgency := c.blockedFor(j); first == nil || urgency > most {
 			first, most = j, urgency
 		}
 	}
 	return first
 }
 
+// blockedFor ranks blocked gangs by the accelerator time for which they waited. One that waited past overdueWaits goes
+// ahead of all others, so that larger gangs cannot hold it back for ever.
+func (c *Core) blockedFor(j *job) float64 {
+	waited := c.now.Sub(j.waitingSince)
+	rank := c.weightOf(j) * waited.Seconds()
+	if waited >= c.waits(overdueWaits) {
+		rank = overdueRank * waited.Seconds()
+	}
+	return rank
+}
+
 // reservationDue returns when the first job of a class may get a reservation.
 func (c *Core) reservationDue(cl *class) time.Time {
 	due := cl.head.waitingSince.Add(c.maxWait())
--- a/scheduler/state.go
+++ b/scheduler/state.go
@@ -239,9 +239,9 @@
 	guaranteed int
 	// used sums the accelerators of placed jobs; hardUsed those of unstoppable jobs without a cell.
 	used, hardUsed int
-	// holding sums the accelerators that jobs with a hold will use.
-	holding int
-	cells   []*cell
+	// holding sums the accelerators that jobs with a hold will use; claiming is the part of claims.
+	holding, claiming int
+	cells             []*cell
 	// placed lists the jobs that use resources, in no particular but a reproducible order.
 	placed []*job
 	runs   map[int]*runTimes
