Add configuration patches, log fold, follower, operator API and platform clients

Apply, Diff, validation and the packing check of guarantees are pure. The packing check tries up to 64 orders of a best-fit placement within a budget of worker inspections; a patch that takes nothing away from a failure domain skips it. Exact search was ruled out, since packing is NP-hard and the fold must end in every process.

--- /dev/null
+++ b/config/config_test.go
@@ -0,0 +1,173 @@
+package config
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/redwingthread/redwingthread/errkind"
+	"github.com/redwingthread/redwingthread/resource"
+)
+
+// sample returns a valid document with racks of eight workers of eight accelerators each in one failure domain.
+func sample(workers int) *Document {
+	doc := &Document{
+		FailureDomains: map[string]FailureDomain{"fd-a": {Region: "north"}},
+		Workers:        map[string]resource.Worker{},
+		Accounts:       map[string]Account{"orders": {TokenDigest: TokenDigest("orders"), Weight: 1}},
+		Operators:      map[string]Operator{"ana": {TokenDigest: TokenDigest("ana")}},
+		Policy:         DefaultPolicy(),
+	}
+	for i := range workers {
+		doc.Workers[fmt.Sprintf("w-%03d", i)] = resource.Worker{
+			FailureDomain: "fd-a", Rack: fmt.Sprintf("r-%02d", i/8), Address: fmt.Sprintf("10.1.%d.%d:9000", i/250, i%250+1),
+			Capacity: resource.Resources{Accelerators: 8, MilliCPU: 32_000, MemoryMB: 64 << 10},
+		}
+	}
+	return Normalise(doc)
+}
+
+func op(path string, value any) Op {
+	raw, err := json.Marshal(value)
+	if err != nil {
+		panic(err)
+	}
+	return Op{Op: OpSet, Path: path, Value: raw}
+}
+
+func gang(members, accelerators int, adjacency resource.Adjacency) resource.Shape {
+	return resource.Shape{Members: members, Adjacency: adjacency,
+		PerMember: resource.Resources{Accelerators: accelerators, MilliCPU: 1000, MemoryMB: 1024}}
+}
+
+// guaranteed returns the op that gives orders one guarantee.
+func guaranteed(shape resource.Shape, count int) Op {
+	return op("accounts/orders", Account{TokenDigest: TokenDigest("orders"), Weight: 1,
+		Guarantees: []Guarantee{{FailureDomain: "fd-a", Shape: shape, Count: count}}})
+}
+
+// TestApply guards against a faulty patch that is accepted, a refusal without a remedy or with the wrong kind, and a
+// document that changes although the patch was refused.
+func TestApply(t *testing.T) {
+	cases := map[string]struct {
+		ops    []Op
+		kind   errkind.Kind
+		inText []string
+	}{
+		"valid":            {ops: []Op{op("drains/vm-3", Drain{Reason: "disk"}), op("policy", DefaultPolicy())}},
+		"endpoint":         {ops: []Op{op("services/scan", Service{TimeoutMS: 100, MaxBodyBytes: 10}), op("services/scan/endpoints/e-1", Endpoint{FailureDomain: "fd-a", Address: "10.0.0.1:80", Slots: 8, MaxConnections: 64})}},
+		"unknown section":  {ops: []Op{op("teams/x", 1)}, kind: errkind.BadInput, inText: []string{"teams"}},
+		"unknown op":       {ops: []Op{{Op: "merge", Path: "policy"}}, kind: errkind.BadInput, inText: []string{"merge"}},
+		"unknown field":    {ops: []Op{{Op: OpSet, Path: "drains/vm-3", Value: []byte(`{"why":1}`)}}, kind: errkind.BadInput, inText: []string{"why"}},
+		"not JSON":         {ops: []Op{{Op: OpSet, Path: "drains/vm-3", Value: []byte(`{`)}}, kind: errkind.BadInput},
+		"trailing text":    {ops: []Op{{Op: OpSet, Path: "drains/vm-3", Value: []byte(`{} {}`)}}, kind: errkind.BadInput},
+		"remove absent":    {ops: []Op{{Op: OpRemove, Path: "workers/w-9"}}, kind: errkind.BadInput, inText: []string{"nothing to remove"}},
+		"remove policy":    {ops: []Op{{Op: OpRemove, Path: "policy"}}, kind: errkind.BadInput},
+		"other name":       {ops: []Op{op("drains/vm-3", Drain{VM: "vm-4"})}, kind: errkind.BadInput, inText: []string{"vm-4"}},
+		"bad name":         {ops: []Op{op("drains/vm 3", Drain{})}, kind: errkind.BadInput},
+		"last operator":    {ops: []Op{{Op: OpRemove, Path: "operators/ana"}}, kind: errkind.BadInput, inText: []string{"operator"}},
+		"shared token":     {ops: []Op{op("operators/bo", Operator{TokenDigest: TokenDigest("ana")})}, kind: errkind.BadInput, inText: []string{"operators/ana"}},
+		"used domain":      {ops: []Op{{Op: OpRemove, Path: "failure_domains/fd-a"}}, kind: errkind.BadInput, inText: []string{"fd-a"}},
+		"host name":        {ops: []Op{op("workers/w-9", resource.Worker{FailureDomain: "fd-a", Rack: "r", Address: "host:80", Capacity: resource.Resources{MilliCPU: 1, MemoryMB: 1}})}, kind: errkind.BadInput, inText: []string{"host:80"}},
+		"endpoint only":    {ops: []Op{op("services/scan/endpoints/e-1", Endpoint{})}, kind: errkind.BadInput, inText: []string{"services/scan"}},
+		"quota below":      {ops: []Op{op("accounts/orders", Account{TokenDigest: TokenDigest("orders"), Weight: 1, Quota: 3, Guarantees: []Guarantee{{FailureDomain: "fd-a", Shape: gang(1, 4, "none"), Count: 1}}})}, kind: errkind.BadInput, inText: []string{"quota"}},
+		"every fault":      {ops: []Op{op("teams/x", 1), op("drains/a b", 1), {Op: OpRemove, Path: "workers/none"}}, kind: errkind.BadInput, inText: []string{"ops[0]", "ops[1]", "ops[2]"}},
+		"unpackable count": {ops: []Op{guaranteed(gang(1, 8, "none"), 9)}, kind: errkind.Infeasible, inText: []string{"account orders", "failure domain fd-a"}},
+		"unpackable rack":  {ops: []Op{guaranteed(gang(9, 8, "rack"), 1)}, kind: errkind.Infeasible, inText: []string{"account orders", "failure domain fd-a"}},
+		"unpackable host":  {ops: []Op{guaranteed(gang(2, 5, "worker"), 1)}, kind: errkind.Infeasible, inText: []string{"adjacency worker"}},
+		"workers removed":  {ops: []Op{guaranteed(gang(8, 8, "rack"), 1), {Op: OpRemove, Path: "workers/w-001"}}, kind: errkind.Infeasible, inText: []string{"account orders"}},
+		"packable":         {ops: []Op{guaranteed(gang(8, 8, "rack"), 1)}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			doc := sample(8)
+			before := Digest(doc)
+			next, err := Apply(doc, Patch{ID: "p-1", Author: "ana", Reason: "test", Ops: c.ops})
+			if Digest(doc) != before {
+				t.Error("the argument was changed")
+			}
+			if got := errkind.KindOf(err); got != c.kind {
+				t.Fatalf("kind %q, want %q: %v", got, c.kind, err)
+			}
+			if err == nil {
+				if next.Version != 1 {
+					t.Errorf("version %d, want 1", next.Version)
+				}
+				return
+			}
+			typed := errkind.As(err)
+			var faults *FaultsError
+			if typed.Remedy == "" || !errors.As(err, &faults) {
+				t.Errorf("error without remedy or list of faults: %v", err)
+			}
+			for _, text := range c.inText {
+				if !strings.Contains(typed.Message, text) {
+					t.Errorf("message %q lacks %q", typed.Message, text)
+				}
+			}
+		})
+	}
+}
+
+// TestApplyOldBase guards against a patch that takes effect on another version than the one it was written against.
+func TestApplyOldBase(t *testing.T) {
+	_, err := Apply(sample(1), Patch{ID: "p", Base: 1, Author: "ana", Reason: "r", Ops: []Op{op("drains/v", Drain{})}})
+	if !errkind.Is(err, errkind.Conflict) {
+		t.Fatalf("got %v", err)
+	}
+}
+
+// TestDiff guards against a diff that misses a change: its ops must turn one document into the other, both ways.
+func TestDiff(t *testing.T) {
+	a := sample(4)
+	b, err := Apply(a, Patch{ID: "p", Author: "ana", Reason: "r", Ops: []Op{
+		guaranteed(gang(1, 1, "none"), 1), op("services/scan", Service{TimeoutMS: 1, MaxBodyBytes: 1}),
+		op("services/scan/endpoints/e", Endpoint{FailureDomain: "fd-a", Address: "10.0.0.1:80", Slots: 1, MaxConnections: 1}),
+		{Op: OpRemove, Path: "workers/w-003"}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, err := Apply(b, Patch{ID: "q", Base: 1, Author: "ana", Reason: "r", Ops: []Op{{Op: OpRemove, Path: "services/scan/endpoints/e"}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, pair := range [][2]*Document{{a, b}, {b, a}, {b, c}, {c, b}, {a, c}, {c, a}} {
+		got, err := ApplyOps(pair[0], Diff(pair[0], pair[1]), pair[1].Version)
+		if err != nil || Digest(got) != Digest(pair[1]) {
+			t.Errorf("diff of versions %d and %d is not exact: %v", pair[0].Version, pair[1].Version, err)
+		}
+	}
+	if ops := Diff(b, b); len(ops) != 0 {
+		t.Errorf("equal documents differ: %v", ops)
+	}
+}
+
+// TestCanonicalEncoding guards against equal documents with different digests, which would raise a false alarm.
+func TestCanonicalEncoding(t *testing.T) {
+	doc := sample(50)
+	raw, err := Encode(doc)
+	if err != nil {
+		t.Fatal(err)
+	}
+	back, err := Decode(raw)
+	if err != nil || Digest(back) != Digest(doc) {
+		t.Fatalf("digest changed over a round trip: %v", err)
+	}
+	back.Policy.MaxWaitMS++
+	if Digest(back) == Digest(doc) {
+		t.Fatal("digest does not see a change")
+	}
+}
+
+// TestTokenDigest guards against a digest that is compared or accepted in another form.
+func TestTokenDigest(t *testing.T) {
+	digest := TokenDigest("secret")
+	if !ValidTokenDigest(digest) || !SameTokenDigest(digest, TokenDigest("secret")) || SameTokenDigest(digest, TokenDigest("other")) {
+		t.Error("digest of a token is not recognised")
+	}
+	if ValidTokenDigest(strings.ToUpper(digest)) || ValidTokenDigest(digest[1:]) || ValidTokenDigest("") {
+		t.Error("malformed digest is accepted")
+	}
+}
--- /dev/null
+++ b/config/fault.go
@@ -0,0 +1,58 @@
+package config
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/redwingthread/redwingthread/errkind"
+)
+
+// Fault is one thing that is wrong with a patch or a document.
+type Fault struct {
+	// Path names the item, for example "accounts/orders" or "ops[2] workers/w-1".
+	Path    string       `json:"path" cbor:"path"`
+	Kind    errkind.Kind `json:"kind" cbor:"kind"`
+	Message string       `json:"message" cbor:"message"`
+	Remedy  string       `json:"remedy" cbor:"remedy"`
+}
+
+// String returns the fault with its remedy in one line.
+func (f Fault) String() string { return f.Path + ": " + f.Message + " (" + f.Remedy + ")" }
+
+// FaultsError lists every fault of a patch or document. It is the cause of the errors of Apply and Validate.
+type FaultsError struct {
+	Faults []Fault
+}
+
+// Error returns the number of faults; the typed error around it lists them.
+func (e *FaultsError) Error() string { return fmt.Sprintf("%d faults in all", len(e.Faults)) }
+
+type faultList []Fault
+
+func (l *faultList) add(path, remedy, format string, args ...any) {
+	l.addKind(errkind.BadInput, path, remedy, format, args...)
+}
+
+func (l *faultList) addKind(kind errkind.Kind, path, remedy, format string, args ...any) {
+	*l = append(*l, Fault{Path: path, Kind: kind, Message: fmt.Sprintf(format, args...), Remedy: remedy})
+}
+
+// err returns nil without faults. The kind is that of the faults if they agree, else BadInput.
+func (l faultList) err(subject string) error {
+	if len(l) == 0 {
+		return nil
+	}
+	kind := l[0].Kind
+	lines := make([]string, len(l))
+	for i, fault := range l {
+		lines[i] = fault.String()
+		if fault.Kind != kind {
+			kind = errkind.BadInput
+		}
+	}
+	remedy := l[0].Remedy
+	if len(l) > 1 {
+		remedy = "correct every listed item; nothing was changed"
+	}
+	return errkind.Wrap(&FaultsError{Faults: l}, kind, remedy, "%s is refused: %s", subject, strings.Join(lines, "; "))
+}
--- /dev/null
+++ b/configlog/follower.go
@@ -0,0 +1,360 @@
+package configlog
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/redwingthread/redwingthread/config"
+	"github.com/redwingthread/redwingthread/errkind"
+	"github.com/redwingthread/redwingthread/inner"
+	"github.com/redwingthread/redwingthread/platform"
+)
+
+// Peer is another process that follows the configuration stream.
+type Peer interface {
+	// ID names the peer; it is stable over the life of the process.
+	ID() string
+	FetchRecords(ctx context.Context, req inner.FetchRecords) (inner.FetchRecordsResponse, error)
+	FetchState(ctx context.Context) (inner.FetchStateResponse, error)
+}
+
+// Settings are the collaborators and bounds of a Follower. Zero durations and bounds get defaults.
+type Settings struct {
+	Log platform.Log
+	// Peers returns the peers to ask now; nil if there are none.
+	Peers     func() []Peer
+	Logger    zerolog.Logger
+	Retention Retention
+	// PollWait is the wait of one long poll, and ReadMargin what is added to it for the response. Together with
+	// PeerPeriod they bound the time until a silent connection to the log is given up for peers.
+	PollWait   time.Duration
+	ReadMargin time.Duration
+	// PeerPeriod is the time between two rounds of asking peers while the log does not respond.
+	PeerPeriod time.Duration
+	// CallTimeout bounds one call to a peer and one append.
+	CallTimeout time.Duration
+	// GapGrace is the time for which a process whose next records expired waits for another process's snapshot before it
+	// carries its own state on.
+	GapGrace time.Duration
+	// SnapshotJitter spreads the snapshots of all processes; an append waits up to this long and is then checked again.
+	SnapshotJitter time.Duration
+	// RelayBytes bounds the records kept for peers.
+	RelayBytes int
+}
+
+// Defaults of Settings. A change reaches a process that can reach a peer within PollWait + ReadMargin + 2 PeerPeriod,
+// 5.5 s, also when its connection to the log went silent; the requirement is 8 s.
+const (
+	defaultPollWait       = 2 * time.Second
+	defaultReadMargin     = 1500 * time.Millisecond
+	defaultPeerPeriod     = time.Second
+	defaultCallTimeout    = 2 * time.Second
+	defaultGapGrace       = 20 * time.Second
+	defaultSnapshotJitter = 10 * time.Second
+	defaultRelayBytes     = 2 << 20
+	defaultRetention      = 24 * time.Hour
+	defaultEveryRecords   = 1000
+)
+
+func (s Settings) withDefaults() Settings {
+	set := func(d *time.Duration, value time.Duration) {
+		if *d == 0 {
+			*d = value
+		}
+	}
+	set(&s.PollWait, defaultPollWait)
+	set(&s.ReadMargin, defaultReadMargin)
+	set(&s.PeerPeriod, defaultPeerPeriod)
+	set(&s.CallTimeout, defaultCallTimeout)
+	set(&s.GapGrace, defaultGapGrace)
+	set(&s.SnapshotJitter, defaultSnapshotJitter)
+	set(&s.Retention.Period, defaultRetention)
+	if s.Retention.EveryRecords == 0 {
+		s.Retention.EveryRecords = defaultEveryRecords
+	}
+	if s.RelayBytes == 0 {
+		s.RelayBytes = defaultRelayBytes
+	}
+	if s.Peers == nil {
+		s.Peers = func() []Peer { return nil }
+	}
+	return s
+}
+
+// readLimit is the number of records asked for in one read.
+const readLimit = 256
+
+// Follower holds the configuration in force and keeps it up to date. It is safe for concurrent use.
+type Follower struct {
+	settings Settings
+	doc      atomic.Pointer[config.Document]
+
+	mu sync.Mutex
+	// state is nil until a start was found; guarded by mu, as are all fields below.
+	state *State
+	// changed is closed and replaced whenever state changes.
+	changed     chan struct{}
+	subscribers map[int]chan *config.Document
+	nextID      int
+	relay       relay
+	// lastRead is the time of the last response of the log, and logError the last error since; logTail is the next
+	// offset of the log as last seen.
+	lastRead time.Time
+	logError error
+	logTail  uint64
+	alarm    string
+	// hints holds the highest offset that a peer reported.
+	hint uint64
+	// gapSince is the time at which the log was first seen to lack the next records; zero if it does not.
+	gapSince time.Time
+	// snapshotAt is the time of the next append of a snapshot; zero if none is planned.
+	snapshotAt time.Time
+	appending  bool
+
+	wakePeers chan struct{}
+}
+
+// NewFollower returns a follower without a configuration. Run makes it follow.
+func NewFollower(settings Settings) *Follower {
+	return &Follower{
+		settings:    settings.withDefaults(),
+		changed:     make(chan struct{}),
+		subscribers: map[int]chan *config.Document{},
+		wakePeers:   make(chan struct{}, 1),
+	}
+}
+
+// Document returns the configuration in force, nil if there is none. It does not block.
+func (f *Follower) Document() *config.Document { return f.doc.Load() }
+
+// Subscribe returns a channel that receives the document in force and then each new one. A slow reader misses versions
+// in between, never the newest. Stop ends the subscription.
+func (f *Follower) Subscribe() (documents <-chan *config.Document, stop func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	id := f.nextID
+	f.nextID++
+	c := make(chan *config.Document, 1)
+	f.subscribers[id] = c
+	if doc := f.doc.Load(); doc != nil {
+		c <- doc
+	}
+	return c, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		delete(f.subscribers, id)
+	}
+}
+
+// State returns a copy of the folded state, nil if there is none.
+func (f *Follower) State() *State {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.state == nil {
+		return nil
+	}
+	return f.state.Clone()
+}
+
+// Run follows the log until ctx ends. It returns ctx's error.
+func (f *Follower) Run(ctx context.Context) error {
+	var group sync.WaitGroup
+	group.Go(func() { f.followPeers(ctx) })
+	f.followLog(ctx)
+	group.Wait()
+	return ctx.Err()
+}
+
+// followLog reads the log, with a backoff after errors.
+func (f *Follower) followLog(ctx context.Context) {
+	const firstBackoff, maxBackoff = 100 * time.Millisecond, time.Second
+	backoff := firstBackoff
+	slow := time.Duration(0)
+	for ctx.Err() == nil {
+		err := f.readOnce(ctx, slow)
+		if err == nil {
+			backoff, slow = firstBackoff, 0
+			continue
+		}
+		// A log that is slow for long still responds to reads with more time.
+		slow = min(2*slow+f.settings.ReadMargin, 20*time.Second)
+		f.askPeersSoon()
+		sleep(ctx, backoff/2+rand.N(backoff))
+		backoff = min(2*backoff, maxBackoff)
+	}
+}
+
+// readOnce does one long poll and handles its response. Extra is added to the time limit.
+func (f *Follower) readOnce(ctx context.Context, extra time.Duration) error {
+	from := f.nextOffset()
+	wait := f.settings.PollWait
+	if !f.started() {
+		wait = 0
+	}
+	resp, err := f.read(ctx, from, wait, extra)
+	if err == nil {
+		err = f.handle(ctx, from, resp)
+	}
+	f.mu.Lock()
+	f.logError = err
+	if err == nil {
+		f.lastRead = time.Now()
+	}
+	f.mu.Unlock()
+	if err != nil && ctx.Err() == nil {
+		f.settings.Logger.Warn().Err(err).Uint64("offset", from).Msg("configuration log cannot be read")
+	}
+	return err
+}
+
+func (f *Follower) read(ctx context.Context, from uint64, wait, extra time.Duration) (platform.ReadResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+f.settings.ReadMargin+extra)
+	defer cancel()
+	return f.settings.Log.Read(ctx, platform.ConfigStream, from, readLimit, int(wait.Milliseconds()))
+}
+
+// handle takes over the records of a response, or closes the gap if the next ones have expired.
+func (f *Follower) handle(ctx context.Context, from uint64, resp platform.ReadResponse) error {
+	f.mu.Lock()
+	f.logTail = resp.Next
+	f.mu.Unlock()
+	if !f.started() {
+		return f.start(ctx, resp)
+	}
+	next := f.nextOffset()
+	if resp.Next < next && resp.Next < from {
+		return f.raise(errkind.New(errkind.Unavailable, "restore the log service; the last version stays in force",
+			"log ends at offset %d in front of %d: it has lost records", resp.Next, next))
+	}
+	if resp.Oldest > next {
+		return f.closeGap(ctx, resp.Oldest)
+	}
+	f.mu.Lock()
+	f.gapSince = time.Time{}
+	f.mu.Unlock()
+	f.fold(resp.Records)
+	if f.Document() == nil {
+		f.askPeersSoon()
+	}
+	f.planSnapshot(ctx, resp)
+	return f.stopped(ctx)
+}
+
+// stopped slows the reader down while the fold goes no further.
+func (f *Follower) stopped(ctx context.Context) error {
+	f.mu.Lock()
+	stop := f.state.Stopped
+	f.mu.Unlock()
+	if stop != nil {
+		sleep(ctx, f.settings.PollWait)
+	}
+	return nil
+}
+
+// raise sets the alarm shown by Status and returns err.
+func (f *Follower) raise(err error) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.alarm = errkind.As(err).Message
+	return err
+}
+
+func (f *Follower) started() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.state != nil
+}
+
+func (f *Follower) nextOffset() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.state == nil {
+		return 0
+	}
+	return f.state.Next
+}
+
+// fold applies the records that follow the state; others are left out.
+func (f *Follower) fold(records []platform.Record) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.state == nil {
+		return
+	}
+	before := f.state.Next
+	for _, r := range records {
+		if r.Offset != f.state.Next {
+			continue
+		}
+		f.foldOne(r)
+	}
+	if f.state.Next != before {
+		f.publish()
+	}
+}
+
+// foldOne folds one record; the caller holds mu.
+func (f *Follower) foldOne(r platform.Record) {
+	if f.state.Stopped != nil {
+		return
+	}
+	decision := f.state.Fold(r.Offset, r.Data)
+	if stop := f.state.Stopped; stop != nil {
+		f.settings.Logger.Error().Str("reason", string(stop.Reason)).Uint64("offset", stop.Offset).Msg(stop.Detail)
+		return
+	}
+	f.relay.add(r, f.settings.RelayBytes)
+	if decision != nil {
+		f.settings.Logger.Info().Str("patch", decision.ID).Str("outcome", string(decision.Outcome)).
+			Uint64("version", decision.Version).Str("author", decision.Author).Msg("configuration decision")
+	}
+}
+
+// publish gives the state's document to readers and wakes waiters; the caller holds mu.
+func (f *Follower) publish() {
+	close(f.changed)
+	f.changed = make(chan struct{})
+	doc := f.state.Doc
+	held := f.doc.Load()
+	if doc == nil || doc == held {
+		return
+	}
+	if !checkMonotone(held, doc) {
+		return
+	}
+	f.doc.Store(doc)
+	for _, c := range f.subscribers {
+		select {
+		case <-c:
+		default:
+		}
+		c <- doc
+	}
+}
+
+// replace puts another state in place if it supersedes the one held.
+func (f *Follower) replace(next *State) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !next.Supersedes(f.state) {
+		return false
+	}
+	f.state = next
+	f.relay.clear()
+	f.publish()
+	return true
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/operatorapi/config.go
@@ -0,0 +1,238 @@
+package operatorapi
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+
+	"github.com/google/uuid"
+
+	"github.com/redwingthread/redwingthread/config"
+	"github.com/redwingthread/redwingthread/configlog"
+	"github.com/redwingthread/redwingthread/errkind"
+)
+
+// decisionStatus returns the HTTP status of a decision.
+func decisionStatus(d configlog.Decision) int {
+	if d.Outcome == configlog.Accepted || d.Error == nil {
+		return http.StatusOK
+	}
+	return d.Error.Kind.Status()
+}
+
+// readBody reads the whole body within the limit.
+func readBody(r *http.Request) (json.RawMessage, error) {
+	raw, err := io.ReadAll(r.Body)
+	if err == nil {
+		return raw, nil
+	}
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return nil, errkind.New(errkind.TooLarge, "send a smaller document", "body is above %d bytes", tooLarge.Limit)
+	}
+	return nil, errkind.Wrap(err, errkind.BadInput, "send the body again", "body cannot be read")
+}
+
+func (a *API) initialise(ctx context.Context, r *http.Request, who principal) (int, any, error) {
+	raw, err := readBody(r)
+	if err != nil {
+		return 0, nil, err
+	}
+	if doc := a.settings.Configuration.Document(); doc != nil {
+		return 0, nil, errkind.New(errkind.Conflict, "submit a patch instead",
+			"the configuration is already initialised; version %d is in force", doc.Version)
+	}
+	doc, err := config.DecodeDocument(raw)
+	if err != nil {
+		return 0, nil, err
+	}
+	d := a.settings.Configuration.Initialise(ctx, configlog.Initialise{
+		ID: "init-" + uuid.NewString(), Author: who.operator, Reason: "initialise", Document: doc,
+	})
+	return decisionStatus(d), d, nil
+}
+
+// planBody is the answer to a plan.
+type planBody struct {
+	Base    uint64      `json:"base"`
+	Version uint64      `json:"version"`
+	Changes []config.Op `json:"changes"`
+}
+
+func (a *API) plan(_ context.Context, r *http.Request, who principal) (int, any, error) {
+	patch, err := readPatch(r, who)
+	if err != nil {
+		return 0, nil, err
+	}
+	before, after, err := a.settings.Configuration.Plan(patch)
+	if err != nil {
+		return 0, nil, err
+	}
+	return http.StatusOK, planBody{Base: before.Version, Version: after.Version, Changes: config.Diff(before, after)}, nil
+}
+
+// readPatch reads a patch. The author is the operator whose token was sent; another name is refused, so that the log of
+// changes can be relied on.
+func readPatch(r *http.Request, who principal) (config.Patch, error) {
+	var patch config.Patch
+	if err := readJSON(r, &patch); err != nil {
+		return patch, err
+	}
+	if patch.ID == "" {
+		patch.ID = uuid.NewString()
+	}
+	return patch, setAuthor(&patch.Author, who)
+}
+
+func setAuthor(author *string, who principal) error {
+	if *author != "" && *author != who.operator {
+		return errkind.New(errkind.Forbidden, "leave the author out or use that operator's token",
+			"author %q is not operator %q, whose token was sent", *author, who.operator)
+	}
+	*author = who.operator
+	return nil
+}
+
+func (a *API) submit(ctx context.Context, r *http.Request, who principal) (int, any, error) {
+	patch, err := readPatch(r, who)
+	if err != nil {
+		return 0, nil, err
+	}
+	d := a.settings.Configuration.Submit(ctx, patch)
+	return decisionStatus(d), d, nil
+}
+
+// settle answers with 200 whatever the decision was, since the request was to read it; an unknown one is an error.
+func (a *API) settle(ctx context.Context, r *http.Request, _ principal) (int, any, error) {
+	d := a.settings.Configuration.Settle(ctx, r.PathValue("id"))
+	if d.Outcome == configlog.Unknown {
+		return decisionStatus(d), d, nil
+	}
+	return http.StatusOK, d, nil
+}
+
+// withdrawBody is the body of a withdrawal.
+type withdrawBody struct {
+	Author string `json:"author"`
+	Reason string `json:"reason"`
+}
+
+func (a *API) withdraw(ctx context.Context, r *http.Request, who principal) (int, any, error) {
+	var body withdrawBody
+	if err := readJSON(r, &body); err != nil {
+		return 0, nil, err
+	}
+	if err := setAuthor(&body.Author, who); err != nil {
+		return 0, nil, err
+	}
+	if body.Reason == "" || len(body.Reason) > config.MaxTextLength {
+		return 0, nil, errkind.New(errkind.BadInput, "give a reason of 1 to 512 bytes", "reason has %d bytes", len(body.Reason))
+	}
+	d := a.settings.Configuration.Withdraw(ctx, r.PathValue("id"), body.Author, body.Reason)
+	if d.Outcome == configlog.Unknown {
+		return decisionStatus(d), d, nil
+	}
+	return http.StatusOK, d, nil
+}
+
+// queryVersion reads a version from the query; an absent one gives fallback.
+func queryVersion(r *http.Request, name string, fallback uint64) (uint64, error) {
+	text := r.URL.Query().Get(name)
+	if text == "" {
+		return fallback, nil
+	}
+	version, err := strconv.ParseUint(text, 10, 64)
+	return version, errkind.Wrap(err, errkind.BadInput, "give a version number", "%s=%q is no version", name, text)
+}
+
+// state returns a copy of the folded state that has a configuration.
+func (a *API) state() (*configlog.State, error) {
+	state := a.settings.Configuration.State()
+	if state == nil || state.Doc == nil {
+		return nil, errkind.New(errkind.NotFound, "run redwingctl config init", "there is no configuration yet")
+	}
+	return state, nil
+}
+
+func (a *API) document(_ context.Context, r *http.Request, _ principal) (int, any, error) {
+	state, err := a.state()
+	if err != nil {
+		return 0, nil, err
+	}
+	version, err := queryVersion(r, "version", state.Doc.Version)
+	if err != nil {
+		return 0, nil, err
+	}
+	doc, err := state.At(version)
+	return http.StatusOK, doc, err
+}
+
+func (a *API) log(_ context.Context, r *http.Request, _ principal) (int, any, error) {
+	state, err := a.state()
+	if err != nil {
+		return 0, nil, err
+	}
+	from, err := queryVersion(r, "from", 0)
+	if err != nil {
+		return 0, nil, err
+	}
+	to, err := queryVersion(r, "to", state.Doc.Version)
+	if err != nil {
+		return 0, nil, err
+	}
+	if from > to {
+		return 0, nil, errkind.New(errkind.BadInput, "give from at most to", "from %d is above to %d", from, to)
+	}
+	decisions := state.Log(from, to)
+	if decisions == nil {
+		decisions = []configlog.Decision{}
+	}
+	return http.StatusOK, decisions, nil
+}
+
+// statusBody is the configuration in force on this process and on every entry VM.
+type statusBody struct {
+	Self configlog.Status `json:"self"`
+	VMs  []vmStatusBody   `json:"vms"`
+}
+
+// vmStatusBody shows an unseen VM's version as "unknown".
+type vmStatusBody struct {
+	VM            string `json:"vm"`
+	FailureDomain string `json:"failure_domain"`
+	Version       any    `json:"version"`
+	Digest        string `json:"digest,omitempty"`
+}
+
+func (a *API) status(ctx context.Context, _ *http.Request, _ principal) (int, any, error) {
+	body := statusBody{Self: a.settings.Configuration.Status(), VMs: []vmStatusBody{}}
+	for _, vm := range a.settings.Peers.ConfigStatus(ctx) {
+		entry := vmStatusBody{VM: vm.VM, FailureDomain: vm.FailureDomain, Version: outcomeUnknown}
+		if vm.Known {
+			entry.Version = vm.Version
+			entry.Digest = strconv.FormatUint(vm.Digest, 16)
+		}
+		body.VMs = append(body.VMs, entry)
+	}
+	return http.StatusOK, body, nil
+}
+
+// healthBody is the health of this daemon and what it sees of the others.
+type healthBody struct {
+	Ready            bool              `json:"ready"`
+	Configuration    configlog.Status  `json:"configuration"`
+	Peers            []PeerHealth      `json:"peers"`
+	ActiveSchedulers map[string]string `json:"active_schedulers"`
+}
+
+func (a *API) health(ctx context.Context, _ *http.Request, _ principal) (int, any, error) {
+	return http.StatusOK, healthBody{
+		Ready:            a.settings.Ready == nil || a.settings.Ready(),
+		Configuration:    a.settings.Configuration.Status(),
+		Peers:            a.settings.Peers.Health(ctx),
+		ActiveSchedulers: a.settings.Peers.ActiveSchedulers(ctx),
+	}, nil
+}
