Add randomised test of the configuration register in virtual time

Nine followers in three failure domains follow a fake log with retention, outages, lost, late and silent responses, under partitions and restarts.

--- a/configlog/append.go
+++ b/configlog/append.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"github.com/redwingthread/redwingthread/platform"
@@ -21,14 +20,14 @@
 		return
 	}
 	if f.snapshotAt.IsZero() {
-		f.snapshotAt = now.Add(rand.N(f.settings.SnapshotJitter))
+		f.snapshotAt = now.Add(f.random.duration(f.settings.SnapshotJitter))
 		return
 	}
 	if f.appending || now.Before(f.snapshotAt) {
 		return
 	}
 	// A lost response must not make this process append again before it has read its own record.
-	f.snapshotAt = now.Add(f.settings.SnapshotJitter/2 + rand.N(f.settings.SnapshotJitter))
+	f.snapshotAt = now.Add(f.settings.SnapshotJitter/2 + f.random.duration(f.settings.SnapshotJitter))
 	f.appending = true
 	record := Record{RuleSet: f.state.RuleSet, At: now.UnixMilli(), Snapshot: f.state.Snapshot()}
 	go f.appendSnapshot(ctx, record)
--- a/configlog/catchup.go
+++ b/configlog/catchup.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"github.com/redwingthread/redwingthread/config"
@@ -47,7 +46,7 @@
 		}
 		return err
 	}
-	if !f.gapGraceOver() || !f.everyPeerEmpty(ctx) {
+	if f.gapAge() < f.settings.GapGrace || !f.everyPeerEmpty(ctx) {
 		return errkind.New(errkind.Unavailable, "wait for a peer that has the configuration",
 			"log begins at offset %d without a snapshot", resp.Oldest)
 	}
@@ -106,7 +105,7 @@
 	if state != nil && f.replace(state) {
 		return nil
 	}
-	if !f.gapGraceOver() {
+	if !f.mayBridge(ctx) {
 		return errkind.New(errkind.Unavailable, "wait for the snapshot of another process",
 			"records %d to %d expired before they were read", f.nextOffset(), oldest)
 	}
@@ -120,14 +119,37 @@
 	return nil
 }
 
-// gapGraceOver reports whether the next records have been missing for GapGrace.
-func (f *Follower) gapGraceOver() bool {
+// mayBridge reports whether this process may carry its state on over expired records. Another process may have read them
+// and accepted a higher version, so a process that does not hear from every peer waits much longer for that one's snapshot.
+func (f *Follower) mayBridge(ctx context.Context) bool {
+	missing := f.gapAge()
+	if missing < f.settings.GapGrace {
+		return false
+	}
+	return missing >= lonelyGraceFactor*f.settings.GapGrace || f.everyPeerAnswers(ctx)
+}
+
+// lonelyGraceFactor multiplies GapGrace for a process that does not hear from every peer.
+const lonelyGraceFactor = 15
+
+// gapAge returns for how long the next records have been missing from the log.
+func (f *Follower) gapAge() time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.gapSince.IsZero() {
 		f.gapSince = time.Now()
 	}
-	return time.Since(f.gapSince) >= f.settings.GapGrace
+	return time.Since(f.gapSince)
+}
+
+// everyPeerAnswers asks each peer and reports whether all answered that they hold nothing behind this state.
+func (f *Follower) everyPeerAnswers(ctx context.Context) bool {
+	peers := f.settings.Peers()
+	next := f.nextOffset()
+	return f.askAll(ctx, peers, func(ctx context.Context, p Peer) bool {
+		resp, err := p.FetchRecords(ctx, inner.FetchRecords{From: next, Limit: 1})
+		return err == nil && resp.Next <= next
+	}) == len(peers)
 }
 
 // followPeers asks peers while the log does not respond, while there is no configuration, or after a hint.
@@ -182,7 +204,9 @@
 // somePeers returns a random choice of peers.
 func (f *Follower) somePeers() []Peer {
 	peers := append([]Peer(nil), f.settings.Peers()...)
-	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	f.random.mu.Lock()
+	defer f.random.mu.Unlock()
+	f.random.rng.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
 	return peers[:min(len(peers), peersPerRound)]
 }
 
--- a/configlog/follower.go
+++ b/configlog/follower.go
@@ -45,6 +45,8 @@
 	SnapshotJitter time.Duration
 	// RelayBytes bounds the records kept for peers.
 	RelayBytes int
+	// Seed makes jitter and the choice of peers repeatable; 0 for a random one.
+	Seed uint64
 }
 
 // Defaults of Settings. A change reaches a process that can reach a peer within PollWait + ReadMargin + 2 PeerPeriod,
@@ -117,6 +119,27 @@
 	appending  bool
 
 	wakePeers chan struct{}
+	random    random
+}
+
+// random is a source of jitter that is safe for concurrent use.
+type random struct {
+	mu  sync.Mutex
+	rng *rand.Rand
+}
+
+func newRandom(seed uint64) random {
+	if seed == 0 {
+		seed = rand.Uint64()
+	}
+	return random{rng: rand.New(rand.NewPCG(seed, 0))}
+}
+
+// duration returns a duration in [0, limit).
+func (r *random) duration(limit time.Duration) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return time.Duration(r.rng.Int64N(int64(limit)))
 }
 
 // NewFollower returns a follower without a configuration. Run makes it follow.
@@ -126,6 +149,7 @@
 		changed:     make(chan struct{}),
 		subscribers: map[int]chan *config.Document{},
 		wakePeers:   make(chan struct{}, 1),
+		random:      newRandom(settings.Seed),
 	}
 }
 
@@ -184,7 +208,7 @@
 		// A log that is slow for long still responds to reads with more time.
 		slow = min(2*slow+f.settings.ReadMargin, 20*time.Second)
 		f.askPeersSoon()
-		sleep(ctx, backoff/2+rand.N(backoff))
+		sleep(ctx, backoff/2+f.random.duration(backoff))
 		backoff = min(2*backoff, maxBackoff)
 	}
 }
--- /dev/null
+++ b/configlog/scenario_test.go
@@ -0,0 +1,331 @@
+package configlog
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/redwingthread/redwingthread/config"
+	"github.com/redwingthread/redwingthread/errkind"
+	"github.com/redwingthread/redwingthread/invariant"
+	"github.com/redwingthread/redwingthread/platform"
+)
+
+const (
+	// testRetention is short, so that a run sees many expiries.
+	testRetention = 5 * time.Minute
+	// quiet is the fault-free end of a run: longer than GapGrace of a process without peers.
+	quiet = 6 * time.Minute
+	// changeEvery is the mean time between two changes at 3,100 changes per day.
+	changeEvery = 24 * time.Hour / 3100
+)
+
+// operation is one call of an operator, as its caller saw it.
+type operation struct {
+	kind         string // "submit", "withdraw", "read"
+	id           string
+	base         uint64
+	call, ret    time.Time
+	decision     Decision
+	read         uint64
+	valid, known bool
+}
+
+// result is what a run showed.
+type result struct {
+	violations []string
+	operations []operation
+	accepted   int
+	unknown    int
+	voided     int
+	// delays are those from an accepted append to the version being in force on a follower that was reachable.
+	delays []time.Duration
+}
+
+func mangler(change func(Record) Record) func(platform.Record) platform.Record {
+	return func(r platform.Record) platform.Record {
+		record, err := decode(r.Data)
+		if err != nil {
+			return r
+		}
+		if data, err := Encode(change(record)); err == nil {
+			r.Data = data
+		}
+		return r
+	}
+}
+
+// runScenario is one randomised run in virtual time: nine followers in three failure domains, racing operators, and faults
+// of the log, the network and the followers.
+func runScenario(t *testing.T, seed uint64) *result {
+	// One run in four has mostly late appends, which withdrawals have to settle.
+	late := 0
+	if seed%4 == 0 {
+		late = 60
+	}
+	return runScenarioWith(t, seed, options{duration: 30 * time.Minute, latePercent: late})
+}
+
+func runScenarioWith(t *testing.T, seed uint64, o options) *result {
+	res := &result{}
+	synctest.Test(t, func(t *testing.T) {
+		var assertions invariant.Log
+		defer invariant.SetRecorder(assertions.Record)()
+		c := newCluster(seed, o)
+		ctx, cancel := context.WithCancel(t.Context())
+		var followers, drivers sync.WaitGroup
+		for _, n := range c.nodes {
+			c.start(ctx, &followers, n)
+		}
+		c.initialise()
+		run := &driver{cluster: c, result: res}
+		end := time.Now().Add(o.duration)
+		drivers.Go(func() { run.faults(ctx, &followers, seed, end) })
+		drivers.Go(func() { run.bursts(ctx, seed, end) })
+		for i := range 3 {
+			drivers.Go(func() { run.operate(ctx, seed, i, end) })
+		}
+		drivers.Wait()
+		run.healAndSettle(ctx, &followers)
+		cancel()
+		followers.Wait()
+		time.Sleep(30 * time.Second) // late appends end
+		for _, v := range assertions.Violations() {
+			c.violate("assertion %s", v)
+		}
+		c.check(res)
+	})
+	return res
+}
+
+func (c *cluster) initialise() {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	sleep(ctx, 5*time.Second)
+	d := c.nodes[0].current().Initialise(ctx, Initialise{ID: "init", Author: "ana", Reason: "start", Document: testDocument()})
+	if d.Outcome != Accepted {
+		c.violate("initialise was %s: %v", d.Outcome, d.Err())
+	}
+}
+
+// driver makes faults and changes.
+type driver struct {
+	cluster *cluster
+	result  *result
+	mu      sync.Mutex
+	// count numbers the patches; guarded by mu, as is result.operations.
+	count int
+}
+
+func (d *driver) record(op operation) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.result.operations = append(d.result.operations, op)
+}
+
+func exponential(rng *rand.Rand, mean time.Duration) time.Duration {
+	return time.Duration(rng.ExpFloat64() * float64(mean))
+}
+
+// operate submits changes at a third of the planned rate, withdraws some that are unknown, and reads.
+func (d *driver) operate(ctx context.Context, seed uint64, who int, end time.Time) {
+	rng := rand.New(rand.NewPCG(seed, uint64(100+who)))
+	for time.Now().Before(end) {
+		sleep(ctx, exponential(rng, 3*changeEvery))
+		f := d.pick(rng)
+		if f == nil {
+			continue
+		}
+		op := d.submit(ctx, rng, f)
+		if op.decision.Outcome == Unknown && rng.IntN(2) == 0 {
+			if other := d.pick(rng); other != nil {
+				d.withdraw(ctx, other, op.id)
+			}
+		}
+		if rng.IntN(3) == 0 {
+			d.read(ctx, f)
+		}
+	}
+}
+
+// bursts lets ten operators race with changes for 20 s now and then.
+func (d *driver) bursts(ctx context.Context, seed uint64, end time.Time) {
+	rng := rand.New(rand.NewPCG(seed, 99))
+	for time.Now().Before(end) {
+		sleep(ctx, exponential(rng, 5*time.Minute))
+		stop := time.Now().Add(20 * time.Second)
+		var group sync.WaitGroup
+		for i := range 10 {
+			own := rand.New(rand.NewPCG(seed, rng.Uint64()+uint64(i)))
+			group.Go(func() {
+				for time.Now().Before(stop) {
+					if f := d.pick(own); f != nil {
+						d.submit(ctx, own, f)
+					}
+					sleep(ctx, exponential(own, 2*time.Second))
+				}
+			})
+		}
+		group.Wait()
+	}
+}
+
+func (d *driver) pick(rng *rand.Rand) *Follower {
+	return d.cluster.nodes[rng.IntN(len(d.cluster.nodes))].current()
+}
+
+func (d *driver) submit(ctx context.Context, rng *rand.Rand, f *Follower) operation {
+	doc := f.Document()
+	if doc == nil {
+		return operation{}
+	}
+	d.mu.Lock()
+	d.count++
+	op := operation{kind: "submit", id: fmt.Sprintf("p-%d", d.count), base: doc.Version, valid: rng.IntN(10) > 0}
+	d.mu.Unlock()
+	path := fmt.Sprintf("drains/vm-%d", rng.IntN(5))
+	value := fmt.Sprintf(`{"reason":%q}`, op.id)
+	if !op.valid {
+		value = `{"unknown":1}`
+	}
+	patch := config.Patch{ID: op.id, Base: op.base, Author: "ana", Reason: "change",
+		Ops: []config.Op{{Op: config.OpSet, Path: path, Value: []byte(value)}}}
+	ctx, cancel := context.WithTimeout(ctx, 6*time.Second)
+	defer cancel()
+	op.call = time.Now()
+	op.decision = d.submitPatch(ctx, f, patch)
+	op.ret = time.Now()
+	d.record(op)
+	return op
+}
+
+func (d *driver) submitPatch(ctx context.Context, f *Follower, patch config.Patch) Decision {
+	if !d.cluster.options.appendErrorMeansNo {
+		return f.Submit(ctx, patch)
+	}
+	if err := f.append(ctx, Record{RuleSet: config.RuleSet, Patch: &patch}); err != nil {
+		return Decision{ID: patch.ID, Outcome: Refused, Error: errkind.As(err)}
+	}
+	return f.Settle(ctx, patch.ID)
+}
+
+func (d *driver) withdraw(ctx context.Context, f *Follower, id string) {
+	ctx, cancel := context.WithTimeout(ctx, 6*time.Second)
+	defer cancel()
+	op := operation{kind: "withdraw", id: id, call: time.Now()}
+	op.decision = f.Withdraw(ctx, id, "ana", "late")
+	op.ret = time.Now()
+	d.record(op)
+}
+
+// read reads the register: the version in force once the follower has caught up with the log.
+func (d *driver) read(ctx context.Context, f *Follower) {
+	ctx, cancel := context.WithTimeout(ctx, 6*time.Second)
+	defer cancel()
+	op := operation{kind: "read", call: time.Now()}
+	if f.CatchUp(ctx) != nil {
+		return
+	}
+	op.read, op.ret, op.known = versionOf(f.Document()), time.Now(), true
+	d.record(op)
+}
+
+// faults switches faults on and off, one or two at a time.
+func (d *driver) faults(ctx context.Context, group *sync.WaitGroup, seed uint64, end time.Time) {
+	rng := rand.New(rand.NewPCG(seed, 98))
+	c := d.cluster
+	for time.Now().Before(end) {
+		c.heal(rng)
+		sleep(ctx, exponential(rng, 40*time.Second))
+		for range 1 + rng.IntN(2) {
+			d.fault(ctx, group, rng)
+		}
+		length := exponential(rng, 40*time.Second)
+		if rng.IntN(10) == 0 {
+			length = testRetention + exponential(rng, time.Minute) // records expire meanwhile
+		}
+		sleep(ctx, min(length, 8*time.Minute))
+	}
+}
+
+// heal ends all outages and partitions; lost, late and silent responses go on.
+func (c *cluster) heal(rng *rand.Rand) {
+	c.mu.Lock()
+	c.cutLog, c.cut = [domains]bool{}, [domains][domains]bool{}
+	c.mu.Unlock()
+	c.log.mu.Lock()
+	defer c.log.mu.Unlock()
+	c.log.down, c.log.slow = false, 0
+	c.log.lossPercent, c.log.latePercent, c.log.hangPercent = rng.IntN(15), rng.IntN(10), rng.IntN(5)
+	if c.options.latePercent > 0 {
+		c.log.latePercent = c.options.latePercent
+	}
+}
+
+func (d *driver) fault(ctx context.Context, group *sync.WaitGroup, rng *rand.Rand) {
+	c := d.cluster
+	switch rng.IntN(5) {
+	case 0:
+		c.log.mu.Lock()
+		c.log.down = true
+		c.log.mu.Unlock()
+	case 1:
+		c.log.mu.Lock()
+		c.log.slow = exponential(rng, 2*time.Second)
+		c.log.mu.Unlock()
+	case 2:
+		c.mu.Lock()
+		c.cutLog[rng.IntN(domains)] = true
+		c.mu.Unlock()
+	case 3:
+		a, b := rng.IntN(domains), rng.IntN(domains)
+		c.mu.Lock()
+		c.cut[a][b], c.cut[b][a] = a != b, a != b
+		c.mu.Unlock()
+	case 4:
+		d.restart(ctx, group, rng)
+	}
+}
+
+// restart replaces one to three nodes by new incarnations, each after a while.
+func (d *driver) restart(ctx context.Context, group *sync.WaitGroup, rng *rand.Rand) {
+	for range 1 + rng.IntN(3) {
+		n := d.cluster.nodes[rng.IntN(len(d.cluster.nodes))]
+		d.cluster.kill(n)
+		sleep(ctx, exponential(rng, 3*time.Second))
+		if n.current() == nil {
+			d.cluster.start(ctx, group, n)
+		}
+	}
+}
+
+// healAndSettle ends all faults, waits, and settles every unknown outcome by a withdrawal.
+func (d *driver) healAndSettle(ctx context.Context, group *sync.WaitGroup) {
+	c := d.cluster
+	c.heal(rand.New(rand.NewPCG(0, 0)))
+	c.log.mu.Lock()
+	c.log.lossPercent, c.log.latePercent, c.log.hangPercent = 0, 0, 0
+	c.log.mu.Unlock()
+	for _, n := range c.nodes {
+		if n.current() == nil {
+			c.start(ctx, group, n)
+		}
+	}
+	sleep(ctx, quiet)
+	f := c.nodes[0].current()
+	d.mu.Lock()
+	operations := append([]operation(nil), d.result.operations...)
+	d.mu.Unlock()
+	for _, op := range operations {
+		if op.kind == "submit" && op.decision.Outcome == Unknown {
+			d.result.unknown++
+			d.withdraw(ctx, f, op.id)
+		}
+	}
+	d.read(ctx, f)
+	sleep(ctx, 10*time.Second)
+}
--- a/configlog/submit.go
+++ b/configlog/submit.go
@@ -112,27 +112,30 @@
 
 // Settle reads the log to its end and returns the decision about a patch, Unknown if there is none.
 func (f *Follower) Settle(ctx context.Context, id string) Decision {
-	tail, err := f.tail(ctx)
-	if err == nil {
-		f.wait(ctx, func(s *State) bool { _, ok := s.byID[id]; return ok || s.Next >= tail })
-	}
+	err := f.CatchUp(ctx)
 	if d, ok := f.decision(id); ok {
 		return d
 	}
-	if err == nil && f.nextOffset() >= tail {
-		d := unknown(id, "patch %s is not in the log up to offset %d, but may still arrive late", id, tail)
-		d.Error.Remedy = fmt.Sprintf("run redwingctl config withdraw %s to rule it out, or redwingctl config settle %s again", id, id)
-		return d
+	if err != nil {
+		return unknown(id, "the log does not respond, so the decision about patch %s cannot be read", id)
 	}
-	return unknown(id, "the log does not respond, so the decision about patch %s cannot be read", id)
+	d := unknown(id, "patch %s is not in the log so far, but may still arrive late", id)
+	d.Error.Remedy = fmt.Sprintf("run redwingctl config withdraw %s to rule it out, or redwingctl config settle %s again", id, id)
+	return d
 }
 
-// tail returns the next offset of the log.
-func (f *Follower) tail(ctx context.Context) (uint64, error) {
-	ctx, cancel := context.WithTimeout(ctx, f.settings.CallTimeout)
+// CatchUp returns when every record that was in the log at the time of the call has been folded.
+func (f *Follower) CatchUp(ctx context.Context) error {
+	callCtx, cancel := context.WithTimeout(ctx, f.settings.CallTimeout)
 	defer cancel()
-	resp, err := f.settings.Log.Read(ctx, platform.ConfigStream, f.nextOffset(), 1, 0)
-	return resp.Next, err
+	resp, err := f.settings.Log.Read(callCtx, platform.ConfigStream, f.nextOffset(), 1, 0)
+	if err != nil {
+		return err
+	}
+	if f.wait(ctx, func(s *State) bool { return s.Next >= resp.Next }) {
+		return nil
+	}
+	return errkind.New(errkind.DeadlineExceeded, "try again", "records up to offset %d were not folded in time", resp.Next)
 }
 
 // appendAndSettle appends a record and waits until the fold has decided about id. A response may be lost after the append
