Name the records that a bridge over expired records voids

A gap is closed after 3 s instead of 20 s when every peer answers, so that a change behind it can be in force within 8 s; 5 min if one does not.

--- a/configlog/catchup.go
+++ b/configlog/catchup.go
@@ -52,7 +52,7 @@
 	}
 	// Nobody has a configuration, so an initialise record may make one.
 	state := NewState()
-	state.Bridge(resp.Oldest)
+	state.CarryOver(resp.Oldest)
 	f.begin(state)
 	return nil
 }
@@ -112,7 +112,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.settings.Logger.Error().Uint64("from", f.state.Next).Uint64("to", oldest).Msg("configuration records expired unread")
-	f.state.Bridge(oldest)
+	f.state.CarryOver(oldest)
 	f.relay.clear()
 	f.gapSince = time.Time{}
 	f.publish()
@@ -126,12 +126,9 @@
 	if missing < f.settings.GapGrace {
 		return false
 	}
-	return missing >= lonelyGraceFactor*f.settings.GapGrace || f.everyPeerAnswers(ctx)
+	return missing >= f.settings.LonelyGapGrace || f.everyPeerAnswers(ctx)
 }
 
-// lonelyGraceFactor multiplies GapGrace for a process that does not hear from every peer.
-const lonelyGraceFactor = 15
-
 // gapAge returns for how long the next records have been missing from the log.
 func (f *Follower) gapAge() time.Duration {
 	f.mu.Lock()
--- a/configlog/follower.go
+++ b/configlog/follower.go
@@ -39,8 +39,10 @@
 	// CallTimeout bounds one call to a peer and one append.
 	CallTimeout time.Duration
 	// GapGrace is the time for which a process whose next records expired waits for another process's snapshot before it
-	// carries its own state on.
-	GapGrace time.Duration
+	// carries its own state on. LonelyGapGrace takes its place while a peer does not answer: that one may hold a higher
+	// version.
+	GapGrace       time.Duration
+	LonelyGapGrace time.Duration
 	// SnapshotJitter spreads the snapshots of all processes; an append waits up to this long and is then checked again.
 	SnapshotJitter time.Duration
 	// RelayBytes bounds the records kept for peers.
@@ -49,14 +51,15 @@
 	Seed uint64
 }
 
-// Defaults of Settings. A change reaches a process that can reach a peer within PollWait + ReadMargin + 2 PeerPeriod,
+// Defaults of Settings. GapGrace leaves room for the rest of the 8 s within which a change must be in force. A change reaches a process that can reach a peer within PollWait + ReadMargin + 2 PeerPeriod,
 // 5.5 s, also when its connection to the log went silent; the requirement is 8 s.
 const (
 	defaultPollWait       = 2 * time.Second
 	defaultReadMargin     = 1500 * time.Millisecond
 	defaultPeerPeriod     = time.Second
 	defaultCallTimeout    = 2 * time.Second
-	defaultGapGrace       = 20 * time.Second
+	defaultGapGrace       = 3 * time.Second
+	defaultLonelyGapGrace = 5 * time.Minute
 	defaultSnapshotJitter = 10 * time.Second
 	defaultRelayBytes     = 2 << 20
 	defaultRetention      = 24 * time.Hour
@@ -74,6 +77,7 @@
 	set(&s.PeerPeriod, defaultPeerPeriod)
 	set(&s.CallTimeout, defaultCallTimeout)
 	set(&s.GapGrace, defaultGapGrace)
+	set(&s.LonelyGapGrace, defaultLonelyGapGrace)
 	set(&s.SnapshotJitter, defaultSnapshotJitter)
 	set(&s.Retention.Period, defaultRetention)
 	if s.Retention.EveryRecords == 0 {
--- a/configlog/record.go
+++ b/configlog/record.go
@@ -49,8 +49,17 @@
 	Document *config.Document `cbor:"document"`
 	// Decisions are the bounded history, in log order.
 	Decisions []Decision `cbor:"decisions"`
-	// Bridged is set if records in front of Offset expired before any process read them.
-	Bridged bool `cbor:"bridged,omitempty"`
+	// Bridge is set if the writer was carried over expired records and has seen no other process's snapshot since.
+	Bridge *Bridge `cbor:"bridge,omitempty"`
+}
+
+// Bridge tells that the records from From on, up to but without To, expired before any process that could be asked had
+// read them. They have no effect.
+type Bridge struct {
+	From uint64 `cbor:"from"`
+	To   uint64 `cbor:"to"`
+	// Version is the one that was carried over.
+	Version uint64 `cbor:"version"`
 }
 
 // Outcome is what became of a patch.
--- a/configlog/snapshot.go
+++ b/configlog/snapshot.go
@@ -30,7 +30,8 @@
 		// The history does not reach back to the snapshot; there is nothing to compare.
 	case version == snap.Version && digest == snap.Digest:
 		s.noteSnapshot(offset, r.At)
-	case snap.Bridged || s.Bridged != 0:
+		s.confirmBridge(snap)
+	case snap.Bridge != nil || s.Bridge != nil:
 		s.foldBridged(offset, r, version)
 	default:
 		s.stop(StopDisagreement, offset, "snapshot of offset %d has version %d digest %016x, the fold had version %d digest %016x",
@@ -46,7 +47,7 @@
 	case snap.Version < version:
 		// The writer was behind; it adopts a snapshot of this version, which is due now.
 		s.HasSnapshot = false
-	case snap.Version > version && s.Bridged != 0 && s.Doc.Version == s.BridgedVersion:
+	case snap.Version > version && s.Bridge != nil && s.Doc.Version == s.Bridge.Version:
 		s.adopt(offset, r)
 	default:
 		s.stop(StopDisagreement, offset, "snapshot of offset %d has version %d, this process went from version %d to %d without it",
@@ -54,6 +55,13 @@
 	}
 }
 
+// confirmBridge forgets a bridge that an agreeing snapshot behind it has made known.
+func (s *State) confirmBridge(snap *Snapshot) {
+	if s.Bridge != nil && snap.Offset >= s.Bridge.To {
+		s.Bridge = nil
+	}
+}
+
 // adopt takes over the state of a snapshot of a higher version, together with the records behind its offset, all of
 // which changed nothing here.
 func (s *State) adopt(offset uint64, r Record) {
@@ -61,10 +69,8 @@
 	if err != nil {
 		return
 	}
-	snap := r.Snapshot
 	next.Malformed = s.Malformed
 	next.Next = offset
-	next.Bridged, next.BridgedVersion = offset, snap.Version
 	next.noteSnapshot(offset, r.At)
 	*s = *next
 }
--- a/configlog/state.go
+++ b/configlog/state.go
@@ -47,10 +47,8 @@
 	Decisions []Decision
 	// Stopped is set if the fold goes no further.
 	Stopped *Stop
-	// Bridged is the offset to which the state was carried over unread, expired records, and BridgedVersion the version
-	// that it held there; Bridged is 0 if it never was.
-	Bridged        uint64
-	BridgedVersion uint64
+	// Bridge is set if the state was carried over expired records and no agreeing snapshot was folded since.
+	Bridge *Bridge
 	// Malformed counts records that hold nothing this program can read; they are skipped.
 	Malformed uint64
 	// SnapshotOffset and SnapshotAt are the offset and the writer's clock (Unix milliseconds) of the newest snapshot or
@@ -77,9 +75,7 @@
 	}
 	s := NewState()
 	s.Next, s.Doc, s.Digest, s.RuleSet = snap.Offset, snap.Document, snap.Digest, r.RuleSet
-	if snap.Bridged {
-		s.Bridged, s.BridgedVersion = snap.Offset, snap.Version
-	}
+	s.Bridge = snap.Bridge
 	for _, d := range snap.Decisions {
 		s.remember(d)
 	}
@@ -98,7 +94,7 @@
 		Digest:    s.Digest,
 		Document:  s.Doc,
 		Decisions: append([]Decision(nil), s.Decisions...),
-		Bridged:   s.Bridged != 0 && s.Bridged == s.Next,
+		Bridge:    s.Bridge,
 	}
 }
 
@@ -253,12 +249,13 @@
 	return n
 }
 
-// Bridge carries the state over records that expired before any reachable process read them, up to oldest. The caller
+// CarryOver carries the state over records that expired before any reachable process read them, up to oldest. The caller
 // has made sure that neither the log nor a peer holds them or a later state.
-func (s *State) Bridge(oldest uint64) {
-	s.Next, s.Bridged, s.HasSnapshot = oldest, oldest, false
+func (s *State) CarryOver(oldest uint64) {
+	s.Bridge = &Bridge{From: s.Next, To: oldest}
+	s.Next, s.HasSnapshot = oldest, false
 	if s.Doc != nil {
-		s.BridgedVersion = s.Doc.Version
+		s.Bridge.Version = s.Doc.Version
 	}
 }
 
