--- a/configlog/record.go
+++ b/configlog/record.go
@@ -49,7 +49,7 @@
 	Document *config.Document `cbor:"document"`
 	// Decisions are the bounded history, in log order.
 	Decisions []Decision `cbor:"decisions"`
-	// Bridge is set if the writer was carried over expired records and has seen no other process's snapshot since.
+	// Bridge is set if the writer was carried over expired records and that is not known to all yet.
 	Bridge *Bridge `cbor:"bridge,omitempty"`
 }
 
--- a/configlog/snapshot.go
+++ b/configlog/snapshot.go
@@ -55,9 +55,10 @@
 	}
 }
 
-// confirmBridge forgets a bridge that an agreeing snapshot behind it has made known.
+// confirmBridge forgets a bridge that a snapshot has made known, once a patch was accepted behind it. Until then a
+// process that read the missing records may still come with a higher version.
 func (s *State) confirmBridge(snap *Snapshot) {
-	if s.Bridge != nil && snap.Offset >= s.Bridge.To {
+	if s.Bridge != nil && snap.Offset >= s.Bridge.To && s.Doc.Version > s.Bridge.Version {
 		s.Bridge = nil
 	}
 }
--- a/configlog/state.go
+++ b/configlog/state.go
@@ -47,7 +47,7 @@
 	Decisions []Decision
 	// Stopped is set if the fold goes no further.
 	Stopped *Stop
-	// Bridge is set if the state was carried over expired records and no agreeing snapshot was folded since.
+	// Bridge is set if the state was carried over expired records, until confirmBridge.
 	Bridge *Bridge
 	// Malformed counts records that hold nothing this program can read; they are skipped.
 	Malformed uint64
--- /dev/null
+++ b/configlog/state_test.go
@@ -0,0 +1,272 @@
+package configlog
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/redwingthread/redwingthread/config"
+	"github.com/redwingthread/redwingthread/errkind"
+	"github.com/redwingthread/redwingthread/invariant"
+	"github.com/redwingthread/redwingthread/platform"
+)
+
+// stream builds the records of a test.
+type stream struct{ records [][]byte }
+
+func (s *stream) add(r Record) *stream {
+	if r.RuleSet == 0 {
+		r.RuleSet = config.RuleSet
+	}
+	raw, err := Encode(r)
+	if err != nil {
+		panic(err)
+	}
+	s.records = append(s.records, raw)
+	return s
+}
+
+func (s *stream) init() *stream {
+	return s.add(Record{Initialise: &Initialise{ID: "init", Author: "ana", Reason: "start", Document: testDocument()}})
+}
+
+// patch drains the VM named like the patch.
+func (s *stream) patch(id string, base uint64) *stream {
+	op := config.Op{Op: config.OpSet, Path: "drains/" + id, Value: []byte(`{}`)}
+	return s.add(Record{Patch: &config.Patch{ID: id, Base: base, Author: "ana", Reason: "r", Ops: []config.Op{op}}})
+}
+
+func (s *stream) withdraw(id string) *stream {
+	return s.add(Record{Withdraw: &Withdraw{PatchID: id, Author: "ana", Reason: "r"}})
+}
+
+// fold folds the records from state.Next on.
+func (s *stream) fold(state *State) *State {
+	for o := state.Next; o < uint64(len(s.records)) && state.Stopped == nil; o++ {
+		state.Fold(o, s.records[o])
+	}
+	return state
+}
+
+// TestFold guards against a fold that decides otherwise than the first valid record on the version in force.
+func TestFold(t *testing.T) {
+	cases := map[string]struct {
+		stream  *stream
+		version uint64
+		want    map[string]Outcome
+	}{
+		"first patch on a base wins":   {new(stream).init().patch("a", 0).patch("b", 0).patch("c", 1), 2, map[string]Outcome{"a": Accepted, "b": Refused, "c": Accepted}},
+		"base of the future":           {new(stream).init().patch("a", 1).patch("b", 0).patch("c", 1), 2, map[string]Outcome{"a": Refused, "b": Accepted, "c": Accepted}},
+		"second copy changes nothing":  {new(stream).init().patch("a", 0).patch("a", 0).patch("a", 1), 1, map[string]Outcome{"a": Accepted}},
+		"withdrawn before":             {new(stream).init().withdraw("a").patch("a", 0), 0, map[string]Outcome{"a": Refused}},
+		"withdrawn too late":           {new(stream).init().patch("a", 0).withdraw("a"), 1, map[string]Outcome{"a": Accepted}},
+		"before initialise":            {new(stream).patch("a", 0).init().patch("b", 0), 1, map[string]Outcome{"a": Refused, "b": Accepted}},
+		"second initialise":            {new(stream).init().patch("a", 0).add(Record{Initialise: &Initialise{ID: "again", Document: testDocument()}}), 1, map[string]Outcome{"again": Refused}},
+		"faulty initialise":            {new(stream).add(Record{Initialise: &Initialise{ID: "bad", Document: &config.Document{}}}).init(), 0, map[string]Outcome{"bad": Refused, "init": Accepted}},
+		"unreadable record is skipped": {&stream{append(new(stream).init().records, []byte{0xff, 1}, new(stream).patch("a", 0).records[0])}, 1, map[string]Outcome{"a": Accepted}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			s := c.stream.fold(NewState())
+			if s.Stopped != nil || s.Doc == nil || s.Doc.Version != c.version || s.Next != uint64(len(c.stream.records)) {
+				t.Fatalf("state %+v", s)
+			}
+			for id, want := range c.want {
+				d, ok := s.Decision(id)
+				if !ok || d.Outcome != want || (want == Refused) != (d.Err() != nil) {
+					t.Errorf("decision of %s: %+v", id, d)
+				}
+			}
+		})
+	}
+}
+
+// TestUnknownRuleSet guards against a process that folds records whose rules it does not know, and against one that
+// drops the version it has.
+func TestUnknownRuleSet(t *testing.T) {
+	st := new(stream).init().patch("a", 0).add(Record{RuleSet: config.RuleSet + 1}).patch("b", 1)
+	s := st.fold(NewState())
+	if s.Stopped == nil || s.Stopped.Reason != StopRuleSet || s.Next != 2 || s.Doc.Version != 1 {
+		t.Fatalf("state %+v", s)
+	}
+	if raw, _ := Encode(Record{RuleSet: config.RuleSet + 1, Snapshot: s.Snapshot()}); raw != nil {
+		if _, err := DecodeState(raw); !errkind.Is(err, errkind.BadInput) {
+			t.Errorf("state of an unknown rule set: %v", err)
+		}
+	}
+}
+
+// TestSnapshotContinues guards against a process that starts from a snapshot and then folds to another state than one
+// that read every record, and against snapshots that are not deterministic.
+func TestSnapshotContinues(t *testing.T) {
+	st := new(stream).init()
+	full := NewState()
+	for i := range uint64(40) {
+		st.patch(fmt.Sprintf("p%d", i), i-i%3%2).withdraw(fmt.Sprintf("q%d", i))
+		st.fold(full)
+		st.add(Record{Snapshot: full.Snapshot()})
+	}
+	st.fold(full)
+	for i, raw := range st.records {
+		started := FromRecords(1, []platform.Record{{Offset: uint64(i), Data: raw}})
+		if started == nil {
+			continue
+		}
+		st.fold(started)
+		a, _ := EncodeState(full)
+		b, _ := EncodeState(started)
+		if started.Stopped != nil || !bytes.Equal(a, b) {
+			t.Fatalf("state from the snapshot at %d differs: %v", i, started.Stopped)
+		}
+		back, err := DecodeState(b)
+		if err != nil || back.Next != full.Next || back.Digest != full.Digest {
+			t.Fatalf("state does not survive encoding: %v", err)
+		}
+	}
+}
+
+// TestSnapshotAlarm guards against processes that diverged without anyone noticing.
+func TestSnapshotAlarm(t *testing.T) {
+	base := func() *stream { return new(stream).init().patch("a", 0).patch("b", 1) }
+	snapshot := func(change func(*Snapshot)) *stream {
+		st := base()
+		s := st.fold(NewState()).Snapshot()
+		change(s)
+		return st.patch("c", 2).add(Record{Snapshot: s})
+	}
+	other := testDocument()
+	other.Version = 2
+	cases := map[string]struct {
+		stream *stream
+		stops  bool
+	}{
+		"agrees":            {snapshot(func(*Snapshot) {}), false},
+		"other document":    {snapshot(func(s *Snapshot) { s.Document, s.Digest = other, config.Digest(other) }), true},
+		"other digest":      {snapshot(func(s *Snapshot) { s.Digest++ }), true},
+		"other version":     {snapshot(func(s *Snapshot) { s.Version++ }), true},
+		"offset ahead":      {snapshot(func(s *Snapshot) { s.Offset = 9 }), true},
+		"earlier offset":    {snapshot(func(s *Snapshot) { s.Offset = 2 }), true},
+		"behind a bridge":   {snapshot(func(s *Snapshot) { s.Offset, s.Bridge = 2, &Bridge{From: 1, To: 2} }), true},
+		"lower with bridge": {bridged(base(), 0), false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			s := c.stream.fold(NewState())
+			if (s.Stopped != nil) != c.stops || s.Doc.Version < 2 {
+				t.Errorf("stopped %+v, version %d", s.Stopped, s.Doc.Version)
+			}
+		})
+	}
+}
+
+// bridged appends the snapshot of a process that held only the first record when the others expired.
+func bridged(st *stream, version uint64) *stream {
+	behind := NewState()
+	for o := range version + 1 {
+		behind.Fold(o, st.records[o])
+	}
+	behind.CarryOver(uint64(len(st.records)))
+	return st.add(Record{Snapshot: behind.Snapshot()})
+}
+
+// TestBridgedAdoptsHigherVersion guards against two states for good after one process was carried over records that
+// another one had read.
+func TestBridgedAdoptsHigherVersion(t *testing.T) {
+	st := new(stream).init().patch("a", 0)
+	ahead := st.fold(NewState())
+	behind := NewState()
+	behind.Fold(0, st.records[0])
+	behind.CarryOver(2)
+	bridged(st, 0).add(Record{Snapshot: ahead.Snapshot()})
+	st.fold(ahead)
+	st.fold(behind)
+	if ahead.Stopped != nil || behind.Stopped != nil || ahead.Digest != behind.Digest || behind.Doc.Version != 1 {
+		t.Fatalf("versions %d and %d, stopped %v and %v", ahead.Doc.Version, behind.Doc.Version, ahead.Stopped, behind.Stopped)
+	}
+	if !ahead.SnapshotDue(time.Now(), 0, Retention{Period: time.Hour, EveryRecords: 100}) {
+		t.Error("the process with the higher version need not append it")
+	}
+}
+
+// TestHistory guards against a wrong document for an older version, a replay that ends elsewhere, and history without a
+// bound.
+func TestHistory(t *testing.T) {
+	st := new(stream).init()
+	s := NewState()
+	var digests []uint64
+	for i := range uint64(HistoryLimit + 50) {
+		st.fold(s)
+		digests = append(digests, s.Digest)
+		st.patch(fmt.Sprintf("p%d", i%10), i) // ids repeat, so that most records are second copies
+		if i >= 10 {
+			st.records[len(st.records)-1] = new(stream).patch(fmt.Sprintf("p%d", i), i).records[0]
+		}
+	}
+	st.fold(s)
+	if len(s.Decisions) != HistoryLimit || len(s.byID) != HistoryLimit {
+		t.Fatalf("%d decisions, %d ids", len(s.Decisions), len(s.byID))
+	}
+	oldest := s.Decisions[0].Version - 1
+	for _, version := range []uint64{oldest, oldest + 1, s.Doc.Version - 1} {
+		doc, err := s.At(version)
+		if err != nil || config.Digest(doc) != digests[version] {
+			t.Errorf("version %d: %v", version, err)
+		}
+	}
+	for _, version := range []uint64{oldest - 1, s.Doc.Version + 1} {
+		if _, err := s.At(version); !errkind.Is(err, errkind.NotFound) {
+			t.Errorf("version %d: %v", version, err)
+		}
+	}
+	steps, err := s.Replay(s.Doc.Version-5, s.Doc.Version)
+	if err != nil || len(steps) != 5 || config.Digest(steps[4].Document) != s.Digest || steps[4].Decision.Author != "ana" {
+		t.Errorf("replay of %d steps: %v", len(steps), err)
+	}
+	if log := s.Log(s.Doc.Version-1, s.Doc.Version); len(log) != 2 {
+		t.Errorf("log has %d decisions", len(log))
+	}
+}
+
+// TestSnapshotDue guards against a state that expires with its oldest record.
+func TestSnapshotDue(t *testing.T) {
+	now := time.UnixMilli(1_000_000_000)
+	retention := Retention{Period: 30 * time.Minute, EveryRecords: 3}
+	st := new(stream)
+	st.add(Record{At: now.UnixMilli(), Initialise: &Initialise{ID: "init", Document: testDocument()}})
+	s := st.fold(NewState())
+	due := func(after time.Duration, oldest uint64) bool { return s.SnapshotDue(now.Add(after), oldest, retention) }
+	if due(9*time.Minute, 0) || !due(10*time.Minute, 0) || !due(0, 1) {
+		t.Error("due at the wrong age")
+	}
+	st.patch("a", 0).patch("b", 0).patch("c", 0).fold(s)
+	if !due(0, 0) {
+		t.Error("not due after many records")
+	}
+	if NewState().SnapshotDue(now, 5, retention) {
+		t.Error("due without a configuration")
+	}
+}
+
+// TestMonotoneAssertion shows that the assertion of P8 fails a run in which a follower or a fold is given a lower version,
+// and that neither takes it.
+func TestMonotoneAssertion(t *testing.T) {
+	var log invariant.Log
+	defer invariant.SetRecorder(log.Record)()
+	st := new(stream).init().patch("a", 0).patch("b", 1)
+	s := st.fold(NewState())
+	lower, _ := s.At(1)
+	f := NewFollower(Settings{})
+	f.begin(s.Clone())
+	f.state.Doc = lower
+	f.publish()
+	s.install(lower)
+	if f.Document().Version != 2 || s.Doc.Version != 2 || len(log.Violations()) != 2 {
+		t.Fatalf("versions %d and %d, violations %v", f.Document().Version, s.Doc.Version, log.Violations())
+	}
+	older := new(stream).init().fold(NewState())
+	older.Next = 100
+	if f.replace(older) {
+		t.Error("a peer's state of a lower version is taken")
+	}
+}
