Add settings of the daemons

The daemons need their place, listeners, seed list, keys and limits before they can read the configuration.

A seed list may name the process itself, so that all VMs can share one list. File names are relative to the settings file.

--- /dev/null
+++ b/settings/settings.go
@@ -0,0 +1,199 @@
+// Package settings reads the TOML settings files of the daemons.
+//
+// A settings file holds what a process must know before it can reach anybody: its place, its listeners, the platform's
+// addresses, its keys and its limits. Everything that processes must agree on is in the configuration document instead.
+//
+// Units are part of the names: _ms are milliseconds, _bytes are bytes, queue_length and max_connections are counts.
+// Addresses are IP numbers with a port. File names are relative to the directory of the settings file. Unknown keys
+// are refused, and all faults of a file are reported at once in a *FaultList of kind errkind.BadInput.
+package settings
+
+// Common holds the settings that both daemons have.
+type Common struct {
+	// FailureDomain, VM and Region place the process.
+	FailureDomain string `toml:"failure_domain"`
+	VM            string `toml:"vm"`
+	Region        string `toml:"region"`
+
+	Platform Platform `toml:"platform"`
+	// Peers is the seed list. It may name this process too, so that all VMs can share one list.
+	Peers []Peer `toml:"peers"`
+	TLS   TLS    `toml:"tls"`
+	Log   Log    `toml:"log"`
+	Trace Trace  `toml:"trace"`
+}
+
+// Gateway holds the settings of redwing-gateway.
+type Gateway struct {
+	Common
+	Listen    GatewayListen `toml:"listen"`
+	Limits    Limits        `toml:"limits"`
+	Shutdown  Shutdown      `toml:"shutdown"`
+	Bootstrap Bootstrap     `toml:"bootstrap"`
+}
+
+// Scheduler holds the settings of redwing-scheduler.
+type Scheduler struct {
+	Common
+	Listen SchedulerListen `toml:"listen"`
+	Lease  Lease           `toml:"lease"`
+}
+
+// SchedulerListen holds the listeners of a scheduler.
+type SchedulerListen struct {
+	// Inner is the UDP address of the inner protocol. Peers reach the process at this address.
+	Inner string `toml:"inner"`
+	// Metrics is the TCP address of the HTTP service with /metrics and /healthz.
+	Metrics string `toml:"metrics"`
+}
+
+// GatewayListen holds the listeners of a gateway.
+type GatewayListen struct {
+	// Inner is the UDP address of the inner protocol. Peers reach the process at this address.
+	Inner string `toml:"inner"`
+	// Metrics is the TCP address of the HTTP service with /metrics and /healthz.
+	Metrics string `toml:"metrics"`
+	// Callers is the TCP address of the caller HTTP API, with /readyz for the balancer.
+	Callers string `toml:"callers"`
+	// Operators is the TCP address of the operator HTTP API.
+	Operators string `toml:"operators"`
+}
+
+// Platform holds the addresses of the platform's services.
+type Platform struct {
+	// LogURL and VMListURL are base URLs such as http://10.0.0.5:8100.
+	LogURL    string `toml:"log_url"`
+	VMListURL string `toml:"vm_list_url"`
+	// TimeoutMS bounds one call to the platform or to a worker.
+	TimeoutMS int64 `toml:"timeout_ms"`
+}
+
+// Roles of peers.
+const (
+	RoleGateway   = "gateway"
+	RoleScheduler = "scheduler"
+)
+
+// Peer is one entry of the seed list.
+type Peer struct {
+	VM            string `toml:"vm"`
+	Role          string `toml:"role"`
+	FailureDomain string `toml:"failure_domain"`
+	// Inner is the UDP address of the peer's inner protocol listener.
+	Inner string `toml:"inner"`
+}
+
+// TLS names the PEM files of the inner protocol's mutual TLS.
+type TLS struct {
+	Certificate string `toml:"certificate"`
+	Key         string `toml:"key"`
+	CA          string `toml:"ca"`
+	// ReloadMS is the interval at which changed files are read again.
+	ReloadMS int64 `toml:"reload_ms"`
+}
+
+// Log holds the settings of the JSON log lines on standard error.
+type Log struct {
+	// Level is "debug", "info", "warn" or "error".
+	Level string `toml:"level"`
+}
+
+// Trace exporters.
+const (
+	TraceOff    = "off"
+	TraceStdout = "stdout"
+	TraceFile   = "file"
+)
+
+// Trace holds the settings of the trace exporter.
+type Trace struct {
+	// Exporter is TraceOff, TraceStdout or TraceFile.
+	Exporter string `toml:"exporter"`
+	// Path is the file that spans are appended to; used by TraceFile.
+	Path string `toml:"path"`
+	// SampleRatio is the share of traces that are recorded, 0 to 1.
+	SampleRatio float64 `toml:"sample_ratio"`
+}
+
+// Limits bounds what callers and operators may use of a gateway.
+type Limits struct {
+	MaxBodyBytes        int64 `toml:"max_body_bytes"`
+	MaxHeaderBytes      int64 `toml:"max_header_bytes"`
+	ReadHeaderTimeoutMS int64 `toml:"read_header_timeout_ms"`
+	IdleTimeoutMS       int64 `toml:"idle_timeout_ms"`
+	// MaxConnections bounds the open connections of each listener.
+	MaxConnections int64 `toml:"max_connections"`
+	// QueueLength bounds the requests of all accounts that wait for an endpoint.
+	QueueLength int64 `toml:"queue_length"`
+	// StoredResponseBytes bounds the memory for responses kept for repeated request keys.
+	StoredResponseBytes int64 `toml:"stored_response_bytes"`
+}
+
+// Shutdown holds the bounds of a planned stop.
+type Shutdown struct {
+	// DrainMS is the time between turning unready and refusing new requests: the balancer's reaction time.
+	DrainMS int64 `toml:"drain_ms"`
+	// FinishMS bounds the time that accepted requests are waited for after that.
+	FinishMS int64 `toml:"finish_ms"`
+}
+
+// Bootstrap holds the credentials that are valid while there is no configuration.
+type Bootstrap struct {
+	// OperatorTokenDigest is the lower-case hex SHA-256 digest of the token that may call /v1/config/init. Empty
+	// disables the first initialisation through this gateway.
+	OperatorTokenDigest string `toml:"operator_token_digest"`
+}
+
+// Lease holds the lengths of leases on workers.
+type Lease struct {
+	HolderMS int64 `toml:"holder_ms"`
+	TaskMS   int64 `toml:"task_ms"`
+	RenewMS  int64 `toml:"renew_ms"`
+}
+
+// OtherPeers returns the seed list without the entry of the process with the role on this VM.
+func (c Common) OtherPeers(role string) []Peer {
+	var others []Peer
+	for _, p := range c.Peers {
+		if p.VM == c.VM && p.Role == role {
+			continue
+		}
+		others = append(others, p)
+	}
+	return others
+}
+
+func defaultCommon() Common {
+	return Common{
+		Region:   "default",
+		Platform: Platform{TimeoutMS: 2_000},
+		TLS:      TLS{ReloadMS: 30_000},
+		Log:      Log{Level: "info"},
+		Trace:    Trace{Exporter: TraceOff, SampleRatio: 0.01},
+	}
+}
+
+// DefaultGateway returns the settings of a gateway whose file sets nothing.
+func DefaultGateway() Gateway {
+	return Gateway{
+		Common: defaultCommon(),
+		Limits: Limits{
+			MaxBodyBytes:        1 << 20,
+			MaxHeaderBytes:      32 << 10,
+			ReadHeaderTimeoutMS: 5_000,
+			IdleTimeoutMS:       60_000,
+			MaxConnections:      1_024,
+			QueueLength:         1_024,
+			StoredResponseBytes: 16 << 20,
+		},
+		Shutdown: Shutdown{DrainMS: 2_000, FinishMS: 30_000},
+	}
+}
+
+// DefaultScheduler returns the settings of a scheduler whose file sets nothing.
+func DefaultScheduler() Scheduler {
+	return Scheduler{
+		Common: defaultCommon(),
+		Lease:  Lease{HolderMS: 6_000, TaskMS: 30_000, RenewMS: 2_000},
+	}
+}
--- /dev/null
+++ b/settings/validate.go
@@ -0,0 +1,209 @@
+package settings
+
+import (
+	"encoding/hex"
+	"fmt"
+	"net/netip"
+	"net/url"
+	"slices"
+	"strings"
+)
+
+// checker collects the faults of decoded values.
+type checker struct {
+	faults []Fault
+}
+
+func (c *checker) add(key, remedy, format string, args ...any) {
+	c.faults = append(c.faults, Fault{Key: key, Message: fmt.Sprintf(format, args...), Remedy: remedy})
+}
+
+func (c *checker) required(key, value string) {
+	if value == "" {
+		c.add(key, "set it", "is missing or empty")
+	}
+}
+
+// name checks an id that becomes part of request keys and stream names.
+func (c *checker) name(key, value string) {
+	if value == "" {
+		c.required(key, value)
+		return
+	}
+	for _, r := range value {
+		if !strings.ContainsRune("abcdefghijklmnopqrstuvwxyz0123456789-_", r) {
+			c.add(key, "use lower-case letters, digits, - and _", "has the value %q", value)
+			return
+		}
+	}
+}
+
+func (c *checker) oneOf(key, value string, allowed ...string) {
+	if !slices.Contains(allowed, value) {
+		c.add(key, "use one of: "+strings.Join(allowed, ", "), "has the value %q", value)
+	}
+}
+
+// between checks a number with both bounds included.
+func (c *checker) between(key string, value, low, high int64) {
+	if value < low || value > high {
+		c.add(key, fmt.Sprintf("use %d to %d", low, high), "has the value %d", value)
+	}
+}
+
+// listen checks an address to listen on. Port 0 lets the system choose one.
+func (c *checker) listen(key, value string) {
+	if value == "" {
+		c.required(key, value)
+		return
+	}
+	if _, err := netip.ParseAddrPort(value); err != nil {
+		c.add(key, "write an IP number and a port, such as 10.0.0.1:7000", "has the value %q", value)
+	}
+}
+
+// reachable checks an address that others connect to, which therefore names one interface and one port.
+func (c *checker) reachable(key, value string) {
+	if value == "" {
+		c.required(key, value)
+		return
+	}
+	address, err := netip.ParseAddrPort(value)
+	if err != nil || address.Addr().IsUnspecified() || address.Port() == 0 {
+		c.add(key, "write an IP number and a port that peers can reach, such as 10.0.0.1:7000",
+			"has the value %q", value)
+	}
+}
+
+func (c *checker) baseURL(key, value string) {
+	if value == "" {
+		c.required(key, value)
+		return
+	}
+	u, err := url.Parse(value)
+	if err == nil && u.Scheme == "http" && (u.Path == "" || u.Path == "/") && u.RawQuery == "" {
+		if _, err := netip.ParseAddrPort(u.Host); err == nil {
+			return
+		}
+	}
+	c.add(key, "write a URL with an IP number and a port, such as http://10.0.0.5:8100", "has the value %q", value)
+}
+
+// Bounds of settings. Times are in milliseconds.
+const (
+	minTimeMS = 1
+	maxTimeMS = 24 * 60 * 60 * 1000
+	maxBytes  = 1 << 30
+	maxCount  = 1 << 20
+	// minHeaderBytes leaves room for a token, a request key and a trace context.
+	minHeaderBytes = 4 << 10
+)
+
+func (s *Common) check(c *checker) {
+	c.name("failure_domain", s.FailureDomain)
+	c.name("vm", s.VM)
+	c.name("region", s.Region)
+	c.baseURL("platform.log_url", s.Platform.LogURL)
+	c.baseURL("platform.vm_list_url", s.Platform.VMListURL)
+	c.between("platform.timeout_ms", s.Platform.TimeoutMS, minTimeMS, 60_000)
+	s.checkPeers(c)
+	c.required("tls.certificate", s.TLS.Certificate)
+	c.required("tls.key", s.TLS.Key)
+	c.required("tls.ca", s.TLS.CA)
+	c.between("tls.reload_ms", s.TLS.ReloadMS, 100, maxTimeMS)
+	c.oneOf("log.level", s.Log.Level, "debug", "info", "warn", "error")
+	c.oneOf("trace.exporter", s.Trace.Exporter, TraceOff, TraceStdout, TraceFile)
+	if s.Trace.Exporter == TraceFile {
+		c.required("trace.path", s.Trace.Path)
+	}
+	if s.Trace.SampleRatio < 0 || s.Trace.SampleRatio > 1 {
+		c.add("trace.sample_ratio", "use 0 to 1", "has the value %v", s.Trace.SampleRatio)
+	}
+}
+
+func (s *Common) checkPeers(c *checker) {
+	seen := map[string]int{}
+	for i, p := range s.Peers {
+		key := fmt.Sprintf("peers[%d]", i)
+		c.name(key+".vm", p.VM)
+		c.name(key+".failure_domain", p.FailureDomain)
+		c.oneOf(key+".role", p.Role, RoleGateway, RoleScheduler)
+		c.reachable(key+".inner", p.Inner)
+		id := p.VM + "/" + p.Role
+		if first, ok := seen[id]; ok {
+			c.add(key, "remove one of them", "names the same VM and role as peers[%d]", first)
+			continue
+		}
+		seen[id] = i
+	}
+}
+
+// distinct checks that the TCP listeners of a process do not share an address.
+func (c *checker) distinct(listeners ...[2]string) {
+	seen := map[string]string{}
+	for _, l := range listeners {
+		key, address := l[0], l[1]
+		if address == "" || strings.HasSuffix(address, ":0") {
+			continue
+		}
+		if other, ok := seen[address]; ok {
+			c.add(key, "use another port", "has the same address as %s", other)
+			continue
+		}
+		seen[address] = key
+	}
+}
+
+// faults returns the faults of the values.
+func (s *Gateway) faults() []Fault {
+	c := &checker{}
+	s.Common.check(c)
+	c.reachable("listen.inner", s.Listen.Inner)
+	c.listen("listen.metrics", s.Listen.Metrics)
+	c.listen("listen.callers", s.Listen.Callers)
+	c.listen("listen.operators", s.Listen.Operators)
+	c.distinct([2]string{"listen.metrics", s.Listen.Metrics}, [2]string{"listen.callers", s.Listen.Callers},
+		[2]string{"listen.operators", s.Listen.Operators})
+	l := s.Limits
+	c.between("limits.max_body_bytes", l.MaxBodyBytes, 1, maxBytes)
+	c.between("limits.max_header_bytes", l.MaxHeaderBytes, minHeaderBytes, maxBytes)
+	c.between("limits.read_header_timeout_ms", l.ReadHeaderTimeoutMS, minTimeMS, maxTimeMS)
+	c.between("limits.idle_timeout_ms", l.IdleTimeoutMS, minTimeMS, maxTimeMS)
+	c.between("limits.max_connections", l.MaxConnections, 1, maxCount)
+	c.between("limits.queue_length", l.QueueLength, 1, maxCount)
+	c.between("limits.stored_response_bytes", l.StoredResponseBytes, 0, maxBytes)
+	c.between("shutdown.drain_ms", s.Shutdown.DrainMS, 0, maxTimeMS)
+	c.between("shutdown.finish_ms", s.Shutdown.FinishMS, 0, maxTimeMS)
+	if d := s.Bootstrap.OperatorTokenDigest; d != "" && !isDigest(d) {
+		c.add("bootstrap.operator_token_digest", "copy the digest that redwingctl token new prints",
+			"is not a lower-case hex SHA-256 digest")
+	}
+	return c.faults
+}
+
+// faults returns the faults of the values.
+func (s *Scheduler) faults() []Fault {
+	c := &checker{}
+	s.Common.check(c)
+	c.reachable("listen.inner", s.Listen.Inner)
+	c.listen("listen.metrics", s.Listen.Metrics)
+	c.between("lease.holder_ms", s.Lease.HolderMS, 100, maxTimeMS)
+	c.between("lease.task_ms", s.Lease.TaskMS, 100, maxTimeMS)
+	c.between("lease.renew_ms", s.Lease.RenewMS, 10, maxTimeMS)
+	// Two renewals must fit into a holder lease, so that one lost call does not end it.
+	if s.Lease.RenewMS*2 > s.Lease.HolderMS {
+		c.add("lease.renew_ms", "use at most half of lease.holder_ms",
+			"is %d with a holder lease of %d", s.Lease.RenewMS, s.Lease.HolderMS)
+	}
+	// A takeover waits for the old holder lease; tasks must live through it.
+	if s.Lease.TaskMS < s.Lease.HolderMS*2 {
+		c.add("lease.task_ms", "use at least twice lease.holder_ms",
+			"is %d with a holder lease of %d", s.Lease.TaskMS, s.Lease.HolderMS)
+	}
+	return c.faults
+}
+
+func isDigest(value string) bool {
+	raw, err := hex.DecodeString(value)
+	return err == nil && len(raw) == 32 && value == strings.ToLower(value)
+}
