Add stand-ins of the platform's services and of endpoints

Trials and the demo need a log, a VM list, workers and endpoints that can fail on demand. A worker's state is a core without clock; it applies expiries, lapses and ends in order of time, so that a late call sees the same history as an early one. Endpoints count runs by method, path and key, which makes a double run visible.

Decided: a lease of 0 ms gives a holder lease back; a worker restart loses lease and epoch too, since VMs keep nothing; stopping what has ended or was never there succeeds; a checkpoint's name holds the progress, so that any worker can start from it.

--- /dev/null
+++ b/standin/control.go
@@ -0,0 +1,94 @@
+package standin
+
+import (
+	"net/http"
+	"sort"
+
+	"github.com/redwingthread/redwingthread/errkind"
+)
+
+// FaultsRequest is the body of POST /v1/faults on the control service. It replaces the faults of one stand-in; the
+// field of the stand-in's kind is set, and an empty object ends all its faults.
+type FaultsRequest struct {
+	// Target is "log", "vm_list", or the id of a worker or endpoint.
+	Target   string          `json:"target"`
+	Log      *LogFaults      `json:"log,omitempty"`
+	VMList   *VMListFaults   `json:"vm_list,omitempty"`
+	Worker   *WorkerFaults   `json:"worker,omitempty"`
+	Endpoint *EndpointFaults `json:"endpoint,omitempty"`
+}
+
+// RunsResponse is the answer to GET /v1/runs on the control service.
+type RunsResponse struct {
+	Requests []RequestRun `json:"requests"`
+	Tasks    []TaskRun    `json:"tasks"`
+}
+
+// controlHandler returns the control service: POST /v1/faults, POST /v1/vms, GET /v1/runs and GET /v1/addresses.
+func (s *Set) controlHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/faults", s.serveFaults)
+	mux.HandleFunc("GET /v1/runs", func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, http.StatusOK, s.Runs())
+	})
+	mux.HandleFunc("GET /v1/addresses", func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, http.StatusOK, s.addresses)
+	})
+	if s.VMList != nil {
+		mux.HandleFunc("POST /v1/vms", s.VMList.serveChange)
+	}
+	return mux
+}
+
+func (s *Set) serveFaults(w http.ResponseWriter, r *http.Request) {
+	var request FaultsRequest
+	if err := readJSON(r, &request); err != nil {
+		writeError(w, err)
+		return
+	}
+	if err := s.SetFaults(request); err != nil {
+		writeError(w, err)
+		return
+	}
+	writeJSON(w, http.StatusOK, request)
+}
+
+// SetFaults replaces the faults of one stand-in.
+func (s *Set) SetFaults(request FaultsRequest) error {
+	worker, endpoint := s.Workers[request.Target], s.Endpoints[request.Target]
+	switch {
+	case request.Target == "log" && s.Log != nil && request.Log != nil:
+		s.Log.SetFaults(*request.Log)
+	case request.Target == "vm_list" && s.VMList != nil && request.VMList != nil:
+		s.VMList.SetFaults(*request.VMList)
+	case worker != nil && request.Worker != nil:
+		worker.SetFaults(*request.Worker)
+	case endpoint != nil && request.Endpoint != nil:
+		endpoint.SetFaults(*request.Endpoint)
+	default:
+		return errkind.New(errkind.BadInput, "name a running stand-in and set the field of its kind",
+			"faults for target %q", request.Target)
+	}
+	return nil
+}
+
+// Runs returns the run counters of all endpoints and workers.
+func (s *Set) Runs() RunsResponse {
+	response := RunsResponse{Requests: []RequestRun{}, Tasks: []TaskRun{}}
+	for _, id := range sortedKeys(s.Endpoints) {
+		response.Requests = append(response.Requests, s.Endpoints[id].Runs()...)
+	}
+	for _, id := range sortedKeys(s.Workers) {
+		response.Tasks = append(response.Tasks, s.Workers[id].TaskRuns()...)
+	}
+	return response
+}
+
+func sortedKeys[V any](m map[string]V) []string {
+	keys := make([]string, 0, len(m))
+	for key := range m {
+		keys = append(keys, key)
+	}
+	sort.Strings(keys)
+	return keys
+}
--- /dev/null
+++ b/standin/log.go
@@ -0,0 +1,267 @@
+package standin
+
+import (
+	"context"
+	"net/http"
+	"regexp"
+	"strconv"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"github.com/redwingthread/redwingthread/errkind"
+	"github.com/redwingthread/redwingthread/platform"
+)
+
+// LogOptions holds the properties of a log service. Zero values mean no bound.
+type LogOptions struct {
+	// RetentionRecords bounds the records kept for each stream.
+	RetentionRecords int
+	// RetentionAge bounds the age of records.
+	RetentionAge time.Duration
+	// AppendsPerSecond bounds the calls that append; more are answered with status 503.
+	AppendsPerSecond float64
+}
+
+// LogFaults holds the faults of a log service.
+type LogFaults struct {
+	connectionFaults
+	// LoseResponses is the number of next appends that take effect and whose response is lost.
+	LoseResponses int `json:"lose_responses,omitempty"`
+}
+
+// Log bounds of one call and of long polls.
+const (
+	maxRecordBytes = 1 << 20
+	maxReadRecords = 1000
+	maxWaitMS      = 30_000
+)
+
+var streamName = regexp.MustCompile(`^[a-z0-9][a-z0-9_-]{0,63}$`)
+
+// Log is a stand-in for the platform's log service.
+type Log struct {
+	options LogOptions
+	limiter *rate.Limiter
+
+	mu sync.Mutex
+	// streams and faults are guarded by mu.
+	streams map[string]*stream
+	faults  LogFaults
+}
+
+// stream holds the retained records of one stream.
+type stream struct {
+	oldest  uint64
+	records []storedRecord
+	// changed is closed and replaced at every append.
+	changed chan struct{}
+}
+
+type storedRecord struct {
+	data []byte
+	at   time.Time
+}
+
+// NewLog returns a log service without streams.
+func NewLog(options LogOptions) *Log {
+	limit := rate.Inf
+	if options.AppendsPerSecond > 0 {
+		limit = rate.Limit(options.AppendsPerSecond)
+	}
+	return &Log{
+		options: options,
+		limiter: rate.NewLimiter(limit, max(int(options.AppendsPerSecond), 1)),
+		streams: make(map[string]*stream),
+	}
+}
+
+// SetFaults replaces the faults.
+func (l *Log) SetFaults(f LogFaults) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.faults = f
+}
+
+// Append appends records and returns the offset of the first.
+func (l *Log) Append(name string, records [][]byte, now time.Time) (uint64, error) {
+	if err := checkAppend(name, records); err != nil {
+		return 0, err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.stream(name)
+	first := s.next()
+	for _, data := range records {
+		s.records = append(s.records, storedRecord{data: data, at: now})
+	}
+	l.expire(s, now)
+	close(s.changed)
+	s.changed = make(chan struct{})
+	return first, nil
+}
+
+func checkAppend(name string, records [][]byte) error {
+	if !streamName.MatchString(name) {
+		return errkind.New(errkind.BadInput, "use lower-case letters, digits, - and _", "stream name %q", name)
+	}
+	if len(records) == 0 {
+		return errkind.New(errkind.BadInput, "send at least one record", "append without records")
+	}
+	for i, data := range records {
+		if len(data) > maxRecordBytes {
+			return errkind.New(errkind.TooLarge, "send records of at most "+strconv.Itoa(maxRecordBytes)+" bytes",
+				"record %d has %d bytes", i, len(data))
+		}
+	}
+	return nil
+}
+
+// Read returns up to limit retained records from the offset on, without waiting.
+func (l *Log) Read(name string, from uint64, limit int, now time.Time) platform.ReadResponse {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	response, _ := l.read(name, from, limit, now)
+	return response
+}
+
+// read returns the response and a channel that is closed at the next append. The caller holds mu.
+func (l *Log) read(name string, from uint64, limit int, now time.Time) (platform.ReadResponse, <-chan struct{}) {
+	s := l.stream(name)
+	l.expire(s, now)
+	response := platform.ReadResponse{Oldest: s.oldest, Next: s.next(), Records: []platform.Record{}}
+	for offset := max(from, s.oldest); offset < s.next() && len(response.Records) < limit; offset++ {
+		data := s.records[offset-s.oldest].data
+		response.Records = append(response.Records, platform.Record{Offset: offset, Data: data})
+	}
+	return response, s.changed
+}
+
+// stream returns the stream of the name, empty if it is new. The caller holds mu.
+func (l *Log) stream(name string) *stream {
+	s, ok := l.streams[name]
+	if !ok {
+		s = &stream{changed: make(chan struct{})}
+		l.streams[name] = s
+	}
+	return s
+}
+
+func (s *stream) next() uint64 { return s.oldest + uint64(len(s.records)) }
+
+// expire removes the records past retention. The caller holds mu.
+func (l *Log) expire(s *stream, now time.Time) {
+	drop := 0
+	if l.options.RetentionRecords > 0 {
+		drop = max(len(s.records)-l.options.RetentionRecords, 0)
+	}
+	if l.options.RetentionAge > 0 {
+		for drop < len(s.records) && now.Sub(s.records[drop].at) > l.options.RetentionAge {
+			drop++
+		}
+	}
+	if drop > 0 {
+		s.records = append([]storedRecord(nil), s.records[drop:]...)
+		s.oldest += uint64(drop)
+	}
+}
+
+// Handler returns the HTTP service.
+func (l *Log) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/streams/{stream}/records", l.serveAppend)
+	mux.HandleFunc("GET /v1/streams/{stream}/records", l.serveRead)
+	return mux
+}
+
+func (l *Log) serveAppend(w http.ResponseWriter, r *http.Request) {
+	if !l.currentFaults().apply(w, r) {
+		return
+	}
+	if !l.limiter.Allow() {
+		writeError(w, errkind.New(errkind.Unavailable, "append fewer and larger batches", "append rate exceeded"))
+		return
+	}
+	var request platform.AppendRequest
+	if err := readJSON(r, &request); err != nil {
+		writeError(w, err)
+		return
+	}
+	first, err := l.Append(r.PathValue("stream"), request.Records, time.Now())
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	if l.takeLostResponse() {
+		dropConnection()
+	}
+	writeJSON(w, http.StatusOK, platform.AppendResponse{FirstOffset: first})
+}
+
+func (l *Log) serveRead(w http.ResponseWriter, r *http.Request) {
+	if !l.currentFaults().apply(w, r) {
+		return
+	}
+	query := r.URL.Query()
+	from, err := number(query.Get("from"), 0)
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	limit, err := number(query.Get("limit"), maxReadRecords)
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	waitMS, err := number(query.Get("wait_ms"), 0)
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), time.Duration(min(waitMS, maxWaitMS))*time.Millisecond)
+	defer cancel()
+	writeJSON(w, http.StatusOK, l.wait(ctx, r.PathValue("stream"), from, int(min(limit, maxReadRecords))))
+}
+
+// wait reads and, while there is no record, waits for one until ctx ends.
+func (l *Log) wait(ctx context.Context, name string, from uint64, limit int) platform.ReadResponse {
+	for {
+		l.mu.Lock()
+		response, changed := l.read(name, from, limit, time.Now())
+		l.mu.Unlock()
+		if len(response.Records) > 0 {
+			return response
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return response
+		}
+	}
+}
+
+func (l *Log) currentFaults() LogFaults {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.faults
+}
+
+func (l *Log) takeLostResponse() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.faults.LoseResponses == 0 {
+		return false
+	}
+	l.faults.LoseResponses--
+	return true
+}
+
+// number parses a query parameter; an empty one gives the default.
+func number(text string, otherwise uint64) (uint64, error) {
+	if text == "" {
+		return otherwise, nil
+	}
+	n, err := strconv.ParseUint(text, 10, 63)
+	return n, errkind.Wrap(err, errkind.BadInput, "send a whole number", "query parameter %q", text)
+}
--- /dev/null
+++ b/standin/services_test.go
@@ -0,0 +1,320 @@
+package standin
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/redwingthread/redwingthread/errkind"
+	"github.com/redwingthread/redwingthread/platform"
+)
+
+const settingsText = `
+control = "127.0.0.1:0"
+[log]
+address = "127.0.0.1:0"
+retention_records = 3
+[vm_list]
+address = "127.0.0.1:0"
+[[vm_list.vms]]
+id = "vm-1"
+failure_domain = "fd-a"
+address = "127.0.0.1:7000"
+[[workers]]
+id = "w-a"
+count = 2
+failure_domain = "fd-a"
+address = "127.0.0.1:0"
+accelerators = 8
+[[endpoints]]
+id = "e-1"
+failure_domain = "fd-a"
+address = "127.0.0.1:0"
+`
+
+// startSet starts the stand-ins of settingsText.
+func startSet(t *testing.T) *Set {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "standin.toml")
+	if err := os.WriteFile(path, []byte(settingsText), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	s, err := LoadSettings(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	set, err := Start(s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		set.Close(ctx)
+	})
+	return set
+}
+
+// exchange sends one request on a connection of its own and decodes the response into v.
+func exchange(t *testing.T, method, url string, body, v any) (int, error) {
+	t.Helper()
+	raw, _ := json.Marshal(body)
+	request, err := http.NewRequest(method, url, bytes.NewReader(raw))
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Close = true
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0, err
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(response.Body)
+	if err != nil {
+		return response.StatusCode, err
+	}
+	return response.StatusCode, json.Unmarshal(data, v)
+}
+
+// TestLogContract guards offsets, retention by count, long polls and the loss of a response after the append.
+func TestLogContract(t *testing.T) {
+	set := startSet(t)
+	url := "http://" + set.Address("log") + "/v1/streams/config/records"
+	appended := make(chan error, 1)
+	var polled platform.ReadResponse
+	go func() {
+		_, err := exchange(t, "GET", url+"?from=0&wait_ms=5000", nil, &polled)
+		appended <- err
+	}()
+	var first platform.AppendResponse
+	records := platform.AppendRequest{Records: [][]byte{[]byte("a"), []byte("b")}}
+	if status, err := exchange(t, "POST", url, records, &first); status != 200 || err != nil || first.FirstOffset != 0 {
+		t.Fatalf("got status %d, error %v, %+v", status, err, first)
+	}
+	if err := <-appended; err != nil || len(polled.Records) != 2 || string(polled.Records[1].Data) != "b" {
+		t.Fatalf("long poll: error %v, %+v", err, polled)
+	}
+	set.Log.SetFaults(LogFaults{LoseResponses: 1})
+	if status, err := exchange(t, "POST", url, records, &first); err == nil {
+		t.Fatalf("lost response has status %d", status)
+	}
+	var read platform.ReadResponse
+	if _, err := exchange(t, "GET", url+"?from=0&limit=2", nil, &read); err != nil {
+		t.Fatal(err)
+	}
+	if read.Oldest != 1 || read.Next != 4 || len(read.Records) != 2 || read.Records[0].Offset != 1 {
+		t.Fatalf("after retention: %+v", read)
+	}
+	set.Log.SetFaults(LogFaults{connectionFaults: connectionFaults{Down: true}})
+	var refusal errkind.Error
+	if status, _ := exchange(t, "GET", url, nil, &refusal); status != 503 || refusal.Kind != errkind.Unavailable {
+		t.Fatalf("outage: status %d, %+v", status, refusal)
+	}
+}
+
+// TestLogRetentionByAge guards against records that outlive the retention while nothing is appended.
+func TestLogRetentionByAge(t *testing.T) {
+	l := NewLog(LogOptions{RetentionAge: time.Minute})
+	now := time.Unix(1_000, 0)
+	if _, err := l.Append("config", [][]byte{nil}, now); err != nil {
+		t.Fatal(err)
+	}
+	read := l.Read("config", 0, 10, now.Add(time.Minute+1))
+	if read.Oldest != 1 || read.Next != 1 || len(read.Records) != 0 {
+		t.Fatalf("got %+v", read)
+	}
+	if _, err := l.Append("No/Name", [][]byte{nil}, now); !errkind.Is(err, errkind.BadInput) {
+		t.Fatalf("got error %v", err)
+	}
+	if _, err := l.Append("config", [][]byte{make([]byte, maxRecordBytes+1)}, now); !errkind.Is(err, errkind.TooLarge) {
+		t.Fatalf("got error %v", err)
+	}
+}
+
+// TestVMListLagsAndFlaps guards the lag and the return to older states that membership must withstand.
+func TestVMListLagsAndFlaps(t *testing.T) {
+	vm := platform.VM{ID: "vm-1", State: platform.VMLive}
+	l := NewVMList([]platform.VM{vm}, 10*time.Second)
+	now := time.Unix(1_000, 0)
+	vm.State = platform.VMLeaving
+	l.Set(vm, now)
+	if got := l.VMs(now.Add(9 * time.Second)); got[0].State != platform.VMLive {
+		t.Fatalf("before the lag: %+v", got)
+	}
+	late := now.Add(10 * time.Second)
+	if got := l.VMs(late); got[0].State != platform.VMLeaving {
+		t.Fatalf("after the lag: %+v", got)
+	}
+	l.SetFaults(VMListFaults{Flap: true})
+	first, second := l.VMs(late)[0].State, l.VMs(late)[0].State
+	if first == second {
+		t.Fatalf("no flapping: %s, %s", first, second)
+	}
+	l.Remove("vm-1", now)
+	l.SetFaults(VMListFaults{})
+	if got := l.VMs(late); len(got) != 0 {
+		t.Fatalf("after the removal: %+v", got)
+	}
+}
+
+// call sends a request to the endpoint at address and returns the response with its body.
+func call(address, id, path string) (*http.Response, []byte, error) {
+	request, err := http.NewRequest("POST", "http://"+address+path, strings.NewReader("order"))
+	if err != nil {
+		return nil, nil, err
+	}
+	request.Close = true
+	request.Header.Set(headerRequestID, id)
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return nil, nil, err
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	return response, body, err
+}
+
+// TestEndpointContract guards the headers that gateways check, and the visibility of a double run.
+func TestEndpointContract(t *testing.T) {
+	set := startSet(t)
+	address := set.Address("e-1")
+	for run := 1; run <= 2; run++ {
+		response, body, err := call(address, "r-1", "/a?x=1")
+		if err != nil {
+			t.Fatal(err)
+		}
+		digest := sha256.Sum256(body)
+		h := response.Header
+		if h.Get(headerRequestID) != "r-1" || h.Get(headerInflight) != "0" || h.Get(headerIncarnation) != "e-1-1" ||
+			h.Get("Content-Digest") != "sha-256=:"+base64.StdEncoding.EncodeToString(digest[:])+":" {
+			t.Fatalf("got headers %v", h)
+		}
+		var reply EndpointReply
+		if err := json.Unmarshal(body, &reply); err != nil || reply.Run != run || reply.Body != "order" {
+			t.Fatalf("got error %v, reply %+v", err, reply)
+		}
+	}
+	runs := set.Runs().Requests
+	if len(runs) != 1 || runs[0].Count != 2 || runs[0].Path != "/a?x=1" || runs[0].Key != "r-1" {
+		t.Fatalf("got runs %+v", runs)
+	}
+}
+
+// TestEndpointSlots guards against a ninth request that runs, and against a refusal that counts as a run.
+func TestEndpointSlots(t *testing.T) {
+	set := startSet(t)
+	var wait sync.WaitGroup
+	refused := make(chan string, 20)
+	for i := range 20 {
+		wait.Go(func() {
+			response, _, err := call(set.Address("e-1"), fmt.Sprint(i), "/?work_ms=500")
+			if err == nil && response.StatusCode == 503 && response.Header.Get(headerOutcome) == "not_run" {
+				refused <- fmt.Sprint(i)
+			}
+		})
+	}
+	wait.Wait()
+	if len(refused) != 12 || len(set.Runs().Requests) != 8 {
+		t.Fatalf("%d refused, %d ran", len(refused), len(set.Runs().Requests))
+	}
+}
+
+// TestEndpointConnections guards the limit on open connections.
+func TestEndpointConnections(t *testing.T) {
+	set := startSet(t)
+	open := 0
+	for range 70 {
+		c, err := net.Dial("tcp", set.Address("e-1"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		fmt.Fprint(c, "GET / HTTP/1.1\r\nHost: e\r\n\r\n")
+		_ = c.SetReadDeadline(time.Now().Add(5 * time.Second))
+		if n, _ := c.Read(make([]byte, 1)); n == 1 {
+			open++
+		}
+	}
+	if open != 64 || set.Endpoints["e-1"].MaxOpenConnections() != 64 {
+		t.Fatalf("%d connections served", open)
+	}
+}
+
+// TestEndpointFaults guards the faults of one response, set through the control service.
+func TestEndpointFaults(t *testing.T) {
+	set := startSet(t)
+	address := set.Address("e-1")
+	inject := func(f EndpointFaults) {
+		t.Helper()
+		var answer any
+		body := FaultsRequest{Target: "e-1", Endpoint: &f}
+		status, err := exchange(t, "POST", "http://"+set.Address("control")+"/v1/faults", body, &answer)
+		if status != 200 || err != nil {
+			t.Fatalf("got status %d, error %v", status, err)
+		}
+	}
+	inject(EndpointFaults{Truncate: 1})
+	if _, _, err := call(address, "r-1", "/"); err == nil {
+		t.Error("truncated response was read whole")
+	}
+	inject(EndpointFaults{Lose: 1})
+	if _, _, err := call(address, "r-2", "/"); err == nil {
+		t.Error("lost response arrived")
+	}
+	inject(EndpointFaults{WrongID: 1})
+	if r, _, err := call(address, "r-3", "/"); err != nil || r.Header.Get(headerRequestID) != "r-2" {
+		t.Errorf("got error %v, response %+v", err, r)
+	}
+	inject(EndpointFaults{Refuse: 1, Leaving: true, Restart: true})
+	if r, _, err := call(address, "r-4", "/"); err != nil || r.Header.Get(headerOutcome) != "not_run" ||
+		r.Header.Get(headerState) != "leaving" || r.Header.Get(headerIncarnation) != "e-1-2" {
+		t.Errorf("got error %v, response %+v", err, r)
+	}
+	inject(EndpointFaults{FailEvery: 1})
+	if r, _, err := call(address, "r-5", "/"); err != nil || r.StatusCode != 500 {
+		t.Errorf("got error %v, response %+v", err, r)
+	}
+	if runs := set.Runs().Requests; len(runs) != 4 {
+		t.Errorf("got runs %+v", runs)
+	}
+	var refusal errkind.Error
+	unknown := FaultsRequest{Target: "e-9", Endpoint: &EndpointFaults{}}
+	status, err := exchange(t, "POST", "http://"+set.Address("control")+"/v1/faults", unknown, &refusal)
+	if status != 400 || err != nil {
+		t.Errorf("unknown target: status %d, error %v", status, err)
+	}
+}
+
+// TestWorkerLosesResponse guards that a command whose response is lost took effect.
+func TestWorkerLosesResponse(t *testing.T) {
+	set := startSet(t)
+	set.Workers["w-a-2"].SetFaults(WorkerFaults{LoseResponses: 1})
+	url := "http://" + set.Address("w-a-2")
+	request := platform.CommandsRequest{Holder: "s", Epoch: 1, LeaseMS: 6_000, Commands: []platform.Command{
+		{Op: platform.OpReserve, Attempt: attempt, TTLMS: 60_000},
+	}}
+	var response platform.CommandsResponse
+	if _, err := exchange(t, "POST", url+"/v1/commands", request, &response); err == nil {
+		t.Fatal("lost response arrived")
+	}
+	var inventory platform.Inventory
+	if _, err := exchange(t, "GET", url+"/v1/inventory", nil, &inventory); err != nil || len(inventory.Tasks) != 1 {
+		t.Fatalf("got error %v, inventory %+v", err, inventory)
+	}
+	var list platform.VMListResponse
+	if _, err := exchange(t, "GET", "http://"+set.Address("vm_list")+"/v1/vms", nil, &list); err != nil || len(list.VMs) != 4 {
+		t.Fatalf("got error %v, list %+v", err, list)
+	}
+}
--- /dev/null
+++ b/standin/set.go
@@ -0,0 +1,123 @@
+package standin
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log"
+	"net"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/redwingthread/redwingthread/errkind"
+)
+
+// Set is a running set of stand-ins.
+type Set struct {
+	Log       *Log
+	VMList    *VMList
+	Workers   map[string]*Worker
+	Endpoints map[string]*Endpoint
+
+	servers []*http.Server
+	// addresses holds the address of each stand-in by name: "control", "log", "vm_list" or an id.
+	addresses map[string]string
+}
+
+// readHeaderTimeout bounds the time for the headers of a call.
+const readHeaderTimeout = 10 * time.Second
+
+// Start starts the stand-ins of s. Close ends them.
+func Start(s Settings) (*Set, error) {
+	set := &Set{
+		Workers:   make(map[string]*Worker),
+		Endpoints: make(map[string]*Endpoint),
+		addresses: make(map[string]string),
+	}
+	if err := set.start(s); err != nil {
+		set.Close(context.Background())
+		return nil, err
+	}
+	return set, nil
+}
+
+func (s *Set) start(settings Settings) error {
+	if settings.Log.Address != "" {
+		s.Log = NewLog(LogOptions{
+			RetentionRecords: settings.Log.RetentionRecords,
+			RetentionAge:     milliseconds(settings.Log.RetentionMS),
+			AppendsPerSecond: settings.Log.AppendsPerSecond,
+		})
+		if err := s.serve("log", settings.Log.Address, s.Log.Handler(), nil); err != nil {
+			return err
+		}
+	}
+	if settings.VMList.Address != "" {
+		s.VMList = NewVMList(settings.vms(), milliseconds(settings.VMList.LagMS))
+		if err := s.serve("vm_list", settings.VMList.Address, s.VMList.Handler(), nil); err != nil {
+			return err
+		}
+	}
+	for _, w := range settings.Workers {
+		for _, p := range places(w.ID, w.Address, w.Count) {
+			worker := NewWorker(w.options(p.id))
+			s.Workers[p.id] = worker
+			if err := s.serve(p.id, p.address, worker.Handler(), nil); err != nil {
+				return err
+			}
+		}
+	}
+	for _, e := range settings.Endpoints {
+		for _, p := range places(e.ID, e.Address, e.Count) {
+			endpoint := NewEndpoint(e.options(p.id))
+			s.Endpoints[p.id] = endpoint
+			if err := s.serve(p.id, p.address, endpoint.Handler(), endpoint.ConnState); err != nil {
+				return err
+			}
+		}
+	}
+	return s.serve("control", settings.Control, s.controlHandler(), nil)
+}
+
+// serve listens at address and serves the handler under the name.
+func (s *Set) serve(name, address string, handler http.Handler, state func(net.Conn, http.ConnState)) error {
+	if _, ok := s.addresses[name]; ok {
+		return errkind.New(errkind.BadInput, "give each stand-in its own id", "two stand-ins have the id %q", name)
+	}
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return errkind.Wrap(err, errkind.Unavailable, "use a free loopback port", "listener of %s", name)
+	}
+	server := &http.Server{
+		Handler: handler, ConnState: state, ReadHeaderTimeout: readHeaderTimeout, ErrorLog: log.New(discard{}, "", 0),
+	}
+	s.servers = append(s.servers, server)
+	s.addresses[name] = listener.Addr().String()
+	go func() {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			fmt.Fprintln(os.Stderr, "stand-in", name, "stopped:", err)
+		}
+	}()
+	return nil
+}
+
+// discard drops the messages of http.Server about connections that stand-ins drop on purpose.
+type discard struct{}
+
+func (discard) Write(p []byte) (int, error) { return len(p), nil }
+
+// Address returns the address of a stand-in by name: "control", "log", "vm_list" or an id; empty if there is none.
+func (s *Set) Address(name string) string { return s.addresses[name] }
+
+// Len returns the number of running services.
+func (s *Set) Len() int { return len(s.servers) }
+
+// Close ends all services. Calls under way are cut off when ctx ends.
+func (s *Set) Close(ctx context.Context) {
+	for _, server := range s.servers {
+		if ctx.Err() != nil || server.Shutdown(ctx) != nil {
+			_ = server.Close()
+		}
+	}
+}
--- /dev/null
+++ b/standin/vmlist.go
@@ -0,0 +1,126 @@
+package standin
+
+import (
+	"net/http"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/redwingthread/redwingthread/errkind"
+	"github.com/redwingthread/redwingthread/platform"
+)
+
+// VMListFaults holds the faults of the VM list.
+type VMListFaults struct {
+	connectionFaults
+	// Flap answers every second read with the list as it was before the last change.
+	Flap bool `json:"flap,omitempty"`
+}
+
+// VMList is a stand-in for the platform's list of VMs. Changes become visible after the lag.
+type VMList struct {
+	lag time.Duration
+
+	mu sync.Mutex
+	// states holds the list after each change in order of time, guarded by mu like the fields below.
+	states []vmListState
+	faults VMListFaults
+	reads  uint64
+}
+
+type vmListState struct {
+	visible time.Time
+	vms     map[string]platform.VM
+}
+
+// NewVMList returns a list that holds vms from the start.
+func NewVMList(vms []platform.VM, lag time.Duration) *VMList {
+	first := vmListState{vms: make(map[string]platform.VM)}
+	for _, vm := range vms {
+		first.vms[vm.ID] = vm
+	}
+	return &VMList{lag: lag, states: []vmListState{first}}
+}
+
+// SetFaults replaces the faults.
+func (l *VMList) SetFaults(f VMListFaults) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.faults = f
+}
+
+// Set adds or replaces vm; the change is visible after the lag.
+func (l *VMList) Set(vm platform.VM, now time.Time) {
+	l.change(now, func(vms map[string]platform.VM) { vms[vm.ID] = vm })
+}
+
+// Remove removes the VM of the id; the change is visible after the lag.
+func (l *VMList) Remove(id string, now time.Time) {
+	l.change(now, func(vms map[string]platform.VM) { delete(vms, id) })
+}
+
+func (l *VMList) change(now time.Time, edit func(map[string]platform.VM)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	next := vmListState{visible: now.Add(l.lag), vms: make(map[string]platform.VM)}
+	for id, vm := range l.states[len(l.states)-1].vms {
+		next.vms[id] = vm
+	}
+	edit(next.vms)
+	l.states = append(l.states, next)
+}
+
+// VMs returns the list as it is visible at now, by id.
+func (l *VMList) VMs(now time.Time) []platform.VM {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	visible := 0
+	for i, state := range l.states {
+		if !state.visible.After(now) {
+			visible = i
+		}
+	}
+	l.reads++
+	if l.faults.Flap && l.reads%2 == 0 && visible > 0 {
+		visible--
+	}
+	vms := make([]platform.VM, 0, len(l.states[visible].vms))
+	for _, vm := range l.states[visible].vms {
+		vms = append(vms, vm)
+	}
+	sort.Slice(vms, func(i, j int) bool { return vms[i].ID < vms[j].ID })
+	return vms
+}
+
+// Handler returns the HTTP service.
+func (l *VMList) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/vms", func(w http.ResponseWriter, r *http.Request) {
+		l.mu.Lock()
+		faults := l.faults
+		l.mu.Unlock()
+		if faults.apply(w, r) {
+			writeJSON(w, http.StatusOK, platform.VMListResponse{VMs: l.VMs(time.Now())})
+		}
+	})
+	return mux
+}
+
+// serveChange handles POST /v1/vms of the control service: a VM to set, or to remove if its state is "removed".
+func (l *VMList) serveChange(w http.ResponseWriter, r *http.Request) {
+	var vm platform.VM
+	if err := readJSON(r, &vm); err != nil {
+		writeError(w, err)
+		return
+	}
+	switch vm.State {
+	case platform.VMLive, platform.VMLeaving:
+		l.Set(vm, time.Now())
+	case "removed":
+		l.Remove(vm.ID, time.Now())
+	default:
+		writeError(w, errkind.New(errkind.BadInput, `use "live", "leaving" or "removed"`, "VM state %q", vm.State))
+		return
+	}
+	writeJSON(w, http.StatusOK, struct{}{})
+}
--- /dev/null
+++ b/standin/worker.go
@@ -0,0 +1,101 @@
+package standin
+
+import (
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/redwingthread/redwingthread/platform"
+)
+
+// Worker is a stand-in for a worker: a VM that runs tasks under leases.
+type Worker struct {
+	mu sync.Mutex
+	// state is guarded by mu.
+	state *workerState
+}
+
+// NewWorker returns a worker without tasks.
+func NewWorker(options WorkerOptions) *Worker {
+	return &Worker{state: newWorkerState(options)}
+}
+
+// SetFaults replaces the faults.
+func (w *Worker) SetFaults(f WorkerFaults) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := time.Now()
+	w.state.advance(now)
+	w.state.setFaults(f, now)
+}
+
+// Commands carries out a call of POST /v1/commands at now.
+func (w *Worker) Commands(request platform.CommandsRequest, now time.Time) (platform.CommandsResponse, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.state.advance(now)
+	return w.state.commands(request, now)
+}
+
+// Inventory returns the inventory at now.
+func (w *Worker) Inventory(now time.Time) platform.Inventory {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.state.advance(now)
+	return w.state.inventory()
+}
+
+// TaskRuns returns how often each member of a job was released on this worker.
+func (w *Worker) TaskRuns() []TaskRun {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.state.taskRuns()
+}
+
+// Handler returns the HTTP service.
+func (w *Worker) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/commands", w.serveCommands)
+	mux.HandleFunc("GET /v1/inventory", func(rw http.ResponseWriter, r *http.Request) {
+		if w.currentFaults().apply(rw, r) {
+			writeJSON(rw, http.StatusOK, w.Inventory(time.Now()))
+		}
+	})
+	return mux
+}
+
+func (w *Worker) serveCommands(rw http.ResponseWriter, r *http.Request) {
+	if !w.currentFaults().apply(rw, r) {
+		return
+	}
+	var request platform.CommandsRequest
+	if err := readJSON(r, &request); err != nil {
+		writeError(rw, err)
+		return
+	}
+	response, err := w.Commands(request, time.Now())
+	if err != nil {
+		writeError(rw, err)
+		return
+	}
+	if w.takeLostResponse() {
+		dropConnection()
+	}
+	writeJSON(rw, http.StatusOK, response)
+}
+
+func (w *Worker) currentFaults() WorkerFaults {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.state.faults
+}
+
+func (w *Worker) takeLostResponse() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.state.faults.LoseResponses == 0 {
+		return false
+	}
+	w.state.faults.LoseResponses--
+	return true
+}
--- /dev/null
+++ b/standin/workercommands.go
@@ -0,0 +1,255 @@
+package standin
+
+import (
+	"time"
+
+	"github.com/redwingthread/redwingthread/errkind"
+	"github.com/redwingthread/redwingthread/platform"
+)
+
+// Reasons of refused commands.
+const (
+	refusedNoTask    = "no such task"
+	refusedCapacity  = "not enough free resources"
+	refusedLeaving   = "worker is leaving"
+	refusedState     = "task is in state "
+	refusedEndedTask = "attempt has ended here"
+)
+
+// commands carries out a call at now, after advance. An error of kind BadInput changes nothing.
+func (s *workerState) commands(request platform.CommandsRequest, now time.Time) (platform.CommandsResponse, error) {
+	if err := checkCommands(request); err != nil {
+		return platform.CommandsResponse{}, err
+	}
+	granted := s.grant(request, now)
+	var results []platform.CommandResult
+	if granted {
+		s.renew(request, now)
+		for _, c := range request.Commands {
+			results = append(results, s.command(c, request, now))
+		}
+		// A task without work, such as "sleep 0", ends at its release.
+		s.advance(now)
+	}
+	response := platform.CommandsResponse{
+		Granted:     granted,
+		Epoch:       s.epoch,
+		Holder:      s.holder,
+		ExpiresInMS: max(s.leaseUntil.Sub(now).Milliseconds(), 0),
+		Results:     results,
+	}
+	if s.revision != request.KnownRevision {
+		inventory := s.inventory()
+		response.Inventory = &inventory
+	}
+	return response, nil
+}
+
+func checkCommands(request platform.CommandsRequest) error {
+	const remedy = "send the request that docs/design.md describes"
+	if request.Holder == "" {
+		return errkind.New(errkind.BadInput, remedy, "command call without holder")
+	}
+	if request.LeaseMS < 0 || request.TaskLeaseMS < 0 {
+		return errkind.New(errkind.BadInput, remedy, "negative lease")
+	}
+	for i, c := range request.Commands {
+		switch c.Op {
+		case platform.OpReserve, platform.OpStart, platform.OpRelease, platform.OpCheckpoint, platform.OpStop,
+			platform.OpForget:
+		case platform.OpThrottle:
+			if c.ThrottlePercent < 1 || c.ThrottlePercent > 100 {
+				return errkind.New(errkind.BadInput, "use 1 to 100 percent", "command %d throttles to %d percent", i,
+					c.ThrottlePercent)
+			}
+		default:
+			return errkind.New(errkind.BadInput, remedy, "command %d has unknown op %q", i, c.Op)
+		}
+	}
+	return nil
+}
+
+// grant decides about the holder lease. While a lease is in force only its holder may call; a new holder needs a higher
+// epoch than any granted before, which fences the former one. A lease of 0 ms gives the lease back after the call.
+func (s *workerState) grant(request platform.CommandsRequest, now time.Time) bool {
+	sameHolder := request.Holder == s.holder
+	inForce := now.Before(s.leaseUntil)
+	switch {
+	case request.Epoch < s.epoch:
+		return false
+	case !sameHolder && (inForce || request.Epoch == s.epoch):
+		return false
+	}
+	s.holder = request.Holder
+	s.epoch = request.Epoch
+	s.leaseUntil = now.Add(milliseconds(request.LeaseMS))
+	return true
+}
+
+// renew extends the task leases of the attempts that the holder lists.
+func (s *workerState) renew(request platform.CommandsRequest, now time.Time) {
+	until := now.Add(milliseconds(request.TaskLeaseMS))
+	for _, attempt := range request.Renew {
+		for _, t := range s.tasks {
+			if t.Attempt == attempt && !t.State.Ended() && until.After(t.leaseUntil) {
+				t.leaseUntil = until
+			}
+		}
+	}
+}
+
+// command carries out one command.
+func (s *workerState) command(c platform.Command, request platform.CommandsRequest, now time.Time) platform.CommandResult {
+	t := s.find(c.Attempt, c.Member)
+	var reason string
+	switch c.Op {
+	case platform.OpReserve:
+		reason = s.reserve(t, c, request.Epoch, now)
+	case platform.OpStop:
+		reason = s.stop(t, c, now)
+	case platform.OpForget:
+		reason = s.forget(t)
+	default:
+		if t == nil {
+			return platform.CommandResult{Reason: refusedNoTask}
+		}
+		t.progressTo(now)
+		switch c.Op {
+		case platform.OpStart:
+			reason = s.start(t, c, request.TaskLeaseMS, now)
+		case platform.OpRelease:
+			reason = s.release(t, now)
+		case platform.OpCheckpoint:
+			reason = s.checkpoint(t, now)
+		case platform.OpThrottle:
+			reason = throttle(t, c)
+		}
+	}
+	if reason == "" {
+		s.changed(now)
+	}
+	return platform.CommandResult{OK: reason == "", Reason: reason}
+}
+
+// reserve sets resources aside. A repeat extends the reservation.
+func (s *workerState) reserve(t *task, c platform.Command, epoch uint64, now time.Time) string {
+	until := now.Add(milliseconds(c.TTLMS))
+	switch {
+	case t != nil && t.State.Ended():
+		return refusedEndedTask
+	case t != nil && t.State != platform.TaskReserved:
+		return refusedState + string(t.State)
+	case t != nil:
+		t.reservedUntil = until
+		return ""
+	case s.faults.Leaving:
+		return refusedLeaving
+	case !s.used().Add(c.Resources).Fits(s.options.Capacity):
+		return refusedCapacity
+	}
+	s.tasks = append(s.tasks, &task{
+		Task: platform.Task{
+			Attempt: c.Attempt, Member: c.Member, State: platform.TaskReserved, Resources: c.Resources, Epoch: epoch,
+		},
+		reservedUntil: until,
+		percent:       100,
+	})
+	return ""
+}
+
+// start makes a reserved task resident. A repeat changes nothing.
+func (s *workerState) start(t *task, c platform.Command, taskLeaseMS int64, now time.Time) string {
+	if t.State == platform.TaskHeld || !t.residentAt.IsZero() && t.State == platform.TaskReserved {
+		return ""
+	}
+	if t.State != platform.TaskReserved {
+		return refusedState + string(t.State)
+	}
+	t.run = parseProgram(c.Run)
+	t.Checkpoint = c.Checkpoint
+	t.progress = checkpointProgress(c.Checkpoint)
+	t.leaseUntil = now.Add(milliseconds(taskLeaseMS))
+	t.residentAt = now.Add(milliseconds(s.faults.SlowStartMS))
+	if s.faults.SlowStartMS == 0 {
+		t.State = platform.TaskHeld
+	}
+	return ""
+}
+
+// release lets a held task run. A repeat changes nothing.
+func (s *workerState) release(t *task, now time.Time) string {
+	if t.State == platform.TaskRunning {
+		return ""
+	}
+	if t.State != platform.TaskHeld {
+		return refusedState + string(t.State)
+	}
+	s.runs[taskRunKey{t.Attempt.Job, t.Member}]++
+	if s.faults.FailTasks {
+		t.run = program{failure: "worker fails every task"}
+	}
+	if s.faults.NeverFinish {
+		t.run.length = endless
+	}
+	t.State = platform.TaskRunning
+	t.progressAt = now
+	return ""
+}
+
+func (s *workerState) checkpoint(t *task, now time.Time) string {
+	switch t.State {
+	case platform.TaskCheckpointing:
+		return ""
+	case platform.TaskRunning:
+		t.State = platform.TaskCheckpointing
+		t.checkpointAt = now.Add(s.options.CheckpointTime)
+		return ""
+	}
+	return refusedState + string(t.State)
+}
+
+func throttle(t *task, c platform.Command) string {
+	if t.State.Ended() {
+		return refusedState + string(t.State)
+	}
+	t.percent = c.ThrottlePercent
+	return ""
+}
+
+// stop gives a reservation back or ends a task, after a checkpoint if the command asks for one and the bound allows
+// it. Stopping what is not there or has ended succeeds, since the holder's aim is met.
+func (s *workerState) stop(t *task, c platform.Command, now time.Time) string {
+	switch {
+	case t == nil || t.State.Ended():
+		return ""
+	case t.State == platform.TaskReserved && t.residentAt.IsZero():
+		s.remove(t)
+		return ""
+	}
+	t.progressTo(now)
+	inTime := s.options.CheckpointTime <= milliseconds(c.CheckpointMS)
+	switch {
+	case c.Checkpoint != "" && t.State == platform.TaskRunning && inTime:
+		t.State = platform.TaskCheckpointing
+		t.checkpointAt = now.Add(s.options.CheckpointTime)
+		t.stopAfterCheckpoint = true
+	case c.Checkpoint != "" && t.State == platform.TaskCheckpointing && inTime:
+		t.stopAfterCheckpoint = true
+	default:
+		t.State, t.Detail = platform.TaskStopped, ""
+	}
+	return ""
+}
+
+func (s *workerState) forget(t *task) string {
+	if t == nil {
+		return ""
+	}
+	if !t.State.Ended() {
+		return refusedState + string(t.State)
+	}
+	s.remove(t)
+	return ""
+}
+
+func milliseconds(ms int64) time.Duration { return time.Duration(ms) * time.Millisecond }
