--- /dev/null
+++ b/inner/codec.go
@@ -0,0 +1,65 @@
+package inner
+
+import (
+	"encoding/binary"
+	"io"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/redwingthread/redwingthread/errkind"
+)
+
+// MaxFrameBytes bounds one encoded message. It holds a forwarded body of 8 MB with its headers, and a folded
+// configuration of the planned size.
+const MaxFrameBytes = 16 << 20
+
+// frameHeaderBytes is the length of the big-endian frame length that precedes every message.
+const frameHeaderBytes = 4
+
+// decMode refuses duplicate map keys and bounds the nesting of received messages.
+var decMode = mustDecMode()
+
+func mustDecMode() cbor.DecMode {
+	mode, err := cbor.DecOptions{DupMapKey: cbor.DupMapKeyEnforcedAPF, MaxNestedLevels: 32}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+// writeFrame writes message as one frame and returns the number of bytes written.
+func writeFrame(w io.Writer, message any) (int, error) {
+	data, err := cbor.Marshal(message)
+	if err != nil {
+		return 0, errkind.Wrap(err, errkind.Internal, "report this as a fault of the program", "encode message")
+	}
+	if len(data) > MaxFrameBytes {
+		return 0, errkind.New(errkind.TooLarge, "send a smaller body", "message of %d bytes is above %d",
+			len(data), MaxFrameBytes)
+	}
+	frame := make([]byte, frameHeaderBytes, frameHeaderBytes+len(data))
+	binary.BigEndian.PutUint32(frame, uint32(len(data)))
+	return w.Write(append(frame, data...))
+}
+
+// readFrame reads one frame into message and returns the number of bytes read.
+func readFrame(r io.Reader, message any) (int, error) {
+	var header [frameHeaderBytes]byte
+	if _, err := io.ReadFull(r, header[:]); err != nil {
+		return 0, err
+	}
+	length := binary.BigEndian.Uint32(header[:])
+	if length > MaxFrameBytes {
+		return frameHeaderBytes, errkind.New(errkind.TooLarge, "check that both ends run compatible versions",
+			"frame of %d bytes is above %d", length, MaxFrameBytes)
+	}
+	data := make([]byte, length)
+	if _, err := io.ReadFull(r, data); err != nil {
+		return frameHeaderBytes, err
+	}
+	if err := decMode.Unmarshal(data, message); err != nil {
+		return frameHeaderBytes + len(data), errkind.Wrap(err, errkind.BadInput,
+			"check that both ends run compatible versions", "decode message")
+	}
+	return frameHeaderBytes + len(data), nil
+}
