Add membership, telemetry and the common part of the daemons

Heartbeats go to members of the same failure domain every second and to others every 2 s; a leaving endpoint expedites them. The answer to a heartbeat carries the receiver's own state, so a pair that beats in both directions learns twice; that is kept, since either direction may be cut.

--- /dev/null
+++ b/daemon/http.go
@@ -0,0 +1,65 @@
+package daemon
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/redwingthread/redwingthread/errkind"
+	"github.com/redwingthread/redwingthread/telemetry"
+)
+
+// Limits of the metrics listener.
+const (
+	metricsHeaderTimeout  = 2 * time.Second
+	metricsRequestTimeout = 5 * time.Second
+	metricsMaxHeaderBytes = 8 << 10
+)
+
+// HTTPServer is a listener with its server.
+type HTTPServer struct {
+	server   *http.Server
+	listener net.Listener
+}
+
+// ListenHTTP opens address (host:port, TCP) for server. It returns an Unavailable error that names the setting if the
+// address cannot be opened.
+func ListenHTTP(address, setting string, server *http.Server) (*HTTPServer, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, errkind.Wrap(err, errkind.Unavailable, "check "+setting+" in the settings", "listen on %s", address)
+	}
+	return &HTTPServer{server: server, listener: listener}, nil
+}
+
+// Serve accepts connections until Shutdown.
+func (s *HTTPServer) Serve(log zerolog.Logger) {
+	if err := s.server.Serve(s.listener); err != nil && err != http.ErrServerClosed {
+		log.Error().Err(err).Str("address", s.listener.Addr().String()).Msg("HTTP listener ended")
+	}
+}
+
+// Shutdown stops accepting and waits for requests under way until ctx ends.
+func (s *HTTPServer) Shutdown(ctx context.Context) error { return s.server.Shutdown(ctx) }
+
+// NewMetricsServer returns a server of /metrics, /healthz (the process runs) and /readyz (it takes work).
+func NewMetricsServer(ready func() bool) *http.Server {
+	routes := http.NewServeMux()
+	routes.Handle("GET /metrics", telemetry.MetricsHandler())
+	routes.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	routes.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if !ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	return &http.Server{
+		Handler:           routes,
+		ReadHeaderTimeout: metricsHeaderTimeout,
+		ReadTimeout:       metricsRequestTimeout,
+		WriteTimeout:      metricsRequestTimeout,
+		MaxHeaderBytes:    metricsMaxHeaderBytes,
+	}
+}
--- /dev/null
+++ b/daemon/mux.go
@@ -0,0 +1,43 @@
+package daemon
+
+import (
+	"context"
+
+	"github.com/redwingthread/redwingthread/errkind"
+	"github.com/redwingthread/redwingthread/inner"
+)
+
+// Mux is an inner.Handler that passes each kind of request to its function. Functions are set before the mux is served;
+// a kind without a function is refused.
+type Mux struct {
+	Heartbeat    func(ctx context.Context, from inner.Member, beat *inner.Heartbeat) (*inner.Heartbeat, error)
+	Forward      func(ctx context.Context, req *inner.Forward) (*inner.ForwardResponse, error)
+	FetchRecords func(ctx context.Context, req *inner.FetchRecords) (*inner.FetchRecordsResponse, error)
+	FetchState   func(ctx context.Context, req *inner.FetchState) (*inner.FetchStateResponse, error)
+	JobQuery     func(ctx context.Context, req *inner.JobQuery) (*inner.JobQueryResponse, error)
+}
+
+// Handle implements inner.Handler.
+func (m *Mux) Handle(ctx context.Context, from inner.Member, req *inner.Request) (*inner.Response, error) {
+	var resp inner.Response
+	var err error
+	switch {
+	case req.Heartbeat != nil && m.Heartbeat != nil:
+		resp.Heartbeat, err = m.Heartbeat(ctx, from, req.Heartbeat)
+	case req.Forward != nil && m.Forward != nil:
+		resp.Forward, err = m.Forward(ctx, req.Forward)
+	case req.FetchRecords != nil && m.FetchRecords != nil:
+		resp.FetchRecords, err = m.FetchRecords(ctx, req.FetchRecords)
+	case req.FetchState != nil && m.FetchState != nil:
+		resp.FetchState, err = m.FetchState(ctx, req.FetchState)
+	case req.JobQuery != nil && m.JobQuery != nil:
+		resp.JobQuery, err = m.JobQuery(ctx, req.JobQuery)
+	default:
+		return nil, errkind.New(errkind.BadInput, "send the request to a daemon of the right role and version",
+			"request kind is not served here")
+	}
+	if err != nil {
+		return nil, err
+	}
+	return &resp, nil
+}
--- /dev/null
+++ b/membership/table.go
@@ -0,0 +1,221 @@
+// Package membership keeps the members of a deployment that a daemon knows, from the settings, the platform's list of
+// VMs, heartbeats and its own failed exchanges.
+//
+// The package is pure: the caller gives the time and carries out the heartbeats that Due asks for.
+package membership
+
+import (
+	"sort"
+	"time"
+
+	"github.com/redwingthread/redwingthread/inner"
+	"github.com/redwingthread/redwingthread/platform"
+)
+
+// Roles of daemons.
+const (
+	RoleGateway   = "gateway"
+	RoleScheduler = "scheduler"
+)
+
+// Options are the times of a Table.
+type Options struct {
+	// LocalInterval is the time between heartbeats to members of the same failure domain.
+	LocalInterval time.Duration
+	// RemoteInterval is the time between heartbeats to members of other failure domains. It is longer, so that the
+	// cost of a daemon hardly grows with the number of failure domains.
+	RemoteInterval time.Duration
+	// MissedBeats is the number of intervals without a heartbeat after which a member is not live.
+	MissedBeats int
+	// ForgetAfter is the time after which a member that is not live and not in the settings is removed.
+	ForgetAfter time.Duration
+}
+
+// DefaultOptions returns the times that keep the detection of a lost gateway under 4 s in its failure domain.
+func DefaultOptions() Options {
+	return Options{
+		LocalInterval:  time.Second,
+		RemoteInterval: 2 * time.Second,
+		MissedBeats:    3,
+		ForgetAfter:    10 * time.Minute,
+	}
+}
+
+// Peer is what the daemon knows of a member.
+type Peer struct {
+	Member    inner.Member
+	Heartbeat inner.Heartbeat
+	// Seen is the time of the last heartbeat; zero before the first.
+	Seen time.Time
+	// Leaving reports whether any source said that the VM or the daemon is leaving.
+	Leaving bool
+}
+
+// entry is the state of one inner protocol address.
+type entry struct {
+	peer Peer
+	// seed marks an address of the settings, which is never forgotten.
+	seed    bool
+	nextDue time.Time
+	added   time.Time
+}
+
+// Table is the membership of one daemon. It is not safe for concurrent use.
+type Table struct {
+	self    inner.Member
+	options Options
+	// members is keyed by inner protocol address: a replaced VM at the same address replaces its entry.
+	members map[string]*entry
+	// leavingVMs holds VMs that the platform's list has said to be leaving. The list lags and may go back, so a VM
+	// stays here until a new incarnation of its daemon reports itself.
+	leavingVMs map[string]bool
+}
+
+// New returns a table that knows only self.
+func New(self inner.Member, options Options) *Table {
+	return &Table{
+		self:       self,
+		options:    options,
+		members:    make(map[string]*entry),
+		leavingVMs: make(map[string]bool),
+	}
+}
+
+// Self returns the daemon's own member.
+func (t *Table) Self() inner.Member { return t.self }
+
+// AddSeed adds a member of the settings. Its incarnation is not known before its first heartbeat.
+func (t *Table) AddSeed(member inner.Member, now time.Time) {
+	if member.Address == t.self.Address {
+		return
+	}
+	e := t.add(member, now)
+	e.seed = true
+}
+
+// ObserveHeartbeat takes a heartbeat, received as a request or as an answer. It reports whether the member is new or
+// has restarted.
+func (t *Table) ObserveHeartbeat(beat inner.Heartbeat, now time.Time) (changed bool) {
+	if beat.Member.Address == "" || beat.Member.Address == t.self.Address {
+		return false
+	}
+	e := t.add(beat.Member, now)
+	restarted := e.peer.Member.Incarnation != beat.Member.Incarnation
+	changed = restarted || e.peer.Seen.IsZero()
+	if restarted {
+		delete(t.leavingVMs, beat.Member.VM)
+	}
+	e.peer.Member = beat.Member
+	e.peer.Heartbeat = beat
+	e.peer.Seen = now
+	return changed
+}
+
+// ObserveVMs takes the platform's list of VMs. Entry VMs that it calls leaving stay so, see leavingVMs.
+func (t *Table) ObserveVMs(vms []platform.VM) {
+	for _, vm := range vms {
+		if vm.Role == platform.RoleEntry && vm.State == platform.VMLeaving {
+			t.leavingVMs[vm.ID] = true
+		}
+	}
+}
+
+// SelfLeaving reports whether the platform's list has said that the daemon's own VM is leaving.
+func (t *Table) SelfLeaving() bool { return t.leavingVMs[t.self.VM] }
+
+// Due returns the members that a heartbeat is due for and counts them as sent.
+func (t *Table) Due(now time.Time) []inner.Member {
+	var due []inner.Member
+	for address, e := range t.members {
+		if t.expired(e, now) {
+			delete(t.members, address)
+			continue
+		}
+		if now.Before(e.nextDue) {
+			continue
+		}
+		e.nextDue = now.Add(t.interval(e.peer.Member))
+		due = append(due, e.peer.Member)
+	}
+	sort.Slice(due, func(i, j int) bool { return due[i].Address < due[j].Address })
+	return due
+}
+
+// ExpediteGateways makes a heartbeat to every gateway due at once, so that news such as a leaving endpoint need not
+// wait for the interval.
+func (t *Table) ExpediteGateways() {
+	for _, e := range t.members {
+		if e.peer.Member.Role == RoleGateway {
+			e.nextDue = time.Time{}
+		}
+	}
+}
+
+// Live returns the live members of a role, sorted by address; an empty role means all. Self is not included.
+func (t *Table) Live(role string, now time.Time) []Peer {
+	var live []Peer
+	for _, e := range t.members {
+		if role != "" && e.peer.Member.Role != role {
+			continue
+		}
+		if !t.live(e, now) {
+			continue
+		}
+		peer := e.peer
+		peer.Leaving = t.leaving(peer)
+		live = append(live, peer)
+	}
+	sort.Slice(live, func(i, j int) bool { return live[i].Member.Address < live[j].Member.Address })
+	return live
+}
+
+// All returns every known member with its last heartbeat, sorted by address.
+func (t *Table) All() []Peer {
+	all := make([]Peer, 0, len(t.members))
+	for _, e := range t.members {
+		peer := e.peer
+		peer.Leaving = t.leaving(peer)
+		all = append(all, peer)
+	}
+	sort.Slice(all, func(i, j int) bool { return all[i].Member.Address < all[j].Member.Address })
+	return all
+}
+
+// IsLive reports whether a peer returned by All was seen recently enough.
+func (t *Table) IsLive(peer Peer, now time.Time) bool {
+	e, ok := t.members[peer.Member.Address]
+	return ok && t.live(e, now)
+}
+
+func (t *Table) add(member inner.Member, now time.Time) *entry {
+	e, ok := t.members[member.Address]
+	if !ok {
+		e = &entry{peer: Peer{Member: member}, added: now}
+		t.members[member.Address] = e
+	}
+	return e
+}
+
+func (t *Table) interval(member inner.Member) time.Duration {
+	if member.FailureDomain == t.self.FailureDomain {
+		return t.options.LocalInterval
+	}
+	return t.options.RemoteInterval
+}
+
+func (t *Table) live(e *entry, now time.Time) bool {
+	limit := time.Duration(t.options.MissedBeats) * t.interval(e.peer.Member)
+	return !e.peer.Seen.IsZero() && now.Sub(e.peer.Seen) <= limit
+}
+
+func (t *Table) leaving(peer Peer) bool {
+	return peer.Heartbeat.Leaving || t.leavingVMs[peer.Member.VM]
+}
+
+func (t *Table) expired(e *entry, now time.Time) bool {
+	last := e.peer.Seen
+	if last.IsZero() {
+		last = e.added
+	}
+	return !e.seed && now.Sub(last) > t.options.ForgetAfter
+}
