--- a/Makefile
+++ b/Makefile
@@ -24,5 +24,8 @@
 demo: build
 	bash scripts/demo.sh
 
+prove:
+	@bash scripts/prove.sh $(SEED)
+
 bench:
 	go test ./scheduler -run '^TestBench' -bench=. -benchtime=1x -count=1 -v
--- /dev/null
+++ b/daemon/node_test.go
@@ -0,0 +1,54 @@
+package daemon
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/redwingthread/redwingthread/errkind"
+	"github.com/redwingthread/redwingthread/inner"
+)
+
+// TestMuxRefusesKindsWithoutFunction guards against a daemon that panics on a request of another role.
+func TestMuxRefusesKindsWithoutFunction(t *testing.T) {
+	cases := map[string]*inner.Request{
+		"empty":     {},
+		"forward":   {Forward: &inner.Forward{}},
+		"records":   {FetchRecords: &inner.FetchRecords{}},
+		"state":     {FetchState: &inner.FetchState{}},
+		"job query": {JobQuery: &inner.JobQuery{}},
+	}
+	for name, req := range cases {
+		t.Run(name, func(t *testing.T) {
+			_, err := (&Mux{}).Handle(context.Background(), inner.Member{}, req)
+			if !errkind.Is(err, errkind.BadInput) {
+				t.Fatalf("got %v, want kind %q", err, errkind.BadInput)
+			}
+		})
+	}
+}
+
+// TestHeartbeatIsAnsweredWithOwnState guards against a one-way partition view: either direction must inform both ends.
+func TestHeartbeatIsAnsweredWithOwnState(t *testing.T) {
+	self := NewIncarnation(inner.Member{VM: "vm-1", Role: "gateway", FailureDomain: "fd-a", Address: "127.0.0.1:1"})
+	mux := &Mux{}
+	node := NewNode(Options{
+		Self:     self,
+		Log:      zerolog.Nop(),
+		Describe: func(beat *inner.Heartbeat) { beat.ConfigVersion = 7 },
+	}, mux)
+	peer := NewIncarnation(inner.Member{VM: "vm-2", Role: "gateway", FailureDomain: "fd-a", Address: "127.0.0.1:2"})
+	resp, err := mux.Handle(t.Context(), peer, &inner.Request{Heartbeat: &inner.Heartbeat{Member: peer, Ready: true}})
+	if err != nil || resp.Heartbeat.ConfigVersion != 7 || resp.Heartbeat.Member != self {
+		t.Fatalf("got %+v, error %v", resp, err)
+	}
+	live := node.Live("gateway")
+	if len(live) != 1 || live[0].Member != peer || time.Since(live[0].Seen) > time.Minute {
+		t.Fatalf("live gateways are %+v", live)
+	}
+	if _, err := mux.Handle(t.Context(), peer, &inner.Request{Heartbeat: &inner.Heartbeat{}}); err == nil {
+		t.Fatal("heartbeat without an address was taken")
+	}
+}
