Add the operator command, its client library and development keys

Account, guarantee and drain verbs make a patch on the version that they read; they do not retry after a conflict, since the operator has to see what the change lost to.

A refused connection is reported as unavailable, a response lost after the request was sent as unknown with the command that settles it. Connections are used once, because the transport sends a request again by itself on a reused one.

--- /dev/null
+++ b/cmd/redwingctl/account.go
@@ -0,0 +1,153 @@
+package main
+
+import (
+	"flag"
+	"fmt"
+	"sort"
+
+	"github.com/redwingthread/redwingthread/config"
+	"github.com/redwingthread/redwingthread/operatorclient"
+	"github.com/redwingthread/redwingthread/resource"
+)
+
+func accountCommands() []command {
+	return []command{
+		{
+			name: "account create", arguments: "NAME", summary: "Adds a client account and prints its new token once",
+			examples: []string{
+				`account create orders -weight 2 -author ana -reason "new client"`,
+				`account create scan -quota 16 -token-digest DIGEST -author ana -reason "token made elsewhere"`,
+			},
+			setup: accountCreate,
+		},
+		{
+			name: "account remove", arguments: "NAME", summary: "Removes a client account with its guarantees",
+			examples: []string{`account remove orders -author ana -reason "contract ended"`},
+			setup:    accountRemove,
+		},
+		{
+			name: "account list", summary: "Lists client accounts and their guarantees",
+			examples: []string{"account list", "account list -o json"},
+			setup:    accountList,
+		},
+	}
+}
+
+// createdAccount is the result of account create.
+type createdAccount struct {
+	Account string `json:"account"`
+	Version uint64 `json:"version"`
+	Patch   string `json:"patch"`
+	// Token is empty if the digest was given.
+	Token string `json:"token,omitempty"`
+}
+
+func accountCreate(f *flag.FlagSet) func(*call) error {
+	var by authorship
+	by.declare(f)
+	var a config.Account
+	f.IntVar(&a.Weight, "weight", 1, "share of the request queues, 1 or more")
+	f.IntVar(&a.Quota, "quota", 0, "bound of `accelerators` in use in one failure domain, 0 for none")
+	f.IntVar(&a.RetryBudgetPercent, "retry-budget", 0, "bound of retries in `percent` of first attempts, 0 for the default")
+	f.StringVar(&a.TokenDigest, "token-digest", "", "`digest` of a token that exists, from redwingctl token new")
+	return func(c *call) error {
+		if err := c.want("NAME"); err != nil {
+			return err
+		}
+		created := createdAccount{Account: c.args[0]}
+		a.Name = c.args[0]
+		if a.TokenDigest == "" {
+			created.Token, a.TokenDigest = operatorclient.NewToken()
+		}
+		patch, decision, err := c.submitEdit(by, operatorclient.CreateAccount(a))
+		if err != nil {
+			return err
+		}
+		created.Version, created.Patch = decision.Version, patch.ID
+		return c.print(created, func() {
+			c.pairs([2]string{"account", created.Account}, [2]string{"version", fmt.Sprint(created.Version)},
+				[2]string{"patch", created.Patch}, [2]string{"token", created.Token})
+		})
+	}
+}
+
+// submitEdit makes a change on the version in force and submits it.
+func (c *call) submitEdit(by authorship, edit operatorclient.Edit) (operatorclient.Patch, operatorclient.Decision, error) {
+	var none operatorclient.Decision
+	if err := by.check(); err != nil {
+		return operatorclient.Patch{}, none, err
+	}
+	client, err := c.client()
+	if err != nil {
+		return operatorclient.Patch{}, none, err
+	}
+	return client.Change(c.ctx, by.author, by.reason, edit)
+}
+
+// change makes a change and prints its decision.
+func (c *call) change(by authorship, edit operatorclient.Edit) error {
+	_, decision, err := c.submitEdit(by, edit)
+	if err != nil {
+		return err
+	}
+	return c.decision(decision)
+}
+
+func accountRemove(f *flag.FlagSet) func(*call) error {
+	var by authorship
+	by.declare(f)
+	return func(c *call) error {
+		if err := c.want("NAME"); err != nil {
+			return err
+		}
+		return c.change(by, operatorclient.RemoveAccount(c.args[0]))
+	}
+}
+
+func accountList(*flag.FlagSet) func(*call) error {
+	return func(c *call) error {
+		if err := c.want(); err != nil {
+			return err
+		}
+		client, err := c.client()
+		if err != nil {
+			return err
+		}
+		doc, err := client.Document(c.ctx, nil)
+		if err != nil {
+			return err
+		}
+		return c.print(doc.Accounts, func() { c.accountTable(doc) })
+	}
+}
+
+func (c *call) accountTable(doc *operatorclient.Document) {
+	names := make([]string, 0, len(doc.Accounts))
+	for name := range doc.Accounts {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	var rows [][]string
+	for _, name := range names {
+		a := doc.Accounts[name]
+		row := []string{name, fmt.Sprint(a.Weight), fmt.Sprint(a.Quota), "-"}
+		for i, g := range a.Guarantees {
+			if i > 0 {
+				row = []string{"", "", "", ""}
+			}
+			row[3] = fmt.Sprintf("%d x %s in %s", g.Count, shapeText(g.Shape), g.FailureDomain)
+			rows = append(rows, row)
+		}
+		if len(a.Guarantees) == 0 {
+			rows = append(rows, row)
+		}
+	}
+	c.columns([]string{"ACCOUNT", "WEIGHT", "QUOTA", "GUARANTEES"}, rows)
+}
+
+// shapeText returns a shape in a few words.
+func shapeText(s resource.Shape) string {
+	p := s.PerMember
+	return fmt.Sprintf("%d of %d accelerators, %dm CPU, %d MB, adjacency %s", s.Members, p.Accelerators, p.MilliCPU,
+		p.MemoryMB, s.Adjacency)
+}
--- /dev/null
+++ b/cmd/redwingctl/config_read.go
@@ -0,0 +1,238 @@
+package main
+
+import (
+	"bufio"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"strconv"
+	"time"
+
+	"github.com/redwingthread/redwingthread/errkind"
+	"github.com/redwingthread/redwingthread/operatorclient"
+)
+
+// configReadCommands returns the commands that show the configuration and its history.
+func configReadCommands() []command {
+	return []command{
+		{
+			name: "config log", summary: "Lists the changes with author and reason",
+			examples: []string{"config log", "config log -from 10 -to 20"},
+			setup:    configLog,
+		},
+		{
+			name: "config show", summary: "Prints the configuration document as JSON",
+			examples: []string{"config show", "config show -version 12"},
+			setup:    configShow,
+		},
+		{
+			name: "config diff", arguments: "FROM TO", summary: "Shows the items that differ between two versions",
+			examples: []string{"config diff 11 12"},
+			setup:    configDiff,
+		},
+		{
+			name: "config replay", summary: "Goes through the changes one by one with author, reason and ops",
+			examples: []string{"config replay -from 10", "config replay -from 10 -to 12 -step"},
+			setup:    configReplay,
+		},
+		{
+			name: "config status", summary: "Shows the version in force on each entry VM",
+			examples: []string{"config status"},
+			setup:    configStatus,
+		},
+	}
+}
+
+// versionRange holds the flags of a range of versions.
+type versionRange struct {
+	from uint64
+	to   string
+}
+
+func (r *versionRange) declare(f *flag.FlagSet) {
+	f.Uint64Var(&r.from, "from", 0, "first `version`")
+	f.StringVar(&r.to, "to", "", "last `version` (default: the one in force)")
+}
+
+// optionalVersion parses a version; an empty text stands for the one in force.
+func optionalVersion(text string) (*uint64, error) {
+	if text == "" {
+		return nil, nil
+	}
+	version, err := strconv.ParseUint(text, 10, 64)
+	if err != nil {
+		return nil, errkind.Wrap(err, errkind.BadInput, "give a version number", "version %q", text)
+	}
+	return &version, nil
+}
+
+// decisions reads the decisions of the range.
+func (r *versionRange) decisions(c *call) ([]operatorclient.Decision, error) {
+	if err := c.want(); err != nil {
+		return nil, err
+	}
+	to, err := optionalVersion(r.to)
+	if err != nil {
+		return nil, err
+	}
+	client, err := c.client()
+	if err != nil {
+		return nil, err
+	}
+	return client.Log(c.ctx, r.from, to)
+}
+
+func at(ms int64) string { return time.UnixMilli(ms).UTC().Format(time.RFC3339) }
+
+func configLog(f *flag.FlagSet) func(*call) error {
+	var r versionRange
+	r.declare(f)
+	return func(c *call) error {
+		decisions, err := r.decisions(c)
+		if err != nil {
+			return err
+		}
+		return c.print(decisions, func() {
+			var rows [][]string
+			for _, d := range decisions {
+				rows = append(rows, []string{fmt.Sprint(d.Version), d.Outcome, at(d.AtMS), d.Author, d.ID, d.Reason})
+			}
+			c.columns([]string{"VERSION", "OUTCOME", "TIME", "AUTHOR", "PATCH", "REASON"}, rows)
+		})
+	}
+}
+
+func configShow(f *flag.FlagSet) func(*call) error {
+	text := f.String("version", "", "`version` to show (default: the one in force)")
+	return func(c *call) error {
+		if err := c.want(); err != nil {
+			return err
+		}
+		version, err := optionalVersion(*text)
+		if err != nil {
+			return err
+		}
+		client, err := c.client()
+		if err != nil {
+			return err
+		}
+		doc, err := client.Document(c.ctx, version)
+		if err != nil {
+			return err
+		}
+		return c.print(doc, func() {
+			encoder := json.NewEncoder(c.stdout)
+			encoder.SetIndent("", "  ")
+			_ = encoder.Encode(doc)
+		})
+	}
+}
+
+// diffResult is the result of config diff.
+type diffResult struct {
+	From    uint64              `json:"from"`
+	To      uint64              `json:"to"`
+	Changes []operatorclient.Op `json:"changes"`
+}
+
+func configDiff(*flag.FlagSet) func(*call) error {
+	return func(c *call) error {
+		if err := c.want("FROM", "TO"); err != nil {
+			return err
+		}
+		client, err := c.client()
+		if err != nil {
+			return err
+		}
+		var documents [2]*operatorclient.Document
+		for i, text := range c.args {
+			version, err := optionalVersion(text)
+			if err != nil {
+				return err
+			}
+			if documents[i], err = client.Document(c.ctx, version); err != nil {
+				return err
+			}
+		}
+		changes, err := operatorclient.Diff(documents[0], documents[1])
+		if err != nil {
+			return err
+		}
+		return c.print(diffResult{documents[0].Version, documents[1].Version, changes}, func() {
+			for _, op := range changes {
+				fmt.Fprintln(c.stdout, opLine(op))
+			}
+		})
+	}
+}
+
+func configReplay(f *flag.FlagSet) func(*call) error {
+	var r versionRange
+	r.declare(f)
+	step := f.Bool("step", false, "wait for Enter after each change")
+	return func(c *call) error {
+		decisions, err := r.decisions(c)
+		if err != nil {
+			return err
+		}
+		var accepted []operatorclient.Decision
+		for _, d := range decisions {
+			if d.Outcome == operatorclient.OutcomeAccepted {
+				accepted = append(accepted, d)
+			}
+		}
+		return c.print(accepted, func() { c.replay(accepted, *step) })
+	}
+}
+
+// replay prints the changes one by one; with step it waits for a line of input after each but the last.
+func (c *call) replay(changes []operatorclient.Decision, step bool) {
+	input := bufio.NewScanner(c.stdin)
+	for i, d := range changes {
+		fmt.Fprintf(c.stdout, "version %d  %s  %s\n  reason: %s\n", d.Version, at(d.AtMS), d.Author, d.Reason)
+		for _, op := range d.Ops {
+			fmt.Fprintln(c.stdout, " ", opLine(op))
+		}
+		if step && i+1 < len(changes) && !input.Scan() {
+			return
+		}
+	}
+}
+
+func configStatus(*flag.FlagSet) func(*call) error {
+	return func(c *call) error {
+		if err := c.want(); err != nil {
+			return err
+		}
+		client, err := c.client()
+		if err != nil {
+			return err
+		}
+		status, err := client.Status(c.ctx)
+		if err != nil {
+			return err
+		}
+		return c.print(status, func() {
+			c.follower(status.Self)
+			var rows [][]string
+			for _, vm := range status.VMs {
+				rows = append(rows, []string{vm.VM, vm.FailureDomain, fmt.Sprint(vm.Version), vm.Digest})
+			}
+			c.columns([]string{"VM", "FAILURE DOMAIN", "VERSION", "DIGEST"}, rows)
+		})
+	}
+}
+
+// follower prints what the answering gateway knows about its own copy.
+func (c *call) follower(s operatorclient.FollowerStatus) {
+	version := "none"
+	if s.HasConfig {
+		version = fmt.Sprint(s.Version)
+	}
+	log := "reachable"
+	if !s.LogReachable {
+		log = "unreachable " + s.LogError
+	}
+	c.pairs([2]string{"version here", version}, [2]string{"log", log}, [2]string{"stopped", string(s.Stopped)},
+		[2]string{"alarm", s.Alarm})
+}
--- /dev/null
+++ b/cmd/redwingctl/job.go
@@ -0,0 +1,214 @@
+package main
+
+import (
+	"flag"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/redwingthread/redwingthread/errkind"
+	"github.com/redwingthread/redwingthread/jobs"
+	"github.com/redwingthread/redwingthread/operatorclient"
+)
+
+func jobCommands() []command {
+	return []command{
+		{
+			name: "job submit", arguments: "-- COMMAND...", summary: "Submits a gang of tasks",
+			examples: []string{
+				"job submit -id fit-7 -account scan -failure-domain fd-a -members 4 -accelerators 8 -milli-cpu 8000 -memory-mb 16384 -adjacency rack -can-checkpoint -- fit blades",
+				"job submit -account orders -members 1 -milli-cpu 500 -memory-mb 256 -urgent -run-once -- send invoices",
+			},
+			setup: jobSubmit,
+		},
+		{
+			name: "job list", summary: "Lists jobs",
+			examples: []string{"job list", "job list -account scan -state waiting"},
+			setup:    jobList,
+		},
+		{
+			name: "job show", arguments: "ID", summary: "Shows a job, or waits until it is in a state",
+			examples: []string{"job show fit-7", "job show fit-7 -wait completed -wait-timeout 30s"},
+			setup:    jobShow,
+		},
+		{
+			name: "job cancel", arguments: "ID", summary: "Cancels a job",
+			examples: []string{"job cancel fit-7"},
+			setup:    jobCancel,
+		},
+		{
+			name: "job why", arguments: "ID", summary: "Tells in one line what a job waits for",
+			examples: []string{"job why fit-7"},
+			setup:    jobWhy,
+		},
+	}
+}
+
+func jobSubmit(f *flag.FlagSet) func(*call) error {
+	var shape shapeFlags
+	var job jobs.Job
+	shape.declare(f)
+	f.StringVar(&job.ID, "id", "", "`id` of the job; a second submission with it is the same job (default random)")
+	f.StringVar(&job.Account, "account", "", "client account; may be left out with an account's token")
+	f.StringVar(&job.FailureDomain, "failure-domain", "", "failure domain (default: the system chooses)")
+	f.BoolVar(&job.Urgent, "urgent", false, "plan it before others")
+	f.BoolVar(&job.RunOnce, "run-once", false, "never start it twice")
+	f.BoolVar(&job.CanCheckpoint, "can-checkpoint", false, "its tasks save their progress before a stop")
+	f.Int64Var(&job.DeclaredRunSeconds, "run-seconds", 0, "estimate of its run time in `seconds`")
+	return func(c *call) error {
+		if len(c.args) == 0 {
+			return errkind.New(errkind.BadInput, "write it after --", "job without a command line")
+		}
+		var err error
+		if job.Shape, err = shape.value(); err != nil {
+			return err
+		}
+		if job.ID == "" {
+			job.ID = uuid.NewString()
+		}
+		job.Run = c.args
+		client, err := c.client()
+		if err != nil {
+			return err
+		}
+		outcome, err := client.SubmitJob(c.ctx, job)
+		if err != nil {
+			return err
+		}
+		return c.jobOutcome(outcome)
+	}
+}
+
+func (c *call) jobOutcome(o operatorclient.JobOutcome) error {
+	return c.print(o, func() {
+		c.pairs([2]string{"outcome", o.Outcome})
+		c.jobPairs(o.Job)
+	})
+}
+
+func (c *call) jobPairs(s jobs.Status) {
+	c.pairs(
+		[2]string{"job", s.Job.ID},
+		[2]string{"account", s.Job.Account},
+		[2]string{"failure domain", s.Job.FailureDomain},
+		[2]string{"shape", shapeText(s.Job.Shape)},
+		[2]string{"state", string(s.State)},
+		[2]string{"attempt", fmt.Sprint(s.Attempt)},
+		[2]string{"reason", s.Reason},
+		[2]string{"workers", strings.Join(s.Workers, " ")},
+	)
+}
+
+func jobList(f *flag.FlagSet) func(*call) error {
+	account := f.String("account", "", "only jobs of this account")
+	state := f.String("state", "", "only jobs in this state")
+	return func(c *call) error {
+		if err := c.want(); err != nil {
+			return err
+		}
+		client, err := c.client()
+		if err != nil {
+			return err
+		}
+		list, err := client.Jobs(c.ctx, *account, jobs.State(*state))
+		if err != nil {
+			return err
+		}
+		return c.print(list, func() {
+			var rows [][]string
+			for _, s := range list {
+				rows = append(rows, []string{s.Job.ID, s.Job.Account, s.Job.FailureDomain, string(s.State),
+					fmt.Sprint(s.Job.Shape.Members), fmt.Sprint(s.Job.Shape.PerMember.Accelerators), s.Reason})
+			}
+			c.columns([]string{"JOB", "ACCOUNT", "FAILURE DOMAIN", "STATE", "MEMBERS", "ACCELERATORS", "REASON"}, rows)
+		})
+	}
+}
+
+// waitInterval is the time between two looks at a job that is waited for.
+const waitInterval = 200 * time.Millisecond
+
+func jobShow(f *flag.FlagSet) func(*call) error {
+	wait := f.String("wait", "", "wait until the job is in this `state`; the command fails if it ends in another")
+	bound := f.Duration("wait-timeout", time.Minute, "bound of -wait")
+	return func(c *call) error {
+		if err := c.want("ID"); err != nil {
+			return err
+		}
+		client, err := c.client()
+		if err != nil {
+			return err
+		}
+		var status jobs.Status
+		if *wait == "" {
+			status, err = client.Job(c.ctx, c.args[0])
+		} else {
+			status, err = c.waitFor(client, c.args[0], jobs.State(*wait), *bound)
+		}
+		if err != nil {
+			return err
+		}
+		return c.print(status, func() { c.jobPairs(status) })
+	}
+}
+
+// waitFor looks at a job until it is in the state. Unavailability meanwhile is waited out.
+func (c *call) waitFor(client *operatorclient.Client, id string, state jobs.State, bound time.Duration) (jobs.Status, error) {
+	end := time.Now().Add(bound)
+	for {
+		status, err := client.Job(c.ctx, id)
+		switch {
+		case err != nil && !errkind.Is(err, errkind.Unavailable):
+			return status, err
+		case err == nil && status.State == state:
+			return status, nil
+		case err == nil && status.State.Final():
+			return status, errkind.New(errkind.Conflict, "run redwingctl job show "+id, "job %s ended in state %s: %s", id,
+				status.State, status.Reason)
+		case time.Now().After(end):
+			return status, errkind.New(errkind.DeadlineExceeded, "run redwingctl job why "+id,
+				"job %s is %q after %s", id, status.State, bound)
+		}
+		select {
+		case <-c.ctx.Done():
+			return status, errkind.Wrap(c.ctx.Err(), errkind.Unavailable, "run the command again", "wait for job %s", id)
+		case <-time.After(waitInterval):
+		}
+	}
+}
+
+func jobCancel(*flag.FlagSet) func(*call) error {
+	return func(c *call) error {
+		if err := c.want("ID"); err != nil {
+			return err
+		}
+		client, err := c.client()
+		if err != nil {
+			return err
+		}
+		outcome, err := client.CancelJob(c.ctx, c.args[0])
+		if err != nil {
+			return err
+		}
+		return c.jobOutcome(outcome)
+	}
+}
+
+func jobWhy(*flag.FlagSet) func(*call) error {
+	return func(c *call) error {
+		if err := c.want("ID"); err != nil {
+			return err
+		}
+		client, err := c.client()
+		if err != nil {
+			return err
+		}
+		why, err := client.WhyJob(c.ctx, c.args[0])
+		if err != nil {
+			return err
+		}
+		return c.print(why, func() { fmt.Fprintln(c.stdout, why.Why) })
+	}
+}
--- /dev/null
+++ b/cmd/redwingctl/main.go
@@ -0,0 +1,34 @@
+// Command redwingctl is the operator command of redwingthread.
+//
+// Run redwingctl -h for its commands, and redwingctl COMMAND -h for examples and exit codes of one.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+)
+
+func main() {
+	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	e := &environment{ctx: ctx, stdin: os.Stdin, stdout: os.Stdout, stderr: os.Stderr, getenv: os.Getenv}
+	code := e.run(commands(), os.Args[1:])
+	cancel()
+	os.Exit(code)
+}
+
+// commands returns all commands in the order of the help text.
+func commands() []command {
+	var all []command
+	all = append(all, accountCommands()...)
+	all = append(all, guaranteeCommands()...)
+	all = append(all, jobCommands()...)
+	all = append(all, configCommands()...)
+	all = append(all, configReadCommands()...)
+	all = append(all, drainCommands()...)
+	all = append(all, healthCommand())
+	all = append(all, requestCommands()...)
+	all = append(all, checkSettingsCommand(), tokenCommand(), devCertsCommand(), versionCommand())
+	return all
+}
--- /dev/null
+++ b/cmd/redwingctl/request.go
@@ -0,0 +1,87 @@
+package main
+
+import (
+	"flag"
+	"fmt"
+
+	"github.com/redwingthread/redwingthread/operatorclient"
+)
+
+func requestCommands() []command {
+	return []command{
+		{
+			name: "request", arguments: "METHOD SERVICE/PATH",
+			summary: "Sends a request to a service; -addr is a caller address, the token an account's",
+			examples: []string{
+				"request GET orders/stock/oak -addr 10.0.1.11:8080 -token-file orders.token",
+				`request POST orders/order/17 -key KEY -data '{"bags":40}' -addr 10.0.1.12:8080 -token-file orders.token`,
+			},
+			setup: request,
+		},
+		{
+			name: "request-key", summary: "Gets a request key for one non-idempotent request",
+			examples: []string{"request-key -addr 10.0.1.11:8080 -token-file orders.token"},
+			setup:    requestKey,
+		},
+	}
+}
+
+// caller returns a client of the caller API.
+func (c *call) caller() (*operatorclient.Caller, error) {
+	token, err := c.token()
+	if err != nil {
+		return nil, err
+	}
+	return operatorclient.NewCaller(c.options.address, token, c.options.timeout), nil
+}
+
+func request(f *flag.FlagSet) func(*call) error {
+	var r operatorclient.ServiceRequest
+	data := f.String("data", "", "request `body`")
+	f.StringVar(&r.Key, "key", "", "request `key` from redwingctl request-key")
+	f.Int64Var(&r.TimeoutMS, "deadline-ms", 0, "deadline in milliseconds (default: the service's)")
+	f.BoolVar(&r.Idempotent, "idempotent", false, "a POST or PATCH may run more than once")
+	return func(c *call) error {
+		if err := c.want("METHOD", "SERVICE/PATH"); err != nil {
+			return err
+		}
+		r.Method, r.Target, r.Body = c.args[0], c.args[1], []byte(*data)
+		caller, err := c.caller()
+		if err != nil {
+			return err
+		}
+		response, err := caller.Send(c.ctx, r)
+		if printErr := c.print(response, func() { c.response(response) }); printErr != nil {
+			return printErr
+		}
+		return err
+	}
+}
+
+func (c *call) response(r operatorclient.ServiceResponse) {
+	status := ""
+	if r.Status != 0 {
+		status = fmt.Sprint(r.Status)
+	}
+	c.pairs([2]string{"outcome", r.Outcome}, [2]string{"status", status}, [2]string{"request", r.RequestID},
+		[2]string{"key", r.Key}, [2]string{"body", r.Body})
+}
+
+func requestKey(*flag.FlagSet) func(*call) error {
+	return func(c *call) error {
+		if err := c.want(); err != nil {
+			return err
+		}
+		caller, err := c.caller()
+		if err != nil {
+			return err
+		}
+		key, err := caller.NewKey(c.ctx)
+		if err != nil {
+			return err
+		}
+		return c.print(struct {
+			Key string `json:"key"`
+		}{key}, func() { fmt.Fprintln(c.stdout, key) })
+	}
+}
--- /dev/null
+++ b/devcerts/devcerts_test.go
@@ -0,0 +1,53 @@
+package devcerts
+
+import (
+	"context"
+	"net"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/redwingthread/redwingthread/inner"
+)
+
+// echo answers heartbeats with their own content.
+type echo struct{}
+
+func (echo) Handle(_ context.Context, from inner.Member, r *inner.Request) (*inner.Response, error) {
+	r.Heartbeat.Member = from
+	return &inner.Response{Heartbeat: r.Heartbeat}, nil
+}
+
+// TestKeysServeTheInnerProtocol guards against certificates that the daemons refuse or take for another VM's.
+func TestKeysServeTheInnerProtocol(t *testing.T) {
+	dir := filepath.Join(t.TempDir(), "keys")
+	files, err := Write(dir, []string{"vm-1", "vm-2"}, []net.IP{net.IPv4(127, 0, 0, 1)}, time.Now())
+	if err != nil || len(files) != 5 {
+		t.Fatalf("got error %v, files %v", err, files)
+	}
+	var stores []*inner.KeyStore
+	for _, name := range []string{"vm-1", "vm-2"} {
+		base := filepath.Join(dir, name)
+		store, err := inner.NewKeyStore(inner.KeyFiles{
+			Certificate: base + ".pem", Key: base + ".key", CA: filepath.Join(dir, "ca.pem"),
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		stores = append(stores, store)
+	}
+	server, err := inner.Listen("127.0.0.1:0", stores[0], echo{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	go func() { _ = server.Serve(ctx) }()
+	defer server.Close(ctx)
+	client := inner.NewClient(stores[1])
+	defer client.Close()
+	response, err := client.Call(ctx, server.Address(), &inner.Request{Heartbeat: &inner.Heartbeat{}})
+	if err != nil || response.Heartbeat == nil || response.Heartbeat.Member.VM != "vm-2" {
+		t.Fatalf("got error %v, response %+v", err, response)
+	}
+}
