--- a/standin/control.go
+++ b/standin/control.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"fmt"
 	"net/http"
 	"sort"
 
@@ -24,13 +25,15 @@
 	Tasks    []TaskRun    `json:"tasks"`
 }
 
-// controlHandler returns the control service: POST /v1/faults, POST /v1/vms, GET /v1/runs and GET /v1/addresses.
+// controlHandler returns the control service: POST /v1/faults, POST /v1/vms, GET /v1/runs, GET /v1/runs.txt and
+// GET /v1/addresses.
 func (s *Set) controlHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/faults", s.serveFaults)
 	mux.HandleFunc("GET /v1/runs", func(w http.ResponseWriter, _ *http.Request) {
 		writeJSON(w, http.StatusOK, s.Runs())
 	})
+	mux.HandleFunc("GET /v1/runs.txt", s.serveRunsText)
 	mux.HandleFunc("GET /v1/addresses", func(w http.ResponseWriter, _ *http.Request) {
 		writeJSON(w, http.StatusOK, s.addresses)
 	})
@@ -40,6 +43,18 @@
 	return mux
 }
 
+// serveRunsText answers with one line for each counter, for scripts without a JSON parser: "request METHOD PATH COUNT" and
+// "task JOB MEMBER COUNT".
+func (s *Set) serveRunsText(w http.ResponseWriter, _ *http.Request) {
+	runs := s.Runs()
+	for _, r := range runs.Requests {
+		fmt.Fprintln(w, "request", r.Method, r.Path, r.Count)
+	}
+	for _, t := range runs.Tasks {
+		fmt.Fprintln(w, "task", t.Job, t.Member, t.Count)
+	}
+}
+
 func (s *Set) serveFaults(w http.ResponseWriter, r *http.Request) {
 	var request FaultsRequest
 	if err := readJSON(r, &request); err != nil {
--- a/standin/services_test.go
+++ b/standin/services_test.go
@@ -286,6 +286,14 @@
 	if r, _, err := call(address, "r-5", "/"); err != nil || r.StatusCode != 500 {
 		t.Errorf("got error %v, response %+v", err, r)
 	}
+	response, err := http.Get("http://" + set.Address("control") + "/v1/runs.txt")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	if text, _ := io.ReadAll(response.Body); string(text) != strings.Repeat("request POST / 1\n", 4) {
+		t.Errorf("got counters %q", text)
+	}
 	if runs := set.Runs().Requests; len(runs) != 4 {
 		t.Errorf("got runs %+v", runs)
 	}
