--- a/standin/control.go
+++ b/standin/control.go
@@ -11,10 +11,11 @@
 // FaultsRequest is the body of POST /v1/faults on the control service. It replaces the faults of one stand-in; the
 // field of the stand-in's kind is set, and an empty object ends all its faults.
 type FaultsRequest struct {
-	// Target is "log", "vm_list", or the id of a worker or endpoint.
+	// Target is "log", "vm_list", or the id of a gate, worker or endpoint.
 	Target   string          `json:"target"`
 	Log      *LogFaults      `json:"log,omitempty"`
 	VMList   *VMListFaults   `json:"vm_list,omitempty"`
+	Gate     *GateFaults     `json:"gate,omitempty"`
 	Worker   *WorkerFaults   `json:"worker,omitempty"`
 	Endpoint *EndpointFaults `json:"endpoint,omitempty"`
 }
@@ -25,14 +26,17 @@
 	Tasks    []TaskRun    `json:"tasks"`
 }
 
-// controlHandler returns the control service: POST /v1/faults, POST /v1/vms, GET /v1/runs, GET /v1/runs.txt and
-// GET /v1/addresses.
+// controlHandler returns the control service: POST /v1/faults, POST /v1/vms, GET /v1/runs, GET /v1/runs.txt,
+// GET /v1/endpoints and GET /v1/addresses.
 func (s *Set) controlHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/faults", s.serveFaults)
 	mux.HandleFunc("GET /v1/runs", func(w http.ResponseWriter, _ *http.Request) {
 		writeJSON(w, http.StatusOK, s.Runs())
 	})
+	mux.HandleFunc("GET /v1/endpoints", func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, http.StatusOK, s.EndpointStats())
+	})
 	mux.HandleFunc("GET /v1/runs.txt", s.serveRunsText)
 	mux.HandleFunc("GET /v1/addresses", func(w http.ResponseWriter, _ *http.Request) {
 		writeJSON(w, http.StatusOK, s.addresses)
@@ -70,12 +74,14 @@
 
 // SetFaults replaces the faults of one stand-in.
 func (s *Set) SetFaults(request FaultsRequest) error {
-	worker, endpoint := s.Workers[request.Target], s.Endpoints[request.Target]
+	gate, worker, endpoint := s.Gates[request.Target], s.Workers[request.Target], s.Endpoints[request.Target]
 	switch {
 	case request.Target == "log" && s.Log != nil && request.Log != nil:
 		s.Log.SetFaults(*request.Log)
 	case request.Target == "vm_list" && s.VMList != nil && request.VMList != nil:
 		s.VMList.SetFaults(*request.VMList)
+	case gate != nil && request.Gate != nil:
+		gate.SetFaults(*request.Gate)
 	case worker != nil && request.Worker != nil:
 		worker.SetFaults(*request.Worker)
 	case endpoint != nil && request.Endpoint != nil:
@@ -99,6 +105,15 @@
 	return response
 }
 
+// EndpointStats returns the counters of all endpoints by id.
+func (s *Set) EndpointStats() []EndpointStats {
+	stats := []EndpointStats{}
+	for _, id := range sortedKeys(s.Endpoints) {
+		stats = append(stats, s.Endpoints[id].Stats())
+	}
+	return stats
+}
+
 func sortedKeys[V any](m map[string]V) []string {
 	keys := make([]string, 0, len(m))
 	for key := range m {
--- a/standin/options.go
+++ b/standin/options.go
@@ -15,6 +15,7 @@
 	Control   string             `toml:"control"`
 	Log       LogSettings        `toml:"log"`
 	VMList    VMListSettings     `toml:"vm_list"`
+	Gates     []GateSettings     `toml:"gates"`
 	Workers   []WorkerSettings   `toml:"workers"`
 	Endpoints []EndpointSettings `toml:"endpoints"`
 }
@@ -42,6 +43,13 @@
 	Address       string `toml:"address"`
 }
 
+// GateSettings holds the settings of one more address of the log ("log") or VM list ("vm_list").
+type GateSettings struct {
+	ID      string `toml:"id"`
+	Service string `toml:"service"`
+	Address string `toml:"address"`
+}
+
 // WorkerSettings holds the settings of one worker, or of Count workers alike: their ids get the suffixes -1, -2 and
 // so on, and their ports follow the one of Address.
 type WorkerSettings struct {
@@ -96,6 +104,15 @@
 	address("control", s.Control, false)
 	address("log.address", s.Log.Address, true)
 	address("vm_list.address", s.VMList.Address, true)
+	for i, g := range s.Gates {
+		key := fmt.Sprintf("gates[%d]", i)
+		id(key+".id", g.ID)
+		address(key+".address", g.Address, false)
+		if g.Service != "log" && g.Service != "vm_list" {
+			faults = append(faults, settings.Fault{Key: key + ".service", Message: fmt.Sprintf("has the value %q", g.Service),
+				Remedy: "use log or vm_list"})
+		}
+	}
 	for i, w := range s.Workers {
 		key := fmt.Sprintf("workers[%d]", i)
 		id(key+".id", w.ID)
--- a/standin/set.go
+++ b/standin/set.go
@@ -17,6 +17,7 @@
 type Set struct {
 	Log       *Log
 	VMList    *VMList
+	Gates     map[string]*Gate
 	Workers   map[string]*Worker
 	Endpoints map[string]*Endpoint
 
@@ -31,6 +32,7 @@
 // Start starts the stand-ins of s. Close ends them.
 func Start(s Settings) (*Set, error) {
 	set := &Set{
+		Gates:     make(map[string]*Gate),
 		Workers:   make(map[string]*Worker),
 		Endpoints: make(map[string]*Endpoint),
 		addresses: make(map[string]string),
@@ -59,6 +61,11 @@
 			return err
 		}
 	}
+	for _, g := range settings.Gates {
+		if err := s.startGate(g); err != nil {
+			return err
+		}
+	}
 	for _, w := range settings.Workers {
 		for _, p := range places(w.ID, w.Address, w.Count) {
 			worker := NewWorker(w.options(p.id))
@@ -80,6 +87,22 @@
 	return s.serve("control", settings.Control, s.controlHandler(), nil)
 }
 
+// startGate starts a gate to a service that runs.
+func (s *Set) startGate(g GateSettings) error {
+	var service http.Handler
+	switch {
+	case g.Service == "log" && s.Log != nil:
+		service = s.Log.Handler()
+	case g.Service == "vm_list" && s.VMList != nil:
+		service = s.VMList.Handler()
+	default:
+		return errkind.New(errkind.BadInput, "give the service an address", "gate %q has no service", g.ID)
+	}
+	gate := NewGate(service)
+	s.Gates[g.ID] = gate
+	return s.serve(g.ID, g.Address, gate, nil)
+}
+
 // serve listens at address and serves the handler under the name.
 func (s *Set) serve(name, address string, handler http.Handler, state func(net.Conn, http.ConnState)) error {
 	if _, ok := s.addresses[name]; ok {
