--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -174,13 +174,22 @@
 }
 
 keep() {
+  (
+    umask 077
+    cat > "$dir/env" <<ENV
+export REDWING_ADDR=127.0.0.1:$(port "${vms[0]}" operators)
+export REDWING_TOKEN=$(cat "$dir/ana.token")
+export CALLERS=127.0.0.1:$(port "${vms[0]}" callers)
+export ORDERS_TOKEN=$dir/orders.token
+ENV
+  )
   cat <<TEXT
 
-The system runs. Operator API: 127.0.0.1:$(port "${vms[0]}" operators), caller API: 127.0.0.1:$(port "${vms[0]}" callers)
-  export REDWING_ADDR=127.0.0.1:$(port "${vms[0]}" operators)
-  bin/redwingctl health -token-file $dir/ana.token
-  bin/redwingctl request GET orders/stock/oak -addr 127.0.0.1:$(port "${vms[0]}" callers) -token-file $dir/orders.token
-Logs and settings are in $dir. Press Enter to stop.
+The system runs; logs and settings are in $dir. In a second terminal, in this directory, type
+
+  source $dir/env
+
+and go on with the README. Press Enter here to stop.
 TEXT
   read -r || true
 }
