gateway: add caller API, dispatch, forwarding and shutdown

The latency histogram has no go-metrics meter: a meter's goroutine waits on a ticker outside the test's time bubble and stops virtual time.

--- /dev/null
+++ b/gateway/call.go
@@ -0,0 +1,196 @@
+package gateway
+
+import (
+	"crypto/sha256"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/redwingthread/redwingthread/config"
+	"github.com/redwingthread/redwingthread/errkind"
+	"github.com/redwingthread/redwingthread/request"
+)
+
+// Header fields of the caller API.
+const (
+	headerKey        = "Idempotency-Key"
+	headerTimeout    = "Request-Timeout-Ms"
+	headerIdempotent = "Redwing-Idempotent"
+	headerOutcome    = "Redwing-Outcome"
+	headerRequestID  = "Redwing-Request-Id"
+)
+
+const servicePrefix = "/v1/services/"
+
+// defaultMaxBody bounds bodies of a service without a bound of its own, in bytes.
+const defaultMaxBody = 1 << 20
+
+// call is one request of a caller, received directly or through another gateway.
+type call struct {
+	id      string
+	account config.Account
+	service string
+	config  config.Service
+	method  string
+	// path is the escaped path below the service with the query, starting with a slash.
+	path   string
+	header http.Header
+	body   []byte
+	// deadline is the caller's deadline.
+	deadline time.Time
+	// repeatable requests are idempotent by their method or the caller's word, and have no key.
+	repeatable bool
+	// key is the caller's key, or the issued one; its text is empty for repeatable requests.
+	keyText string
+	key     request.Key
+	// issued is true if the gateway issued the key for this request, so that no other request can have it.
+	issued bool
+}
+
+// newID returns a request id.
+func newID() string { return uuid.NewString() }
+
+// parseTarget reads service, path and key. It does not read the body.
+func (g *Gateway) parseTarget(r *http.Request, s *snapshot, account config.Account, c *call) error {
+	c.account = account
+	c.method = r.Method
+	c.keyText = r.Header.Get(headerKey)
+	if c.keyText != "" {
+		key, err := request.Parse(c.keyText)
+		if err != nil {
+			return err
+		}
+		c.key = key
+	}
+	c.repeatable = c.keyText == "" && (idempotent(r.Method) || strings.EqualFold(r.Header.Get(headerIdempotent), "true"))
+	rest := strings.TrimPrefix(r.URL.EscapedPath(), servicePrefix)
+	name, path, _ := strings.Cut(rest, "/")
+	c.service = name
+	c.path = "/" + path
+	if r.URL.RawQuery != "" {
+		c.path += "?" + r.URL.RawQuery
+	}
+	if r.Method == http.MethodConnect || r.Method == http.MethodTrace {
+		return errkind.New(errkind.BadInput, "use another method", "method %s cannot be forwarded", r.Method)
+	}
+	service, ok := s.doc.Services[name]
+	if !ok {
+		return errNoService(name)
+	}
+	c.config = service
+	return g.parseDeadline(r, c)
+}
+
+// errNoService is the refusal of a request for a service that is not configured.
+func errNoService(name string) error {
+	return errkind.New(errkind.NotFound, "use the name of a configured service", "service %q is not configured", name)
+}
+
+// idempotent reports whether the method is idempotent by its definition.
+func idempotent(method string) bool {
+	switch method {
+	case http.MethodGet, http.MethodHead, http.MethodPut, http.MethodDelete, http.MethodOptions:
+		return true
+	}
+	return false
+}
+
+// parseDeadline reads Request-Timeout-Ms.
+func (g *Gateway) parseDeadline(r *http.Request, c *call) error {
+	timeout := g.options.Timeout
+	if text := r.Header.Get(headerTimeout); text != "" {
+		ms, err := strconv.ParseInt(text, 10, 64)
+		if err != nil || ms <= 0 || ms > g.options.MaxTimeout.Milliseconds() {
+			return errkind.New(errkind.BadInput, "send Request-Timeout-Ms as whole milliseconds from 1 to "+
+				strconv.FormatInt(g.options.MaxTimeout.Milliseconds(), 10), "Request-Timeout-Ms is %q", text)
+		}
+		timeout = time.Duration(ms) * time.Millisecond
+	}
+	c.deadline = time.Now().Add(timeout)
+	return nil
+}
+
+// maxBody returns the bound of buffered bodies of a service, in bytes.
+func maxBody(s config.Service) int64 {
+	if s.MaxBodyBytes <= 0 {
+		return defaultMaxBody
+	}
+	return s.MaxBodyBytes
+}
+
+// readBody reads the request body within the service's bound and the listener's time.
+func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request, c *call) error {
+	if r.ContentLength == 0 {
+		return nil
+	}
+	bound := maxBody(c.config)
+	if r.ContentLength > bound {
+		return errTooLarge(bound)
+	}
+	// Not all response writers have deadlines; a test's recorder needs none.
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(g.options.Listener.BodyTime))
+	var err error
+	if r.ContentLength > 0 {
+		c.body = make([]byte, r.ContentLength)
+		_, err = io.ReadFull(r.Body, c.body)
+	} else {
+		c.body, err = io.ReadAll(http.MaxBytesReader(w, r.Body, bound))
+	}
+	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return errTooLarge(bound)
+	}
+	return errkind.Wrap(err, errkind.BadInput, "send the whole body", "request body ended early")
+}
+
+// errTooLarge is the refusal of a body above the service's bound.
+func errTooLarge(bound int64) error {
+	return errkind.New(errkind.TooLarge, "send a smaller body", "request body is above %d bytes", bound)
+}
+
+// fingerprint identifies the content of the request.
+func (c *call) fingerprint() request.Fingerprint {
+	return request.Fingerprint{Method: c.method, Path: c.service + c.path, BodyDigest: sha256.Sum256(c.body)}
+}
+
+// notForwarded lists header fields that end at the gateway, in canonical form: those of one connection, those of the
+// caller API, and the caller's token.
+var notForwarded = map[string]bool{
+	"Authorization":       true,
+	"Connection":          true,
+	"Content-Length":      true,
+	"Expect":              true,
+	"Keep-Alive":          true,
+	"Proxy-Authenticate":  true,
+	"Proxy-Authorization": true,
+	"Proxy-Connection":    true,
+	"Te":                  true,
+	"Trailer":             true,
+	"Transfer-Encoding":   true,
+	"Upgrade":             true,
+	headerTimeout:         true,
+	"Traceparent":         true,
+	"Tracestate":          true,
+}
+
+// endToEnd returns a copy of the header without fields that end at the gateway.
+func endToEnd(from http.Header) http.Header {
+	to := make(http.Header, len(from)+4)
+	for name, values := range from {
+		if !notForwarded[name] && !strings.HasPrefix(name, "Redwing-") {
+			to[name] = values
+		}
+	}
+	for _, value := range from["Connection"] {
+		for name := range strings.SplitSeq(value, ",") {
+			delete(to, http.CanonicalHeaderKey(strings.TrimSpace(name)))
+		}
+	}
+	return to
+}
--- /dev/null
+++ b/gateway/gateway_test.go
@@ -0,0 +1,83 @@
+package gateway
+
+import (
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/redwingthread/redwingthread/errkind"
+)
+
+// inBubble runs a test in virtual time over a fixture and checks that no assertion failed.
+func inBubble(t *testing.T, endpoints, slots int, body func(t *testing.T, f *fixture)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, endpoints, slots)
+		time.Sleep(time.Millisecond)
+		body(t, f)
+		f.close()
+		for _, v := range f.log.Violations() {
+			t.Errorf("violation %s", v)
+		}
+		// Service times and silent exchanges of the endpoints end by themselves.
+		time.Sleep(2 * time.Hour)
+	})
+}
+
+// TestExchangeFaults guards against a faulty exchange with an endpoint being passed on as whole, run twice, or reported
+// with an outcome that may be wrong.
+func TestExchangeFaults(t *testing.T) {
+	cases := map[string]struct {
+		fault    fault
+		method   string
+		outcome  string
+		kind     errkind.Kind
+		attempts int
+	}{
+		"whole POST":                        {healthy, "POST", "completed", "", 1},
+		"whole GET":                         {healthy, "GET", "completed", "", 1},
+		"truncated POST":                    {truncated, "POST", "unknown", errkind.Unknown, 1},
+		"truncated PUT is retried":          {truncated, "PUT", "completed", "", 2},
+		"corrupted POST":                    {corrupted, "POST", "unknown", errkind.Unknown, 1},
+		"crossed POST":                      {crossed, "POST", "unknown", errkind.Unknown, 1},
+		"crossed PUT is retried":            {crossed, "PUT", "completed", "", 2},
+		"POST without length":               {chunked, "POST", "unknown", errkind.Unknown, 1},
+		"duplicated POST":                   {duplicated, "POST", "completed", "", 1},
+		"reset POST is not replayed":        {resetAfter, "POST", "unknown", errkind.Unknown, 1},
+		"reset DELETE is retried":           {resetAfter, "DELETE", "completed", "", 2},
+		"silent POST":                       {noAnswer, "POST", "unknown", errkind.DeadlineExceeded, 1},
+		"silent PUT is retried":             {noAnswer, "PUT", "completed", "", 2},
+		"503 with not_run is retried":       {refusesRun, "POST", "completed", "", 1},
+		"503 without not_run is a response": {plain503, "POST", "completed", "", 1},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, 3, 8, func(t *testing.T, f *fixture) {
+				committed := false
+				for _, e := range f.endpoints {
+					e.next = func(*http.Request) fault {
+						if committed {
+							return healthy
+						}
+						committed = true
+						return c.fault
+					}
+				}
+				g := f.start("vm-0", "i-0", "fd-0", nil)
+				r := g.send(sending{account: "orders", method: c.method, body: "b", timeout: 10 * time.Second})
+				if r.outcome != c.outcome || r.kind != c.kind {
+					t.Errorf("got outcome %q kind %q body %q, want %q %q", r.outcome, r.kind, r.body, c.outcome, c.kind)
+				}
+				if n := f.ledger.of("b"); n != c.attempts {
+					t.Errorf("request ran %d times, want %d", n, c.attempts)
+				}
+				// A second request shows that no later exchange gets a response left over from the first.
+				r = g.send(sending{account: "orders", method: "POST", body: "second"})
+				if r.outcome != "completed" || r.body != "done:second" {
+					t.Errorf("second request got %q %q", r.outcome, r.body)
+				}
+			})
+		})
+	}
+}
--- /dev/null
+++ b/gateway/snapshot.go
@@ -0,0 +1,95 @@
+package gateway
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"net/http"
+	"strings"
+
+	"github.com/redwingthread/redwingthread/config"
+	"github.com/redwingthread/redwingthread/errkind"
+	"github.com/redwingthread/redwingthread/inner"
+	"github.com/redwingthread/redwingthread/routing"
+)
+
+// snapshot is a configuration with the account of each token digest.
+type snapshot struct {
+	doc      *config.Document
+	accounts map[string]config.Account
+}
+
+// newSnapshot indexes a document.
+func newSnapshot(doc *config.Document) *snapshot {
+	s := &snapshot{doc: doc, accounts: make(map[string]config.Account, len(doc.Accounts))}
+	for name, account := range doc.Accounts {
+		account.Name = name
+		s.accounts[account.TokenDigest] = account
+	}
+	return s
+}
+
+// current returns the configuration in force, nil while there is none. It takes over a new document first.
+func (g *Gateway) current() *snapshot {
+	doc := g.options.Config()
+	s := g.snapshot.Load()
+	if doc == nil || s != nil && s.doc == doc {
+		return s
+	}
+	next := newSnapshot(doc)
+	if g.snapshot.CompareAndSwap(s, next) {
+		g.dispatcher.setConfig(doc)
+	}
+	return g.snapshot.Load()
+}
+
+// refresh takes over a new configuration and takes a seat if there is one.
+func (g *Gateway) refresh() {
+	s := g.current()
+	if s == nil || g.seated.Load() {
+		return
+	}
+	if g.liveGateways() <= seats(s.doc) {
+		g.seated.Store(true)
+	}
+}
+
+// seats returns the number of gateways that may hold connections to endpoints.
+func seats(doc *config.Document) int {
+	if doc.Policy.GatewaySeats <= 0 {
+		return routing.DefaultSeats
+	}
+	return doc.Policy.GatewaySeats
+}
+
+// liveGateways counts the live gateways, this one included.
+func (g *Gateway) liveGateways() int {
+	n := 1
+	for _, member := range g.options.Gateways() {
+		if !g.isSelf(member) {
+			n++
+		}
+	}
+	return n
+}
+
+// isSelf reports whether the member is this incarnation.
+func (g *Gateway) isSelf(m inner.Member) bool {
+	self := g.options.Self
+	return m.VM == self.VM && m.Incarnation == self.Incarnation && m.FailureDomain == self.FailureDomain
+}
+
+const tokenRemedy = "send Authorization: Bearer with the token of a client account"
+
+// authenticate returns the account of the request's bearer token.
+func (s *snapshot) authenticate(r *http.Request) (config.Account, error) {
+	scheme, token, _ := strings.Cut(r.Header.Get("Authorization"), " ")
+	if !strings.EqualFold(scheme, "Bearer") || token == "" {
+		return config.Account{}, errkind.New(errkind.Unauthenticated, tokenRemedy, "request has no bearer token")
+	}
+	digest := sha256.Sum256([]byte(strings.TrimSpace(token)))
+	account, ok := s.accounts[hex.EncodeToString(digest[:])]
+	if !ok {
+		return config.Account{}, errkind.New(errkind.Unauthenticated, tokenRemedy, "token belongs to no account")
+	}
+	return account, nil
+}
--- /dev/null
+++ b/gateway/telemetry.go
@@ -0,0 +1,133 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+	"go.opentelemetry.io/otel/trace"
+
+	"github.com/redwingthread/redwingthread/errkind"
+	"github.com/redwingthread/redwingthread/inner"
+	"github.com/redwingthread/redwingthread/request"
+)
+
+// meters holds the metrics of a gateway.
+type meters struct {
+	completed   metrics.Counter
+	notRun      metrics.Counter
+	unknown     metrics.Counter
+	retries     metrics.Counter
+	forwarded   metrics.Counter
+	replayed    metrics.Counter
+	aborted     metrics.Counter
+	latency     metrics.Histogram
+	active      metrics.Gauge
+	queued      metrics.Gauge
+	connections metrics.Gauge
+	keys        metrics.Gauge
+	keyBytes    metrics.Gauge
+	keyRanges   metrics.Gauge
+	ejected     metrics.Gauge
+	leaving     metrics.Gauge
+}
+
+// newMeters registers the metrics.
+func newMeters(r metrics.Registry) meters {
+	return meters{
+		completed:   metrics.GetOrRegisterCounter("gateway.completed", r),
+		notRun:      metrics.GetOrRegisterCounter("gateway.not_run", r),
+		unknown:     metrics.GetOrRegisterCounter("gateway.unknown", r),
+		retries:     metrics.GetOrRegisterCounter("gateway.retries", r),
+		forwarded:   metrics.GetOrRegisterCounter("gateway.forwarded", r),
+		replayed:    metrics.GetOrRegisterCounter("gateway.replayed", r),
+		aborted:     metrics.GetOrRegisterCounter("gateway.aborted", r),
+		latency:     metrics.GetOrRegisterHistogram("gateway.latency_us", r, metrics.NewExpDecaySample(1028, 0.015)),
+		active:      metrics.GetOrRegisterGauge("gateway.active", r),
+		queued:      metrics.GetOrRegisterGauge("gateway.queued", r),
+		connections: metrics.GetOrRegisterGauge("gateway.connections", r),
+		keys:        metrics.GetOrRegisterGauge("gateway.keys", r),
+		keyBytes:    metrics.GetOrRegisterGauge("gateway.key_bytes", r),
+		keyRanges:   metrics.GetOrRegisterGauge("gateway.key_ranges", r),
+		ejected:     metrics.GetOrRegisterGauge("gateway.endpoints_ejected", r),
+		leaving:     metrics.GetOrRegisterGauge("gateway.endpoints_leaving", r),
+	}
+}
+
+// answered counts an answer.
+func (m *meters) answered(outcome request.Outcome, took time.Duration) {
+	switch outcome {
+	case request.Completed:
+		m.completed.Inc(1)
+		m.latency.Update(took.Microseconds())
+	case request.NotRun:
+		m.notRun.Inc(1)
+	default:
+		m.unknown.Inc(1)
+	}
+}
+
+// observe sets the gauges.
+func (m *meters) observe(g *Gateway) {
+	_, active := g.lifecycle.state()
+	m.active.Update(int64(active))
+	m.connections.Update(int64(g.pools.OpenTotal()))
+	g.keysMu.Lock()
+	entries, bytes, ranges := g.keys.Size()
+	g.keysMu.Unlock()
+	m.keys.Update(int64(entries))
+	m.keyBytes.Update(int64(bytes))
+	m.keyRanges.Update(int64(ranges))
+	m.queued.Update(int64(g.dispatcher.queued()))
+	var ejected, leaving int64
+	for _, e := range g.EndpointStatus() {
+		if e.Ejected || e.Gone {
+			ejected++
+		}
+		if e.Leaving {
+			leaving++
+		}
+	}
+	m.ejected.Update(ejected)
+	m.leaving.Update(leaving)
+}
+
+// queued returns the number of waiting requests of all services.
+func (d *dispatcher) queued() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	n := 0
+	for _, q := range d.queues {
+		n += q.Len()
+	}
+	return n
+}
+
+// logCall writes the log line of a caller's request. Keys and tokens are never logged.
+func (g *Gateway) logCall(ctx context.Context, c *call, a answer, took time.Duration) {
+	g.line(ctx, c, a, took).Msg("request answered")
+}
+
+// logForwarded writes the log line of a forwarded request.
+func (g *Gateway) logForwarded(ctx context.Context, c *call, from inner.Member, a answer, took time.Duration) {
+	g.line(ctx, c, a, took).Str("from", from.VM).Msg("forwarded request answered")
+}
+
+// line returns a log line with the ids of a request.
+func (g *Gateway) line(ctx context.Context, c *call, a answer, took time.Duration) *zerolog.Event {
+	event := g.options.Log.Info()
+	if event == nil {
+		return nil
+	}
+	event = event.Str("request", c.id).Str("account", c.account.Name).Str("failure_domain", g.owner.FailureDomain).
+		Str("service", c.service).Str("outcome", string(a.Outcome)).Dur("took_ms", took)
+	if span := trace.SpanContextFromContext(ctx); span.HasTraceID() {
+		event = event.Str("trace", span.TraceID().String())
+	}
+	if a.Err != nil {
+		typed := errkind.As(a.Err)
+		event = event.Str("kind", string(typed.Kind)).Str("error", typed.Error())
+	}
+	return event
+}
