--- /dev/null
+++ b/control/adopt.go
@@ -0,0 +1,220 @@
+package control
+
+import (
+	"time"
+
+	"github.com/redwingthread/redwingthread/gang"
+	"github.com/redwingthread/redwingthread/jobs"
+	"github.com/redwingthread/redwingthread/platform"
+	"github.com/redwingthread/redwingthread/scheduler"
+)
+
+// readWorker compares a new inventory with the gangs.
+func (c *Control) readWorker(w *worker, restarted bool, now time.Time) {
+	t := c.tenure
+	w.read = true
+	w.wanted = true
+	if !t.adopted {
+		return
+	}
+	for _, task := range w.tasks {
+		g := t.gangs[task.Attempt.Job]
+		if g == nil && t.blocked[task.Attempt.Job] {
+			c.adoptJob(task.Attempt.Job, now)
+		}
+	}
+	c.observe(w, restarted)
+	c.sortStrays(w)
+}
+
+// observe reports the tasks of a worker to their gangs.
+func (c *Control) observe(w *worker, restarted bool) {
+	t := c.tenure
+	seen := map[string]map[int]bool{}
+	for _, task := range w.tasks {
+		g := t.gangs[task.Attempt.Job]
+		if g == nil || g.ID() != task.Attempt {
+			continue
+		}
+		g.Observe(task.Member, w.id, task)
+		if seen[task.Attempt.Job] == nil {
+			seen[task.Attempt.Job] = map[int]bool{}
+		}
+		seen[task.Attempt.Job][task.Member] = true
+	}
+	for _, g := range t.gangsOn(w.id) {
+		members := seen[g.Job().ID]
+		g.Absent(w.id, restarted, func(index int) bool { return members[index] })
+	}
+}
+
+// sortStrays decides what happens to tasks without a gang: those of a job that is not known yet are kept alive, all
+// others are stopped and forgotten.
+func (c *Control) sortStrays(w *worker) {
+	t := c.tenure
+	w.strays = nil
+	w.kept = nil
+	for _, task := range w.tasks {
+		id := task.Attempt.Job
+		if g := t.gangs[id]; g != nil && g.ID() == task.Attempt {
+			continue
+		}
+		_, known := c.fold.Get(id)
+		if !known && !c.readTail {
+			w.kept = append(w.kept, task.Attempt)
+			continue
+		}
+		op := platform.OpStop
+		if task.State.Ended() {
+			op = platform.OpForget
+		}
+		w.strays = append(w.strays, platform.Command{Op: op, Attempt: task.Attempt, Member: task.Member})
+	}
+	w.wanted = w.wanted || len(w.strays) > 0
+}
+
+// adoptAll takes over what runs, once the workers that answer have been read.
+func (c *Control) adoptAll(now time.Time) {
+	t := c.tenure
+	t.adopted = true
+	t.planDue = true
+	for _, w := range c.workers {
+		c.reportHealth(w, now)
+	}
+	for _, e := range c.fold.Open() {
+		if !c.adoptJob(e.Job.ID, now) {
+			c.admit(e, now)
+		}
+	}
+	for _, w := range c.workers {
+		if w.read {
+			c.observe(w, false)
+			c.sortStrays(w)
+		}
+	}
+	c.resolveUnread(now)
+	c.log.Info().Uint64("epoch", t.epoch).Int("adopted", len(t.gangs)).Int("blocked", len(t.blocked)).
+		Msg("inventories read")
+}
+
+// unread returns the number of configured workers that were not read in this tenure.
+func (c *Control) unread() int {
+	count := 0
+	for id, w := range c.workers {
+		if !w.read && c.configured(id) {
+			count++
+		}
+	}
+	return count
+}
+
+// admit hands a waiting job to the planner, unless it may still run on a worker that was not read.
+func (c *Control) admit(e *jobs.Entry, now time.Time) {
+	t := c.tenure
+	id := e.Job.ID
+	if t.gangs[id] != nil || t.closing[id] || e.Ended != nil {
+		return
+	}
+	if !c.withoutLapseWait && c.unread() > 0 && now.Before(t.lapseAt) {
+		t.blocked[id] = true
+		return
+	}
+	delete(t.blocked, id)
+	c.submit(e, now)
+}
+
+// submit hands a job that runs nowhere to the planner. A run-once job with an intent may have run and is unknown.
+func (c *Control) submit(e *jobs.Entry, now time.Time) {
+	t := c.tenure
+	if e.Cancelled {
+		c.end(e.Job, e.Attempt, jobs.StateCancelled, "cancelled")
+		return
+	}
+	if e.Job.RunOnce && e.Intent != nil && !c.withoutIntentCheck && !c.ownIntent(e) {
+		c.end(e.Job, e.Intent.Attempt, jobs.StateUnknown, "it may have run: its start was recorded and no worker has it")
+		return
+	}
+	if err := t.planner.Submit(e.Job, now); err != nil {
+		c.end(e.Job, 0, jobs.StateFailed, err.Error())
+	}
+	t.planDue = true
+}
+
+// ownIntent reports whether the winning intent is of this tenure and no release has been sent since.
+func (c *Control) ownIntent(e *jobs.Entry) bool {
+	return e.Intent.Holder == c.Holder && e.Intent.Epoch == c.tenure.epoch && !c.tenure.released[e.Job.ID]
+}
+
+// adoptJob takes over the newest attempt of a job that any worker shows. It reports whether there is one.
+func (c *Control) adoptJob(id string, now time.Time) bool {
+	t := c.tenure
+	e, ok := c.fold.Get(id)
+	if !ok || e.Ended != nil || t.gangs[id] != nil || t.closing[id] {
+		return false
+	}
+	attempt, found := c.newestAttempt(id)
+	if !found {
+		return false
+	}
+	g := gang.Adopt(e.Job, attempt, e.Intent != nil && e.Intent.Attempt == attempt)
+	t.gangs[id] = g
+	t.plannerAttempt[id] = attempt
+	for _, w := range c.workers {
+		for _, task := range w.tasks {
+			if w.read && task.Attempt == g.ID() {
+				g.Observe(task.Member, w.id, task)
+			}
+		}
+	}
+	delete(t.blocked, id)
+	t.planner.Adopt(e.Job, attempt, c.plannerPlacement(g), jobs.StateRunning, now)
+	c.log.Info().Str("job", id).Str("account", e.Job.Account).Uint64("attempt", attempt).Msg("attempt adopted")
+	return true
+}
+
+// plannerPlacement fills in members that were not found with a worker that was not read: one of those must have them.
+func (c *Control) plannerPlacement(g *gang.Gang) scheduler.Placement {
+	placement := g.Placement()
+	fallback := ""
+	for id, w := range c.workers {
+		if c.configured(id) && (fallback == "" || !w.read && (id < fallback || c.workers[fallback].read)) {
+			fallback = id
+		}
+	}
+	for i := range placement {
+		if placement[i] == "" {
+			placement[i] = fallback
+		}
+	}
+	return placement
+}
+
+func (c *Control) newestAttempt(id string) (attempt uint64, found bool) {
+	for _, w := range c.workers {
+		if !w.read {
+			continue
+		}
+		for _, task := range w.tasks {
+			if task.Attempt.Job == id && (!found || task.Attempt.Attempt > attempt) {
+				attempt, found = task.Attempt.Attempt, true
+			}
+		}
+	}
+	return attempt, found
+}
+
+// resolveUnread settles what waits for workers that were not read, once there are none or their leases have lapsed.
+func (c *Control) resolveUnread(now time.Time) {
+	t := c.tenure
+	if c.unread() > 0 && now.Before(t.lapseAt) {
+		return
+	}
+	for _, g := range t.gangs {
+		g.UnseenGone()
+	}
+	for _, e := range c.fold.Open() {
+		if t.blocked[e.Job.ID] {
+			c.admit(e, now)
+		}
+	}
+}
--- /dev/null
+++ b/control/append.go
@@ -0,0 +1,149 @@
+package control
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"github.com/redwingthread/redwingthread/jobs"
+	"github.com/redwingthread/redwingthread/platform"
+)
+
+// Parameters of the appender. The log takes several hundred appends per second from all writers together; each of 7
+// failure domains takes at most 10.
+const (
+	appendsPerSecond = 10
+	appendBatch      = 200
+	appendTimeout    = 2 * time.Second
+	appendBackoff    = 250 * time.Millisecond
+	maxAppendBackoff = 4 * time.Second
+)
+
+// appender appends records in batches in the order in which they were queued. It repeats a batch until the log confirms
+// it; the fold makes repeats harmless.
+type appender struct {
+	log    platform.Log
+	stream string
+	kick   chan struct{}
+	// out reports the result of each append.
+	out chan error
+
+	mu sync.Mutex
+	// queue and generation are guarded by mu. generation counts the drops.
+	queue      []jobs.Record
+	generation int
+}
+
+func newAppender(log platform.Log, stream string) *appender {
+	return &appender{log: log, stream: stream, kick: make(chan struct{}, 1), out: make(chan error)}
+}
+
+// add queues a record.
+func (a *appender) add(r jobs.Record) {
+	a.mu.Lock()
+	a.queue = append(a.queue, r)
+	a.mu.Unlock()
+	select {
+	case a.kick <- struct{}{}:
+	default:
+	}
+}
+
+// drop forgets all queued records. A record that is being appended may still take effect.
+func (a *appender) drop() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.queue = nil
+	a.generation++
+}
+
+func (a *appender) take() (records []jobs.Record, generation int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	n := min(len(a.queue), appendBatch)
+	taken := a.queue[:n:n]
+	a.queue = a.queue[n:]
+	return taken, a.generation
+}
+
+// giveBack puts a batch whose append failed in front of the queue, unless the queue was dropped meanwhile.
+func (a *appender) giveBack(batch []jobs.Record, generation int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if generation != a.generation {
+		return
+	}
+	a.queue = append(append([]jobs.Record(nil), batch...), a.queue...)
+}
+
+func (a *appender) run(ctx context.Context) {
+	limiter := rate.NewLimiter(appendsPerSecond, appendsPerSecond)
+	backoff := appendBackoff
+	for {
+		select {
+		case <-a.kick:
+		case <-ctx.Done():
+			return
+		}
+		for ctx.Err() == nil {
+			if limiter.Wait(ctx) != nil {
+				return
+			}
+			records, generation := a.take()
+			if len(records) == 0 {
+				break
+			}
+			err := a.append(ctx, records)
+			if !a.report(ctx, err) {
+				return
+			}
+			if err == nil {
+				backoff = appendBackoff
+				continue
+			}
+			a.giveBack(records, generation)
+			if !sleep(ctx, backoff) {
+				return
+			}
+			backoff = min(2*backoff, maxAppendBackoff)
+		}
+	}
+}
+
+func (a *appender) report(ctx context.Context, err error) bool {
+	select {
+	case a.out <- err:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (a *appender) append(ctx context.Context, records []jobs.Record) error {
+	data := make([][]byte, 0, len(records))
+	for _, r := range records {
+		encoded, err := jobs.Encode(r)
+		if err != nil {
+			return err
+		}
+		data = append(data, encoded)
+	}
+	appendCtx, cancel := context.WithTimeout(ctx, appendTimeout)
+	defer cancel()
+	_, err := a.log.Append(appendCtx, a.stream, data)
+	return err
+}
+
+// sleep waits and reports false if ctx ended first.
+func sleep(ctx context.Context, wait time.Duration) bool {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/control/cost.go
@@ -0,0 +1,43 @@
+package control
+
+import (
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/redwingthread/redwingthread/platform"
+)
+
+// cost counts what control costs. Bytes on the wire are counted by platform.HTTPWorkers, which sees the connections.
+type cost struct {
+	requests metrics.Counter
+	failures metrics.Counter
+	commands metrics.Counter
+	renewals metrics.Counter
+	appends  metrics.Counter
+	tenures  metrics.Counter
+	// starts holds the time from the decision to start until all members run, in milliseconds.
+	starts metrics.Histogram
+}
+
+func newCost(registry metrics.Registry) *cost {
+	return &cost{
+		requests: metrics.GetOrRegisterCounter("control.worker.requests", registry),
+		failures: metrics.GetOrRegisterCounter("control.worker.failures", registry),
+		commands: metrics.GetOrRegisterCounter("control.worker.commands", registry),
+		renewals: metrics.GetOrRegisterCounter("control.worker.task_renewals", registry),
+		appends:  metrics.GetOrRegisterCounter("control.log.appends", registry),
+		tenures:  metrics.GetOrRegisterCounter("control.tenures", registry),
+		starts:   metrics.GetOrRegisterHistogram("control.start_ms", registry, metrics.NewUniformSample(1028)),
+	}
+}
+
+func (c *cost) sent(request *platform.CommandsRequest) {
+	c.requests.Inc(1)
+	c.commands.Inc(int64(len(request.Commands)))
+	c.renewals.Inc(int64(len(request.Renew)))
+}
+
+func (c *cost) received(_ *platform.CommandsResponse, err error) {
+	if err != nil {
+		c.failures.Inc(1)
+	}
+}
--- /dev/null
+++ b/control/fakes_test.go
@@ -0,0 +1,454 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/redwingthread/redwingthread/errkind"
+	"github.com/redwingthread/redwingthread/platform"
+	"github.com/redwingthread/redwingthread/resource"
+)
+
+// random is a seeded source that goroutines share.
+type random struct {
+	mu sync.Mutex
+	r  *rand.Rand
+}
+
+func newRandom(seed uint64) *random { return &random{r: rand.New(rand.NewPCG(seed, 7))} }
+
+func (r *random) float() float64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.r.Float64()
+}
+
+func (r *random) intn(n int) int { return int(r.float() * float64(n)) }
+
+func (r *random) chance(p float64) bool { return r.float() < p }
+
+func (r *random) between(low, high time.Duration) time.Duration {
+	return low + time.Duration(r.float()*float64(high-low))
+}
+
+// fakeTask is a task of a fake worker.
+type fakeTask struct {
+	platform.Task
+	expires time.Time // of the reservation or the task lease
+	readyAt time.Time // end of loading
+	endsAt  time.Time // end by itself
+	fails   bool
+	stopAt  time.Time // end of the checkpoint of a stop
+	loading bool
+	fresh   bool // started without a checkpoint
+}
+
+type taskKey struct {
+	attempt platform.AttemptID
+	member  int
+}
+
+// fakeWorker implements the worker contract with fencing, leases and reservations in memory.
+type fakeWorker struct {
+	id       string
+	random   *random
+	capacity resource.Resources
+	onRun    func(w *fakeWorker, task *fakeTask)
+	onEffect func(w *fakeWorker, epoch uint64, holder string)
+
+	mu          sync.Mutex
+	dead        bool
+	leaving     bool
+	bad         bool // fails what it starts
+	incarnation int
+	revision    uint64
+	epoch       uint64
+	holder      string
+	leaseUntil  time.Time
+	tasks       map[taskKey]*fakeTask
+}
+
+func newFakeWorker(id string, capacity resource.Resources, r *random) *fakeWorker {
+	return &fakeWorker{id: id, random: r, capacity: capacity, revision: 1, tasks: map[taskKey]*fakeTask{}}
+}
+
+// advance applies the passing of time.
+func (w *fakeWorker) advance(now time.Time) {
+	for key, task := range w.tasks {
+		before := task.State
+		switch {
+		case task.State.Ended():
+		case task.State == platform.TaskReserved && !task.loading && now.After(task.expires):
+			delete(w.tasks, key)
+			w.revision++
+		case task.State != platform.TaskReserved && now.After(task.expires):
+			task.State = platform.TaskLapsed
+		case task.loading && now.After(task.readyAt):
+			task.State, task.loading = platform.TaskHeld, false
+		case task.State == platform.TaskCheckpointing && now.After(task.stopAt):
+			task.State = platform.TaskStopped
+			task.Checkpoint = fmt.Sprintf("cp-%s-%d-%d", key.attempt.Job, key.attempt.Attempt, key.member)
+		case task.State == platform.TaskRunning && now.After(task.endsAt):
+			task.State = platform.TaskDone
+			if task.fails {
+				task.State, task.Detail = platform.TaskFailed, "exit status 1"
+			}
+		}
+		if before != task.State {
+			w.revision++
+		}
+	}
+}
+
+func (w *fakeWorker) commands(req platform.CommandsRequest, now time.Time) (platform.CommandsResponse, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.dead {
+		return platform.CommandsResponse{}, errors.New("connection refused")
+	}
+	w.advance(now)
+	free := !now.Before(w.leaseUntil)
+	sameHolder := req.Holder == w.holder && req.Epoch >= w.epoch
+	granted := req.Epoch > 0 && (sameHolder || free && req.Epoch > w.epoch)
+	answer := platform.CommandsResponse{Granted: granted}
+	if granted {
+		w.epoch, w.holder = req.Epoch, req.Holder
+		w.leaseUntil = now.Add(time.Duration(req.LeaseMS) * time.Millisecond)
+		w.apply(req, &answer, now)
+	}
+	answer.Epoch, answer.Holder = w.epoch, w.holder
+	answer.ExpiresInMS = max(w.leaseUntil.Sub(now).Milliseconds(), 0)
+	if granted && req.KnownRevision != w.revision {
+		inventory := w.inventory()
+		answer.Inventory = &inventory
+	}
+	return answer, nil
+}
+
+func (w *fakeWorker) apply(req platform.CommandsRequest, answer *platform.CommandsResponse, now time.Time) {
+	taskLease := time.Duration(req.TaskLeaseMS) * time.Millisecond
+	for _, id := range req.Renew {
+		for key, task := range w.tasks {
+			if key.attempt == id && !task.State.Ended() && task.State != platform.TaskReserved {
+				task.expires = now.Add(taskLease)
+			}
+		}
+	}
+	for _, command := range req.Commands {
+		if w.onEffect != nil {
+			w.onEffect(w, req.Epoch, req.Holder)
+		}
+		reason := w.applyOne(command, req.Epoch, taskLease, now)
+		answer.Results = append(answer.Results, platform.CommandResult{OK: reason == "", Reason: reason})
+	}
+}
+
+func (w *fakeWorker) applyOne(c platform.Command, epoch uint64, taskLease time.Duration, now time.Time) string {
+	key := taskKey{c.Attempt, c.Member}
+	task := w.tasks[key]
+	if task == nil && c.Op != platform.OpReserve {
+		return "no such task"
+	}
+	before := w.revision
+	w.revision++
+	switch c.Op {
+	case platform.OpReserve:
+		return w.reserve(key, c, epoch, now)
+	case platform.OpStart:
+		if task.State == platform.TaskReserved && !task.loading {
+			task.loading = true
+			task.fresh = c.Checkpoint == ""
+			task.Checkpoint = c.Checkpoint
+			task.readyAt = now.Add(w.random.between(20*time.Millisecond, 200*time.Millisecond))
+			task.expires = now.Add(taskLease)
+			return ""
+		}
+	case platform.OpRelease:
+		if task.State == platform.TaskHeld {
+			task.State = platform.TaskRunning
+			task.endsAt = now.Add(w.random.between(3*time.Second, 40*time.Second))
+			task.fails = w.bad || w.random.chance(0.03)
+			w.onRun(w, task)
+			return ""
+		}
+	case platform.OpStop:
+		w.stop(key, task, c, now)
+		return ""
+	case platform.OpForget:
+		if task.State.Ended() {
+			delete(w.tasks, key)
+			return ""
+		}
+	}
+	w.revision = before
+	if task.State.Ended() || c.Op == platform.OpForget {
+		return "task is " + string(task.State)
+	}
+	return ""
+}
+
+func (w *fakeWorker) reserve(key taskKey, c platform.Command, epoch uint64, now time.Time) string {
+	if w.tasks[key] != nil {
+		return ""
+	}
+	used := c.Resources
+	for _, task := range w.tasks {
+		if !task.State.Ended() {
+			used = used.Add(task.Resources)
+		}
+	}
+	if !used.Fits(w.capacity) {
+		return "no capacity"
+	}
+	w.tasks[key] = &fakeTask{expires: now.Add(time.Duration(c.TTLMS) * time.Millisecond),
+		Task: platform.Task{Attempt: c.Attempt, Member: c.Member, State: platform.TaskReserved, Resources: c.Resources,
+			Epoch: epoch}}
+	return ""
+}
+
+func (w *fakeWorker) stop(key taskKey, task *fakeTask, c platform.Command, now time.Time) {
+	switch {
+	case task.State.Ended() || task.State == platform.TaskCheckpointing:
+	case task.State == platform.TaskReserved:
+		delete(w.tasks, key)
+	case c.Checkpoint != "" && task.State == platform.TaskRunning:
+		task.State = platform.TaskCheckpointing
+		task.stopAt = now.Add(min(w.random.between(100*time.Millisecond, 3*time.Second),
+			time.Duration(c.CheckpointMS)*time.Millisecond))
+	default:
+		task.State = platform.TaskStopped
+	}
+}
+
+func (w *fakeWorker) inventory() platform.Inventory {
+	inventory := platform.Inventory{Worker: w.id, Incarnation: fmt.Sprint(w.incarnation), Revision: w.revision,
+		Capacity: w.capacity, Leaving: w.leaving}
+	for _, task := range w.tasks {
+		inventory.Tasks = append(inventory.Tasks, task.Task)
+	}
+	sort.Slice(inventory.Tasks, func(i, k int) bool {
+		a, b := inventory.Tasks[i], inventory.Tasks[k]
+		return a.Attempt.Job < b.Attempt.Job || a.Attempt.Job == b.Attempt.Job && a.Member < b.Member
+	})
+	return inventory
+}
+
+// kill loses all tasks and leases; revive starts a new incarnation.
+func (w *fakeWorker) kill() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.dead = true
+	w.tasks = map[taskKey]*fakeTask{}
+}
+
+func (w *fakeWorker) revive() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.dead {
+		return
+	}
+	w.dead = false
+	w.incarnation++
+	w.revision = 1
+	w.epoch, w.holder, w.leaseUntil = 0, "", time.Time{}
+}
+
+// fakeNet is the network between one scheduler process and the workers.
+type fakeNet struct {
+	workers map[string]*fakeWorker
+	random  *random
+	gate    *gate
+
+	mu sync.Mutex
+	// cut, losing requests and responses, and slow are the faults in force.
+	cut     map[string]bool
+	noReply map[string]bool
+	lossy   float64
+}
+
+func (n *fakeNet) faults(worker string) (cut, noReply bool, lossy float64) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.cut[worker] || n.cut["*"], n.noReply[worker], n.lossy
+}
+
+// Commands delivers the request, possibly late or without the response reaching the caller.
+func (n *fakeNet) Commands(ctx context.Context, address string, req platform.CommandsRequest) (platform.CommandsResponse, error) {
+	if !n.gate.pass(ctx) {
+		return platform.CommandsResponse{}, errors.New("killed")
+	}
+	cut, noReply, lossy := n.faults(address)
+	if cut || n.random.chance(lossy) {
+		<-ctx.Done()
+		return platform.CommandsResponse{}, ctx.Err()
+	}
+	type result struct {
+		answer platform.CommandsResponse
+		err    error
+	}
+	done := make(chan result, 1)
+	delay := n.random.between(time.Millisecond, 4*time.Millisecond)
+	if n.random.chance(lossy) {
+		delay = n.random.between(100*time.Millisecond, 4*time.Second)
+	}
+	go func() {
+		time.Sleep(delay)
+		answer, err := n.workers[address].commands(req, time.Now())
+		done <- result{answer, err}
+	}()
+	select {
+	case r := <-done:
+		if noReply || n.random.chance(lossy) {
+			<-ctx.Done()
+			return platform.CommandsResponse{}, ctx.Err()
+		}
+		if !n.gate.pass(context.WithoutCancel(ctx)) {
+			return platform.CommandsResponse{}, errors.New("killed")
+		}
+		return r.answer, r.err
+	case <-ctx.Done():
+		return platform.CommandsResponse{}, ctx.Err()
+	}
+}
+
+func (n *fakeNet) Inventory(context.Context, string) (platform.Inventory, error) {
+	return platform.Inventory{}, errors.New("not used")
+}
+
+// gate freezes or kills one scheduler process.
+type gate struct {
+	mu     sync.Mutex
+	frozen chan struct{} // closed on resume; nil while not frozen
+	killed bool
+}
+
+// pass waits while the process is frozen and reports false once it was killed.
+func (g *gate) pass(ctx context.Context) bool {
+	for {
+		g.mu.Lock()
+		frozen, killed := g.frozen, g.killed
+		g.mu.Unlock()
+		if killed || frozen == nil {
+			return !killed
+		}
+		select {
+		case <-frozen:
+		case <-ctx.Done():
+			return true
+		}
+	}
+}
+
+func (g *gate) freeze() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.frozen == nil {
+		g.frozen = make(chan struct{})
+	}
+}
+
+func (g *gate) resume(kill bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.killed = g.killed || kill
+	if g.frozen != nil {
+		close(g.frozen)
+		g.frozen = nil
+	}
+}
+
+// fakeLog is an in-memory log service with outages, lost responses and late appends.
+type fakeLog struct {
+	random *random
+
+	mu       sync.Mutex
+	records  []platform.Record
+	oldest   uint64
+	retain   int // number of records; 0 for all
+	down     bool
+	lossy    float64
+	appends  int
+	appended chan struct{} // closed by the next append
+}
+
+func newFakeLog(r *random) *fakeLog { return &fakeLog{random: r, appended: make(chan struct{})} }
+
+func (l *fakeLog) append(data [][]byte) uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	first := l.oldest + uint64(len(l.records))
+	for i, d := range data {
+		l.records = append(l.records, platform.Record{Offset: first + uint64(i), Data: d})
+	}
+	if l.retain > 0 && len(l.records) > l.retain {
+		drop := len(l.records) - l.retain
+		l.records = append([]platform.Record(nil), l.records[drop:]...)
+		l.oldest += uint64(drop)
+	}
+	l.appends++
+	close(l.appended)
+	l.appended = make(chan struct{})
+	return first
+}
+
+func (l *fakeLog) health() (down bool, lossy float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.down, l.lossy
+}
+
+func (l *fakeLog) Append(ctx context.Context, _ string, data [][]byte) (uint64, error) {
+	down, lossy := l.health()
+	unavailable := errkind.New(errkind.Unavailable, "retry", "log is down")
+	if down {
+		return 0, unavailable
+	}
+	if l.random.chance(lossy) {
+		if l.random.chance(0.7) {
+			go func() {
+				time.Sleep(l.random.between(0, 3*time.Second))
+				l.append(data)
+			}()
+		}
+		return 0, unavailable
+	}
+	time.Sleep(l.random.between(time.Millisecond, 5*time.Millisecond))
+	return l.append(data), nil
+}
+
+func (l *fakeLog) Read(ctx context.Context, _ string, from uint64, limit int, waitMS int) (platform.ReadResponse, error) {
+	deadline := time.NewTimer(time.Duration(waitMS) * time.Millisecond)
+	defer deadline.Stop()
+	for {
+		if down, lossy := l.health(); down || l.random.chance(lossy) {
+			return platform.ReadResponse{}, errkind.New(errkind.Unavailable, "retry", "log is down")
+		}
+		response, appended := l.read(from, limit)
+		if len(response.Records) > 0 || waitMS == 0 {
+			return response, nil
+		}
+		select {
+		case <-appended:
+		case <-deadline.C:
+			return response, nil
+		case <-ctx.Done():
+			return platform.ReadResponse{}, ctx.Err()
+		}
+	}
+}
+
+func (l *fakeLog) read(from uint64, limit int) (platform.ReadResponse, chan struct{}) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	from = max(from, l.oldest)
+	response := platform.ReadResponse{Oldest: l.oldest, Next: l.oldest + uint64(len(l.records))}
+	for i := from - l.oldest; i < uint64(len(l.records)) && len(response.Records) < limit; i++ {
+		response.Records = append(response.Records, l.records[i])
+	}
+	return response, l.appended
+}
--- /dev/null
+++ b/control/scenario_test.go
@@ -0,0 +1,442 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+
+	"github.com/redwingthread/redwingthread/config"
+	"github.com/redwingthread/redwingthread/gang"
+	"github.com/redwingthread/redwingthread/inner"
+	"github.com/redwingthread/redwingthread/invariant"
+	"github.com/redwingthread/redwingthread/jobs"
+	"github.com/redwingthread/redwingthread/platform"
+	"github.com/redwingthread/redwingthread/resource"
+)
+
+const (
+	scenarioWorkers = 7
+	scenarioJobs    = 30
+	faultTime       = 150 * time.Second
+	// settleTime is what the system has after the faults: lapse of all leases, then the rest of the work.
+	settleTime = 240 * time.Second
+)
+
+// scenario is one failure domain in virtual time with two schedulers.
+type scenario struct {
+	random  *random
+	doc     *config.Document
+	workers map[string]*fakeWorker
+	log     *fakeLog
+	procs   [2]*proc
+	options func(*Options)
+
+	mu         sync.Mutex
+	events     []string
+	violations []string
+	epochs     map[uint64]string
+	onceRuns   map[string]int
+	differ     map[platform.AttemptID]time.Time
+	start      time.Time
+}
+
+// proc is one scheduler process.
+type proc struct {
+	control *Control
+	net     *fakeNet
+	gate    *gate
+	cancel  context.CancelFunc
+	done    chan struct{}
+	serial  int
+}
+
+func (s *scenario) note(format string, args ...any) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.events = append(s.events, fmt.Sprintf("%7.2fs ", time.Since(s.start).Seconds())+fmt.Sprintf(format, args...))
+}
+
+func (s *scenario) violate(format string, args ...any) {
+	s.note("VIOLATION "+format, args...)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.violations = append(s.violations, fmt.Sprintf(format, args...))
+}
+
+// Write keeps the log lines of the schedulers in the trace.
+func (s *scenario) Write(line []byte) (int, error) {
+	s.note("%s", line[:len(line)-1])
+	return len(line), nil
+}
+
+func newScenario(seed uint64) *scenario {
+	s := &scenario{random: newRandom(seed), workers: map[string]*fakeWorker{}, start: time.Now(),
+		epochs: map[uint64]string{}, onceRuns: map[string]int{}, differ: map[platform.AttemptID]time.Time{}}
+	s.doc = &config.Document{Workers: map[string]resource.Worker{}}
+	capacity := resource.Resources{Accelerators: 8, MilliCPU: 32000, MemoryMB: 64000}
+	for i := range scenarioWorkers {
+		id := fmt.Sprintf("w-%d", i)
+		s.doc.Workers[id] = resource.Worker{ID: id, FailureDomain: "fd", Capacity: capacity, Address: id}
+		s.workers[id] = newFakeWorker(id, capacity, s.random)
+		s.workers[id].onRun = s.onRun
+		s.workers[id].onEffect = s.onEffect
+	}
+	s.log = newFakeLog(s.random)
+	return s
+}
+
+// onRun checks that a run-once job is not started twice.
+func (s *scenario) onRun(_ *fakeWorker, task *fakeTask) {
+	if !task.fresh || task.Attempt.Job[0] != 'o' {
+		return
+	}
+	key := fmt.Sprintf("%s/%d", task.Attempt.Job, task.Member)
+	s.mu.Lock()
+	s.onceRuns[key]++
+	runs := s.onceRuns[key]
+	s.mu.Unlock()
+	if runs > 1 {
+		s.violate("run-once member %s started %d times", key, runs)
+	}
+}
+
+// onEffect checks that each epoch belongs to one holder.
+func (s *scenario) onEffect(w *fakeWorker, epoch uint64, holder string) {
+	s.mu.Lock()
+	known, ok := s.epochs[epoch]
+	s.epochs[epoch] = holder
+	s.mu.Unlock()
+	if ok && known != holder {
+		s.violate("epoch %d had effect for %s and %s", epoch, known, holder)
+	}
+}
+
+// launch starts process i with a new incarnation.
+func (s *scenario) launch(t *testing.T, i int) {
+	p := s.procs[i]
+	if p == nil {
+		p = &proc{}
+		s.procs[i] = p
+	}
+	p.serial++
+	p.gate = &gate{}
+	p.net = &fakeNet{workers: s.workers, random: s.random, gate: p.gate, cut: map[string]bool{}, noReply: map[string]bool{}}
+	ctx, cancel := context.WithCancel(context.Background())
+	g := p.gate
+	name := fmt.Sprintf("s%d.%d", i, p.serial)
+	options := Options{FailureDomain: "fd", VM: name, Holder: name, Log: s.log, Workers: p.net,
+		Config: func() *config.Document { return s.doc }, NewPlanner: newFakePlanner, Metrics: metrics.NewRegistry(),
+		Logger: zerolog.New(s).With().Str("proc", name).Logger(),
+		Random: func() float64 { g.pass(context.Background()); return s.random.float() }}
+	if s.options != nil {
+		s.options(&options)
+	}
+	control, err := New(options)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.control, p.cancel, p.done = control, cancel, make(chan struct{})
+	done := p.done
+	go func() {
+		defer close(done)
+		_ = control.Run(ctx)
+	}()
+}
+
+// stop ends process i, gracefully or as by SIGKILL.
+func (s *scenario) stop(i int, kill bool) {
+	p := s.procs[i]
+	p.gate.resume(kill)
+	p.cancel()
+	<-p.done
+}
+
+// check looks at the truth on the workers.
+func (s *scenario) check() {
+	now := time.Now()
+	type view struct{ runs, others, done int }
+	attempts := map[platform.AttemptID]*view{}
+	running := map[string]platform.AttemptID{}
+	for _, w := range s.workers {
+		w.mu.Lock()
+		w.advance(now)
+		for key, task := range w.tasks {
+			v := attempts[key.attempt]
+			if v == nil {
+				v = &view{}
+				attempts[key.attempt] = v
+			}
+			switch task.State {
+			case platform.TaskRunning, platform.TaskCheckpointing:
+				v.runs++
+				if other, ok := running[key.attempt.Job]; ok && other != key.attempt {
+					s.violate("job %s runs as attempts %d and %d at once", key.attempt.Job, other.Attempt, key.attempt.Attempt)
+				}
+				running[key.attempt.Job] = key.attempt
+			case platform.TaskDone:
+				v.done++
+			default:
+				v.others++
+			}
+		}
+		w.mu.Unlock()
+	}
+	for id, v := range attempts {
+		whole := v.runs == 0 || v.runs+v.done == membersOf(id.Job)
+		if since, ok := s.differ[id]; whole {
+			delete(s.differ, id)
+		} else if !ok {
+			s.differ[id] = now
+		} else if now.Sub(since) > gang.DifferBound {
+			s.violate("members of %v differ since %s: %+v", id, since.Sub(s.start), *v)
+			s.differ[id] = now
+		}
+	}
+	for id := range s.differ {
+		if attempts[id] == nil {
+			delete(s.differ, id)
+		}
+	}
+}
+
+// membersOf returns the number of members that is part of each job id of the scenario.
+func membersOf(id string) int {
+	n, _ := strconv.Atoi(id[1:2])
+	return n
+}
+
+// submit appends a random job; its id tells the class (o run-once, p plain) and the number of members.
+func (s *scenario) submit(n int) {
+	job := jobs.Job{Account: "a", FailureDomain: "fd", Run: []string{"run"}, Submitted: time.Now()}
+	job.Shape = resource.Shape{Members: 1 + s.random.intn(5), Adjacency: resource.AdjacencyNone,
+		PerMember: resource.Resources{Accelerators: 1 + s.random.intn(4), MilliCPU: 1000, MemoryMB: 1000}}
+	job.RunOnce = s.random.chance(0.4)
+	job.CanCheckpoint = s.random.chance(0.5)
+	job.Urgent = s.random.chance(0.2)
+	class := "p"
+	if job.RunOnce {
+		class = "o"
+	}
+	job.ID = fmt.Sprintf("%s%d-%03d", class, job.Shape.Members, n)
+	s.append(jobs.Record{Kind: jobs.RecordSubmit, Submit: &job})
+	if s.random.chance(0.1) {
+		go func() {
+			time.Sleep(s.random.between(0, 20*time.Second))
+			s.append(jobs.Record{Kind: jobs.RecordCancel, Cancel: &jobs.Cancel{Job: job.ID}})
+		}()
+	}
+}
+
+func (s *scenario) append(r jobs.Record) {
+	data, err := jobs.Encode(r)
+	if err != nil {
+		s.violate("encode: %v", err)
+		return
+	}
+	s.log.append([][]byte{data})
+}
+
+// fault injects one random fault and returns what ends it.
+func (s *scenario) fault(t *testing.T) (undo func()) {
+	i := s.random.intn(2)
+	w := s.workers[fmt.Sprintf("w-%d", s.random.intn(scenarioWorkers))]
+	p := s.procs[i]
+	net := p.net
+	setNet := func(change func(n *fakeNet)) {
+		net.mu.Lock()
+		defer net.mu.Unlock()
+		change(net)
+	}
+	kind := s.random.intn(10)
+	s.note("fault %d on scheduler %d or %s", kind, i, w.id)
+	switch kind {
+	case 0:
+		s.stop(i, true)
+		return func() { s.launch(t, i) }
+	case 1:
+		s.stop(i, false)
+		return func() { s.launch(t, i) }
+	case 2, 3:
+		g := p.gate
+		g.freeze()
+		return func() { g.resume(false) }
+	case 4:
+		w.kill()
+		return w.revive
+	case 5:
+		setNet(func(n *fakeNet) { n.cut[w.id] = true })
+		return func() { setNet(func(n *fakeNet) { delete(n.cut, w.id) }) }
+	case 6:
+		setNet(func(n *fakeNet) { n.noReply[w.id] = true })
+		return func() { setNet(func(n *fakeNet) { delete(n.noReply, w.id) }) }
+	case 7:
+		setNet(func(n *fakeNet) { n.cut["*"] = true })
+		return func() { setNet(func(n *fakeNet) { delete(n.cut, "*") }) }
+	case 8:
+		setNet(func(n *fakeNet) { n.lossy = 0.2 })
+		return func() { setNet(func(n *fakeNet) { n.lossy = 0 }) }
+	}
+	s.setLog(s.random.chance(0.5), 0.3)
+	return func() { s.setLog(false, 0) }
+}
+
+func (s *scenario) setLog(down bool, lossy float64) {
+	s.log.mu.Lock()
+	defer s.log.mu.Unlock()
+	s.log.down, s.log.lossy = down, lossy
+}
+
+// run submits jobs and injects faults, then lets everything settle.
+func (s *scenario) run(t *testing.T) {
+	s.launch(t, 0)
+	s.launch(t, 1)
+	var undo func()
+	next, n := time.Now(), 0
+	for time.Since(s.start) < faultTime {
+		time.Sleep(250 * time.Millisecond)
+		s.check()
+		if n < scenarioJobs && s.random.chance(0.08) {
+			s.submit(n)
+			n++
+		}
+		if time.Now().Before(next) {
+			continue
+		}
+		next = time.Now().Add(s.random.between(time.Second, 15*time.Second))
+		if undo != nil {
+			undo()
+			undo = nil
+			continue
+		}
+		undo = s.fault(t)
+	}
+	if undo != nil {
+		undo()
+	}
+	s.note("faults end")
+	for end := time.Now().Add(settleTime); time.Now().Before(end); {
+		time.Sleep(250 * time.Millisecond)
+		s.check()
+	}
+	s.checkEnds()
+	s.stop(0, false)
+	s.stop(1, false)
+}
+
+// checkEnds checks that every accepted job has ended, or is reported with a state or a reason.
+func (s *scenario) checkEnds() {
+	fold := jobs.NewFold()
+	s.log.mu.Lock()
+	for _, r := range s.log.records {
+		fold.Skip(r.Offset)
+		_, _, _ = fold.Apply(r)
+	}
+	s.log.mu.Unlock()
+	for _, e := range fold.Open() {
+		s.violate("job %s has not ended %s after the faults: %s", e.Job.ID, settleTime, s.ask(e.Job.ID))
+	}
+}
+
+func (s *scenario) ask(id string) string {
+	for _, p := range s.procs {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		response, err := p.control.Handle(ctx, inner.Member{}, &inner.Request{JobQuery: &inner.JobQuery{ID: id}})
+		cancel()
+		if err == nil && response.JobQuery.Active && len(response.JobQuery.Jobs) == 1 {
+			status := response.JobQuery.Jobs[0]
+			return string(status.State) + " " + status.Reason
+		}
+	}
+	return "no active scheduler"
+}
+
+// runScenario runs one seed in virtual time and returns the violations and the trace.
+func runScenario(t *testing.T, seed uint64, options func(*Options)) (violations, events []string) {
+	t.Helper()
+	var collected invariant.Log
+	restore := invariant.SetRecorder(collected.Record)
+	defer restore()
+	var s *scenario
+	synctest.Test(t, func(t *testing.T) {
+		s = newScenario(seed)
+		s.options = options
+		s.run(t)
+		time.Sleep(10 * time.Second)
+	})
+	for _, v := range collected.Violations() {
+		s.violations = append(s.violations, v.String())
+	}
+	return s.violations, s.events
+}
+
+// TestScenario guards against gangs that run partially, run-once jobs that start twice, two schedulers that act at once
+// and work that stays stuck, over a few seeds.
+func TestScenario(t *testing.T) {
+	for seed := uint64(1); seed <= 6; seed++ {
+		violations, events := runScenario(t, seed, nil)
+		writeTrace(t, seed, events)
+		if len(violations) == 0 {
+			continue
+		}
+		t.Fatalf("seed %d: %d violations, first: %s", seed, len(violations), violations[0])
+	}
+}
+
+// TestProve runs as many seeds from PROVE_SEED on as 12 s of real time allow. It guards against the same faults as
+// TestScenario.
+func TestProve(t *testing.T) {
+	base, err := strconv.ParseUint(os.Getenv("PROVE_SEED"), 10, 64)
+	if err != nil {
+		t.Skip("PROVE_SEED is not set")
+	}
+	total, runs := 0, uint64(0)
+	for start := time.Now(); time.Since(start) < 10*time.Second; runs++ {
+		seed := base*1_000_000 + runs
+		violations, events := runScenario(t, seed, nil)
+		if total == 0 && len(violations) > 0 {
+			writeTrace(t, seed, events)
+			t.Errorf("seed %d: %s", seed, violations[0])
+			for _, event := range events[max(0, firstViolation(events)-40) : firstViolation(events)+1] {
+				fmt.Println(event)
+			}
+		}
+		total += len(violations)
+	}
+	fmt.Printf("control: runs: %d\n", runs)
+	fmt.Printf("control: violations: %d\n", total)
+}
+
+// firstViolation returns the index of the first violation in a trace, that of the last event if there is none.
+func firstViolation(events []string) int {
+	for i, event := range events {
+		if strings.Contains(event, "VIOLATION") {
+			return i
+		}
+	}
+	return len(events) - 1
+}
+
+// writeTrace writes the trace of a seed to the file named by CONTROL_TRACE.
+func writeTrace(t *testing.T, seed uint64, events []string) {
+	path := os.Getenv("CONTROL_TRACE")
+	if path == "" {
+		return
+	}
+	var text []byte
+	for _, event := range events {
+		text = append(append(text, event...), '\n')
+	}
+	if err := os.WriteFile(path, text, 0o600); err != nil {
+		t.Log(err)
+	}
+	t.Logf("trace of seed %d is in %s", seed, path)
+}
--- /dev/null
+++ b/jobs/choose.go
@@ -0,0 +1,151 @@
+package jobs
+
+import (
+	"regexp"
+
+	"github.com/redwingthread/redwingthread/config"
+	"github.com/redwingthread/redwingthread/errkind"
+	"github.com/redwingthread/redwingthread/resource"
+)
+
+// Limits of a job record.
+const (
+	maxRunArguments = 256
+	maxRunBytes     = 16 << 10
+)
+
+// idPattern allows what fits into a URL path segment and a log line.
+var idPattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$`)
+
+// validate returns a typed error that names the first fault of a submitted job.
+func validate(job Job, doc *config.Document) error {
+	if !idPattern.MatchString(job.ID) {
+		return errkind.New(errkind.BadInput, "use 1 to 64 letters, digits, dots, dashes and underscores, the first a letter or digit",
+			"job id %q is malformed", job.ID)
+	}
+	if _, ok := doc.Accounts[job.Account]; !ok {
+		return errkind.New(errkind.NotFound, "name an account of the configuration", "there is no account %q", job.Account)
+	}
+	if job.FailureDomain != "" {
+		if _, ok := doc.FailureDomains[job.FailureDomain]; !ok {
+			return errkind.New(errkind.NotFound, "name a failure domain of the configuration, or none",
+				"there is no failure domain %q", job.FailureDomain)
+		}
+	}
+	if err := job.Shape.Validate(); err != nil {
+		return err
+	}
+	return validateRun(job)
+}
+
+func validateRun(job Job) error {
+	size := 0
+	for _, argument := range job.Run {
+		size += len(argument)
+	}
+	if len(job.Run) == 0 || job.Run[0] == "" {
+		return errkind.New(errkind.BadInput, "give the command line in run", "job %s has no command", job.ID)
+	}
+	if len(job.Run) > maxRunArguments || size > maxRunBytes {
+		return errkind.New(errkind.TooLarge, "put the arguments into a file that the command reads",
+			"job %s has a command of %d arguments and %d bytes", job.ID, len(job.Run), size)
+	}
+	if job.DeclaredRunSeconds < 0 {
+		return errkind.New(errkind.BadInput, "give 0 or more seconds", "job %s declares a negative run time", job.ID)
+	}
+	return nil
+}
+
+// ChooseFailureDomain picks a failure domain for a job that names none: one in which the account has a guarantee whose
+// shape holds the job, then one in which it has any guarantee, then the one with the most capacity. Ties go to the
+// first name. The error is of kind Infeasible if no failure domain can hold the job.
+func ChooseFailureDomain(job Job, doc *config.Document) (string, error) {
+	best, bestRank := "", -1
+	var bestCapacity resource.Resources
+	for _, fd := range failureDomains(doc) {
+		if feasible(job, fd, doc) != nil {
+			continue
+		}
+		rank := guaranteeRank(job, fd, doc)
+		capacity := capacityOf(fd, doc)
+		if rank > bestRank || rank == bestRank && larger(capacity, bestCapacity) {
+			best, bestRank, bestCapacity = fd, rank, capacity
+		}
+	}
+	if best == "" {
+		return "", errkind.New(errkind.Infeasible, "ask for fewer members, fewer resources or looser adjacency",
+			"no failure domain can hold the shape of job %s", job.ID)
+	}
+	return best, nil
+}
+
+// guaranteeRank returns 2 for a guarantee that holds the job, 1 for any guarantee, 0 for none.
+func guaranteeRank(job Job, fd string, doc *config.Document) int {
+	rank := 0
+	for _, g := range doc.Accounts[job.Account].Guarantees {
+		if g.FailureDomain != fd || g.Count < 1 {
+			continue
+		}
+		rank = max(rank, 1)
+		if job.Shape.Members <= g.Shape.Members && job.Shape.PerMember.Fits(g.Shape.PerMember) {
+			rank = 2
+		}
+	}
+	return rank
+}
+
+func capacityOf(fd string, doc *config.Document) resource.Resources {
+	var total resource.Resources
+	for _, w := range doc.Workers {
+		if w.FailureDomain == fd {
+			total = total.Add(w.Capacity)
+		}
+	}
+	return total
+}
+
+func larger(a, b resource.Resources) bool {
+	if a.Accelerators != b.Accelerators {
+		return a.Accelerators > b.Accelerators
+	}
+	return a.MilliCPU > b.MilliCPU
+}
+
+// feasible returns an Infeasible error if the empty workers of the failure domain could not hold the job.
+func feasible(job Job, fd string, doc *config.Document) error {
+	byPlace := map[string]int{}
+	most := 0
+	for id, w := range doc.Workers {
+		if w.FailureDomain != fd {
+			continue
+		}
+		place := placeOf(job.Shape.Adjacency, id, w.Rack)
+		byPlace[place] += membersOn(job.Shape.PerMember, w.Capacity)
+		most = max(most, byPlace[place])
+	}
+	if most >= job.Shape.Members {
+		return nil
+	}
+	return errkind.New(errkind.Infeasible, "ask for fewer members, fewer resources or looser adjacency",
+		"failure domain %s can hold %d of %d members of job %s", fd, most, job.Shape.Members, job.ID)
+}
+
+// placeOf returns the place within which all members must be.
+func placeOf(adjacency resource.Adjacency, worker, rack string) string {
+	switch adjacency {
+	case resource.AdjacencyWorker:
+		return worker
+	case resource.AdjacencyRack:
+		return rack
+	}
+	return ""
+}
+
+// membersOn returns how many members an empty worker holds, at most resource.MaxMembers.
+func membersOn(perMember, capacity resource.Resources) int {
+	n := 0
+	for n < resource.MaxMembers && perMember.Times(n+1).Fits(capacity) {
+		n++
+	}
+	return n
+}
--- /dev/null
+++ b/jobs/records.go
@@ -0,0 +1,137 @@
+package jobs
+
+import (
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/redwingthread/redwingthread/errkind"
+)
+
+// RuleSet is the number of the fold rules that this program applies. A record with a higher number stops the fold,
+// because two programs that fold it differently would disagree for good.
+const RuleSet = 1
+
+// RecordKind is the kind of a record on a job stream.
+type RecordKind string
+
+// The record kinds.
+const (
+	RecordSubmit   RecordKind = "submit"
+	RecordCancel   RecordKind = "cancel"
+	RecordIntent   RecordKind = "intent"
+	RecordEnded    RecordKind = "ended"
+	RecordSnapshot RecordKind = "snapshot"
+)
+
+// Record is one record of a job stream. The field that matches Kind is set.
+type Record struct {
+	RuleSet  int        `cbor:"rs"`
+	Kind     RecordKind `cbor:"kind"`
+	Submit   *Job       `cbor:"submit,omitempty"`
+	Cancel   *Cancel    `cbor:"cancel,omitempty"`
+	Intent   *Intent    `cbor:"intent,omitempty"`
+	Ended    *Ended     `cbor:"ended,omitempty"`
+	Snapshot *Snapshot  `cbor:"snapshot,omitempty"`
+}
+
+// Cancel asks for the end of a job.
+type Cancel struct {
+	Job    string    `cbor:"job"`
+	Author string    `cbor:"author,omitempty"`
+	At     time.Time `cbor:"at"`
+}
+
+// Intent announces the release of a run-once job. The first one of a job in the log wins.
+type Intent struct {
+	Job     string `cbor:"job"`
+	Attempt uint64 `cbor:"attempt"`
+	// Holder and Epoch are those of the scheduler's tenure that wrote the record.
+	Holder string `cbor:"holder"`
+	Epoch  uint64 `cbor:"epoch"`
+}
+
+// Ended reports the end of an attempt. With a final state it ends the job. With StateWaiting it reports a stop after a
+// checkpoint: the job continues from Checkpoints, and a run-once job needs a new intent for it.
+type Ended struct {
+	Job     string    `cbor:"job"`
+	Attempt uint64    `cbor:"attempt"`
+	State   State     `cbor:"state"`
+	Detail  string    `cbor:"detail,omitempty"`
+	At      time.Time `cbor:"at"`
+	// Checkpoints holds the checkpoint of each member; empty if there is none.
+	Checkpoints []string `cbor:"checkpoints,omitempty"`
+}
+
+// Snapshot is the folded state of all records below Next.
+type Snapshot struct {
+	Next    uint64  `cbor:"next"`
+	Entries []Entry `cbor:"entries"`
+}
+
+// Entry is the folded state of one job.
+type Entry struct {
+	Job Job `cbor:"job"`
+	// Offset is that of the submit record.
+	Offset uint64 `cbor:"offset"`
+	// Digest covers the content of the job without the submission time.
+	Digest    uint64 `cbor:"digest"`
+	Cancelled bool   `cbor:"cancelled,omitempty"`
+	// Intent is the winning intent since the last checkpointed stop; nil if there is none.
+	Intent *Intent `cbor:"intent,omitempty"`
+	// Ended is set once the job has a final state.
+	Ended *Ended `cbor:"ended,omitempty"`
+	// Checkpoints holds the checkpoint of each member from which the job continues.
+	Checkpoints []string `cbor:"checkpoints,omitempty"`
+	// Attempt is the highest attempt named by an intent or ended record.
+	Attempt uint64 `cbor:"attempt,omitempty"`
+}
+
+// State returns the state of the job as far as the log tells.
+func (e *Entry) State() State {
+	if e.Ended != nil {
+		return e.Ended.State
+	}
+	return StateWaiting
+}
+
+// Status returns the entry as a status without placement.
+func (e *Entry) Status() Status {
+	status := Status{Job: e.Job, State: e.State(), Attempt: e.Attempt}
+	if e.Ended != nil {
+		status.Reason = e.Ended.Detail
+	}
+	return status
+}
+
+var encMode = mustEncMode()
+
+func mustEncMode() cbor.EncMode {
+	options := cbor.CoreDetEncOptions()
+	options.Time = cbor.TimeRFC3339Nano
+	mode, err := options.EncMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+// Encode returns the CBOR form of r with the current rule set.
+func Encode(r Record) ([]byte, error) {
+	r.RuleSet = RuleSet
+	data, err := encMode.Marshal(r)
+	if err != nil {
+		return nil, errkind.Wrap(err, errkind.Internal, "report this fault", "encode %s record", r.Kind)
+	}
+	return data, nil
+}
+
+// Decode reads a record. The error is of kind BadInput for malformed data.
+func Decode(data []byte) (Record, error) {
+	var r Record
+	if err := cbor.Unmarshal(data, &r); err != nil {
+		return Record{}, errkind.Wrap(err, errkind.BadInput, "check which program writes to the job stream",
+			"decode a record of the job stream")
+	}
+	return r, nil
+}
--- /dev/null
+++ b/jobs/service.go
@@ -0,0 +1,400 @@
+package jobs
+
+import (
+	"context"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/redwingthread/redwingthread/config"
+	"github.com/redwingthread/redwingthread/errkind"
+	"github.com/redwingthread/redwingthread/platform"
+)
+
+// Bounds of the service.
+const (
+	appendTimeout = 2 * time.Second
+	readTimeout   = 2 * time.Second
+	// settleTimeout bounds the search for a record whose append gave no answer.
+	settleTimeout = 3 * time.Second
+	settlePause   = 100 * time.Millisecond
+	queryTimeout  = time.Second
+	readLimit     = 500
+)
+
+// Query asks the scheduler of a failure domain about jobs. An empty ID lists.
+type Query struct {
+	ID      string
+	Account string
+	State   string
+	// Wake tells the scheduler that a record was appended.
+	Wake bool
+}
+
+// Querier asks the active scheduler of a failure domain. Package jobs/jobquery implements it over inner.Caller.
+type Querier interface {
+	// Query returns the scheduler's view. active is false for the view of a standby, which knows no placements.
+	Query(ctx context.Context, failureDomain string, q Query) (statuses []Status, active bool, err error)
+}
+
+// ServiceOptions are the dependencies of a Service.
+type ServiceOptions struct {
+	Log platform.Log
+	// Config returns the configuration in force, nil while there is none.
+	Config  func() *config.Document
+	Querier Querier
+}
+
+// Service submits, cancels and shows jobs for the gateway daemon. It is safe for concurrent use. Callers are
+// authenticated by the gateway; an account argument restricts a call to the jobs of that account, "" allows all.
+type Service struct {
+	options ServiceOptions
+
+	mu sync.Mutex
+	// streams is guarded by mu.
+	streams map[string]*stream
+}
+
+// stream is the folded job stream of one failure domain.
+type stream struct {
+	name string
+	log  platform.Log
+	mu   sync.Mutex
+	// fold is guarded by mu, which is held during a read so that one reader serves all waiting calls.
+	fold *Fold
+}
+
+// NewService returns a service. The error is of kind BadInput if a dependency is missing.
+func NewService(options ServiceOptions) (*Service, error) {
+	if options.Log == nil || options.Config == nil || options.Querier == nil {
+		return nil, errkind.New(errkind.BadInput, "set Log, Config and Querier", "the job service lacks a dependency")
+	}
+	return &Service{options: options, streams: map[string]*stream{}}, nil
+}
+
+// Outcome returns "completed" for a nil error, "unknown" if the effect could not be determined, else "not_run".
+func Outcome(err error) string {
+	switch {
+	case err == nil:
+		return "completed"
+	case errkind.Is(err, errkind.Unknown) || errkind.Is(err, errkind.Internal):
+		return "unknown"
+	}
+	return "not_run"
+}
+
+func (s *Service) stream(failureDomain string) *stream {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	st := s.streams[failureDomain]
+	if st == nil {
+		st = &stream{name: platform.JobStream(failureDomain), log: s.options.Log, fold: NewFold()}
+		s.streams[failureDomain] = st
+	}
+	return st
+}
+
+// catchUp folds the stream up to its end. The error is of kind Unavailable if the log cannot be read.
+func (st *stream) catchUp(ctx context.Context) error {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	for {
+		response, err := st.log.Read(ctx, st.name, st.fold.Next(), readLimit, 0)
+		if err != nil {
+			return errkind.Wrap(err, errkind.Unavailable, "retry once the log is up again", "read stream %s", st.name)
+		}
+		st.fold.Skip(response.Oldest)
+		for _, r := range response.Records {
+			if _, _, err := st.fold.Apply(r); err != nil {
+				return err
+			}
+		}
+		if st.fold.Next() >= response.Next || len(response.Records) == 0 {
+			return nil
+		}
+	}
+}
+
+func (st *stream) get(id string) (Entry, bool) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	e, ok := st.fold.Get(id)
+	if !ok {
+		return Entry{}, false
+	}
+	return *e, true
+}
+
+func (st *stream) statuses() []Status {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	var statuses []Status
+	for _, e := range st.fold.All() {
+		statuses = append(statuses, e.Status())
+	}
+	return statuses
+}
+
+// append appends a record. It reports whether the record is certain not to be in the log after an error.
+func (st *stream) append(ctx context.Context, r Record) (refused bool, err error) {
+	data, err := Encode(r)
+	if err != nil {
+		return true, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
+	defer cancel()
+	_, err = st.log.Append(ctx, st.name, [][]byte{data})
+	refused = errkind.Is(err, errkind.BadInput) || errkind.Is(err, errkind.TooLarge)
+	return refused, err
+}
+
+// settle reads on until found reports true. The error is of kind Unknown if it does not within settleTimeout.
+func (st *stream) settle(ctx context.Context, remedy string, cause error, found func() bool) error {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), settleTimeout)
+	defer cancel()
+	for {
+		if st.catchUp(ctx) == nil && found() {
+			return nil
+		}
+		timer := time.NewTimer(settlePause)
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+			if cause == nil {
+				cause = ctx.Err()
+			}
+			return errkind.Wrap(cause, errkind.Unknown, remedy, "the log did not confirm the record on stream %s", st.name)
+		}
+	}
+}
+
+// Submit records a job and returns it as waiting. A job without a failure domain gets one. A repeat with the same id and
+// content returns the job's present state. Errors: BadInput, Infeasible, NotFound (account), Conflict (id in use for other content)
+// and Unavailable mean that nothing was recorded; Unknown names the command that settles it.
+func (s *Service) Submit(ctx context.Context, job Job) (Status, error) {
+	doc := s.options.Config()
+	if doc == nil {
+		return Status{}, noConfig()
+	}
+	if err := validate(job, doc); err != nil {
+		return Status{}, err
+	}
+	if job.FailureDomain == "" {
+		known, found, err := s.find(ctx, job.ID, doc)
+		switch {
+		case found:
+			job.FailureDomain = known.Job.FailureDomain
+		case err != nil:
+			return Status{}, err
+		default:
+			if job.FailureDomain, err = ChooseFailureDomain(job, doc); err != nil {
+				return Status{}, err
+			}
+		}
+	}
+	if err := feasible(job, job.FailureDomain, doc); err != nil {
+		return Status{}, err
+	}
+	return s.record(ctx, job)
+}
+
+func (s *Service) record(ctx context.Context, job Job) (Status, error) {
+	st := s.stream(job.FailureDomain)
+	if err := st.catchUp(ctx); err != nil {
+		return Status{}, err
+	}
+	if known, ok := st.get(job.ID); ok {
+		return s.same(ctx, job, known)
+	}
+	if job.Submitted.IsZero() {
+		job.Submitted = time.Now().UTC()
+	}
+	refused, err := st.append(ctx, Record{Kind: RecordSubmit, Submit: &job})
+	if refused {
+		return Status{}, err
+	}
+	remedy := "settle it with: redwingctl job show " + job.ID + ", or submit the same job again"
+	found := func() bool {
+		_, ok := st.get(job.ID)
+		return ok
+	}
+	if err := st.settle(ctx, remedy, err, found); err != nil {
+		return Status{}, err
+	}
+	s.wake(ctx, job.FailureDomain)
+	known, _ := st.get(job.ID)
+	return s.same(ctx, job, known)
+}
+
+// same returns the state of a job that is already recorded, or a Conflict if its content differs.
+func (s *Service) same(ctx context.Context, job Job, known Entry) (Status, error) {
+	if known.Digest != ContentDigest(job) {
+		return Status{}, errkind.New(errkind.Conflict, "choose another id", "job id %s is in use for another job", job.ID)
+	}
+	return s.present(ctx, known), nil
+}
+
+// Cancel records the cancellation of a job and returns its state. A job that has ended stays as it is.
+func (s *Service) Cancel(ctx context.Context, id, account, author string) (Status, error) {
+	known, st, err := s.lookup(ctx, id, account)
+	if err != nil {
+		return Status{}, err
+	}
+	if known.Ended != nil || known.Cancelled {
+		return s.present(ctx, known), nil
+	}
+	cancelled := Cancel{Job: id, Author: author, At: time.Now().UTC()}
+	refused, err := st.append(ctx, Record{Kind: RecordCancel, Cancel: &cancelled})
+	if refused {
+		return Status{}, err
+	}
+	found := func() bool {
+		e, ok := st.get(id)
+		return !ok || e.Cancelled || e.Ended != nil
+	}
+	remedy := "settle it with: redwingctl job cancel " + id + " again, which is harmless if it was recorded"
+	if err := st.settle(ctx, remedy, err, found); err != nil {
+		return Status{}, err
+	}
+	s.wake(ctx, known.Job.FailureDomain)
+	if now, ok := st.get(id); ok {
+		known = now
+	}
+	return s.present(ctx, known), nil
+}
+
+// Get returns the state of a job. The error is of kind NotFound if there is none of that account.
+func (s *Service) Get(ctx context.Context, id, account string) (Status, error) {
+	known, _, err := s.lookup(ctx, id, account)
+	if err != nil {
+		return Status{}, err
+	}
+	return s.present(ctx, known), nil
+}
+
+// Filter selects jobs; empty fields select all.
+type Filter struct {
+	Account       string
+	State         State
+	FailureDomain string
+}
+
+// List returns the matching jobs by failure domain and in order of submission. While the log or a scheduler does not
+// answer, it returns what is known.
+func (s *Service) List(ctx context.Context, filter Filter) ([]Status, error) {
+	doc := s.options.Config()
+	if doc == nil {
+		return nil, noConfig()
+	}
+	var all []Status
+	for _, fd := range failureDomains(doc) {
+		if filter.FailureDomain != "" && filter.FailureDomain != fd {
+			continue
+		}
+		for _, status := range s.listDomain(ctx, fd, filter.Account) {
+			matches := filter.Account == "" || filter.Account == status.Job.Account
+			if matches && (filter.State == "" || filter.State == status.State) {
+				all = append(all, status)
+			}
+		}
+	}
+	return all, nil
+}
+
+func (s *Service) listDomain(ctx context.Context, fd, account string) []Status {
+	st := s.stream(fd)
+	// An outage of the log must not hide the jobs that are known; the states then come from the scheduler.
+	_ = st.catchUp(ctx)
+	folded := st.statuses()
+	queryCtx, cancel := context.WithTimeout(ctx, queryTimeout)
+	defer cancel()
+	live, active, err := s.options.Querier.Query(queryCtx, fd, Query{Account: account})
+	if err != nil || !active {
+		return folded
+	}
+	byID := make(map[string]Status, len(live))
+	for _, status := range live {
+		byID[status.Job.ID] = status
+	}
+	for i := range folded {
+		if status, ok := byID[folded[i].Job.ID]; ok && !folded[i].State.Final() {
+			folded[i] = status
+		}
+	}
+	return folded
+}
+
+// lookup finds a job in all failure domains.
+func (s *Service) lookup(ctx context.Context, id, account string) (Entry, *stream, error) {
+	doc := s.options.Config()
+	if doc == nil {
+		return Entry{}, nil, noConfig()
+	}
+	known, found, err := s.find(ctx, id, doc)
+	if found && (account == "" || account == known.Job.Account) {
+		return known, s.stream(known.Job.FailureDomain), nil
+	}
+	if !found && err != nil {
+		return Entry{}, nil, err
+	}
+	return Entry{}, nil, errkind.New(errkind.NotFound, "list the jobs with: redwingctl job list", "there is no job %s", id)
+}
+
+// find reads the streams of all failure domains up to their ends. An error is reported only if the job was not found.
+func (s *Service) find(ctx context.Context, id string, doc *config.Document) (known Entry, found bool, err error) {
+	for _, fd := range failureDomains(doc) {
+		st := s.stream(fd)
+		if e, ok := st.get(id); ok && e.Ended != nil {
+			return e, true, nil
+		}
+		if readErr := st.catchUp(ctx); readErr != nil {
+			err = readErr
+		}
+		if e, ok := st.get(id); ok {
+			return e, true, nil
+		}
+	}
+	return Entry{}, false, err
+}
+
+// present adds the scheduler's view to a folded entry.
+func (s *Service) present(ctx context.Context, e Entry) Status {
+	if e.Ended != nil {
+		return e.Status()
+	}
+	ctx, cancel := context.WithTimeout(ctx, queryTimeout)
+	defer cancel()
+	live, active, err := s.options.Querier.Query(ctx, e.Job.FailureDomain, Query{ID: e.Job.ID})
+	if err == nil && active && len(live) == 1 {
+		return live[0]
+	}
+	status := e.Status()
+	status.Reason = "no active scheduler of its failure domain answers"
+	return status
+}
+
+// wake tells the scheduler that there is a record. A failure only delays it until its own read of the log.
+func (s *Service) wake(ctx context.Context, failureDomain string) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), queryTimeout)
+	go func() {
+		defer cancel()
+		_, _, _ = s.options.Querier.Query(ctx, failureDomain, Query{Wake: true})
+	}()
+}
+
+func failureDomains(doc *config.Document) []string {
+	var names []string
+	for name := range doc.FailureDomains {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return names
+}
+
+func noConfig() error {
+	return errkind.New(errkind.Unavailable, "initialise the configuration or wait until it is read",
+		"there is no configuration")
+}
