Follow a slow log, hold old documents back at start, and answer typed decisions

A second reader with a limit of 30 s follows a log that is slow for long, while the first one goes on trying new connections; a single reader with a growing limit was ruled out, because it notices the end of a silent outage up to 23 s late. At start, documents in front of the log's end as first seen are not published for up to 3 s, so that a new process does not serve the oldest retained version first.

--- a/configlog/append.go
+++ b/configlog/append.go
@@ -34,21 +34,21 @@
 }
 
 func (f *Follower) appendSnapshot(ctx context.Context, record Record) {
-	err := f.append(ctx, record)
+	err := f.append(ctx, record, 2*f.settings.CallTimeout)
 	f.settings.Logger.Info().Err(err).Uint64("version", record.Snapshot.Version).Uint64("offset", record.Snapshot.Offset).
 		Msg("configuration snapshot appended")
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.appending = false
+	f.appending, f.snapshotError = false, err
 }
 
-// append appends one record, with a time limit. After an error the record may be in the log.
-func (f *Follower) append(ctx context.Context, record Record) error {
+// append appends one record within limit. After an error the record may be in the log.
+func (f *Follower) append(ctx context.Context, record Record, limit time.Duration) error {
 	raw, err := Encode(record)
 	if err != nil {
 		return err
 	}
-	ctx, cancel := context.WithTimeout(ctx, f.settings.CallTimeout)
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	_, err = f.settings.Log.Append(ctx, platform.ConfigStream, [][]byte{raw})
 	return err
--- a/configlog/broken_test.go
+++ b/configlog/broken_test.go
@@ -20,7 +20,7 @@
 		"failed append breaks the register":  {options{appendErrorMeansNo: true}, "not linearizable"},
 		"fold without the check of the base": {options{mangle: withoutBase}, "holds another version"},
 		"fold that misses records":           {options{mangle: withoutSome}, "holds another version"},
-		"fold without withdrawals":           {options{mangle: withoutWithdrawals, latePercent: 60}, "told"},
+		"fold without withdrawals":           {options{mangle: withoutWithdrawals, latePercent: 95}, "told"},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/configlog/catchup.go
+++ b/configlog/catchup.go
@@ -30,19 +30,19 @@
 // the process concludes that there is no configuration.
 func (f *Follower) start(ctx context.Context, resp platform.ReadResponse) error {
 	if resp.Oldest == 0 && resp.Next > 0 {
-		f.begin(NewState())
+		f.begin(NewState(), resp.Next)
 		return nil
 	}
 	if f.askState(ctx) {
 		return nil
 	}
 	if resp.Next == 0 {
-		f.begin(NewState())
+		f.begin(NewState(), 0)
 		return nil
 	}
 	if state, err := f.scanSnapshot(ctx, resp.Oldest); err != nil || state != nil {
 		if state != nil {
-			f.begin(state)
+			f.begin(state, resp.Next)
 		}
 		return err
 	}
@@ -53,19 +53,21 @@
 	// Nobody has a configuration, so an initialise record may make one.
 	state := NewState()
 	state.CarryOver(resp.Oldest)
-	f.begin(state)
+	f.begin(state, 0)
 	return nil
 }
 
-// begin sets the first state, unless a peer's was taken over meanwhile.
-func (f *Follower) begin(state *State) {
+// begin sets the first state, unless a peer's was taken over meanwhile. Tail is the end of the log.
+func (f *Follower) begin(state *State, tail uint64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.state != nil {
 		return
 	}
 	f.state = state
+	f.startTail, f.startedAt = tail, time.Now()
 	f.gapSince = time.Time{}
+	f.wake()
 	f.publish()
 }
 
@@ -74,7 +76,7 @@
 	var found *State
 	from := oldest
 	for {
-		resp, err := f.read(ctx, from, 0, f.settings.ReadMargin)
+		resp, err := f.read(ctx, from, 0, 2*f.settings.ReadMargin)
 		if err != nil {
 			return nil, err
 		}
@@ -111,11 +113,14 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.state.Next >= oldest {
+		return nil
+	}
 	f.settings.Logger.Error().Uint64("from", f.state.Next).Uint64("to", oldest).Msg("configuration records expired unread")
 	f.state.CarryOver(oldest)
 	f.relay.clear()
 	f.gapSince = time.Time{}
-	f.publish()
+	f.wake()
 	return nil
 }
 
@@ -226,9 +231,12 @@
 	return count
 }
 
-// askRecords takes over records of peers behind the state, or a peer's state if it no longer holds them.
+// askRecords takes over records of peers behind the state, or a peer's state if it no longer holds them. A hint that no
+// asked peer bears out is forgotten; the next heartbeat repeats it.
 func (f *Follower) askRecords(ctx context.Context) {
-	f.askAll(ctx, f.somePeers(), func(ctx context.Context, p Peer) bool {
+	peers := f.somePeers()
+	before := f.nextOffset()
+	answers := f.askAll(ctx, peers, func(ctx context.Context, p Peer) bool {
 		from := f.nextOffset()
 		resp, err := p.FetchRecords(ctx, inner.FetchRecords{From: from, Limit: readLimit})
 		if err != nil {
@@ -240,6 +248,11 @@
 		f.fold(resp.Records)
 		return true
 	})
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if answers == len(peers) && f.state.Next == before {
+		f.hint = 0
+	}
 }
 
 // askState takes over the state of a peer and reports whether one was.
--- a/configlog/fake_test.go
+++ b/configlog/fake_test.go
@@ -24,8 +24,9 @@
 	records   []platform.Record
 	times     []time.Time
 	oldest    uint64
-	down      bool
-	slow      time.Duration
+	// silent lets reads hang while the log is down.
+	down, silent bool
+	slow         time.Duration
 	// lossPercent is the share of appends whose response is lost, latePercent that of appends which fail at first and
 	// take effect up to 20 s later, hangPercent that of reads which get no response.
 	lossPercent, latePercent, hangPercent int
@@ -110,7 +111,11 @@
 		l := p.log
 		l.mu.Lock()
 		if l.down || !p.reach() {
+			silent := l.down && l.silent
 			l.mu.Unlock()
+			if silent {
+				<-ctx.Done()
+			}
 			return platform.ReadResponse{}, errDown
 		}
 		// A connection that goes silent is followed by one that works.
--- a/configlog/follower.go
+++ b/configlog/follower.go
@@ -115,13 +115,22 @@
 	logError error
 	logTail  uint64
 	alarm    string
-	// hints holds the highest offset that a peer reported.
+	// hint is the highest offset that a peer reported.
 	hint uint64
+	// startTail is the end of the log when the first state was found there. Documents in front of it are old and are held
+	// back, for at most startHold after startedAt.
+	startTail uint64
+	startedAt time.Time
 	// gapSince is the time at which the log was first seen to lack the next records; zero if it does not.
 	gapSince time.Time
 	// snapshotAt is the time of the next append of a snapshot; zero if none is planned.
-	snapshotAt time.Time
-	appending  bool
+	snapshotAt    time.Time
+	appending     bool
+	snapshotError error
+
+	// handling serialises the handling of responses of the two readers, which may last. It is a channel and no mutex, so
+	// that virtual time goes on in tests.
+	handling chan struct{}
 
 	wakePeers chan struct{}
 	random    random
@@ -154,6 +163,7 @@
 		changed:     make(chan struct{}),
 		subscribers: map[int]chan *config.Document{},
 		wakePeers:   make(chan struct{}, 1),
+		handling:    make(chan struct{}, 1),
 		random:      newRandom(settings.Seed),
 	}
 }
@@ -194,6 +204,7 @@
 func (f *Follower) Run(ctx context.Context) error {
 	var group sync.WaitGroup
 	group.Go(func() { f.followPeers(ctx) })
+	group.Go(func() { f.followSlowLog(ctx) })
 	f.followLog(ctx)
 	group.Wait()
 	return ctx.Err()
@@ -203,37 +214,51 @@
 func (f *Follower) followLog(ctx context.Context) {
 	const firstBackoff, maxBackoff = 100 * time.Millisecond, time.Second
 	backoff := firstBackoff
-	slow := time.Duration(0)
 	for ctx.Err() == nil {
-		err := f.readOnce(ctx, slow)
+		err := f.readOnce(ctx, f.settings.PollWait, f.settings.ReadMargin)
 		if err == nil {
-			backoff, slow = firstBackoff, 0
+			backoff = firstBackoff
 			continue
 		}
-		// A log that is slow for long still responds to reads with more time.
-		slow = min(2*slow+f.settings.ReadMargin, 20*time.Second)
 		f.askPeersSoon()
 		sleep(ctx, backoff/2+f.random.duration(backoff))
 		backoff = min(2*backoff, maxBackoff)
 	}
 }
 
-// readOnce does one long poll and handles its response. Extra is added to the time limit.
-func (f *Follower) readOnce(ctx context.Context, extra time.Duration) error {
+// followSlowLog reads with much more time while followLog gets no response: a log that is slow for long is followed late,
+// and a connection that went silent does not keep followLog from trying others.
+func (f *Follower) followSlowLog(ctx context.Context) {
+	const patience = 30 * time.Second
+	for ctx.Err() == nil {
+		sleep(ctx, f.settings.PollWait+f.settings.ReadMargin)
+		f.mu.Lock()
+		failing := f.logError != nil
+		f.mu.Unlock()
+		if failing {
+			_ = f.readOnce(ctx, 0, patience) // readOnce logs the error
+		}
+	}
+}
+
+// readOnce does one read, which waits up to wait for records, and handles its response.
+func (f *Follower) readOnce(ctx context.Context, wait, margin time.Duration) error {
 	from := f.nextOffset()
-	wait := f.settings.PollWait
 	if !f.started() {
 		wait = 0
 	}
-	resp, err := f.read(ctx, from, wait, extra)
+	resp, err := f.read(ctx, from, wait, margin)
+	f.handling <- struct{}{}
 	if err == nil {
 		err = f.handle(ctx, from, resp)
 	}
+	<-f.handling
 	f.mu.Lock()
 	f.logError = err
 	if err == nil {
 		f.lastRead = time.Now()
 	}
+	f.publish()
 	f.mu.Unlock()
 	if err != nil && ctx.Err() == nil {
 		f.settings.Logger.Warn().Err(err).Uint64("offset", from).Msg("configuration log cannot be read")
@@ -241,8 +266,8 @@
 	return err
 }
 
-func (f *Follower) read(ctx context.Context, from uint64, wait, extra time.Duration) (platform.ReadResponse, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+f.settings.ReadMargin+extra)
+func (f *Follower) read(ctx context.Context, from uint64, wait, margin time.Duration) (platform.ReadResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+margin)
 	defer cancel()
 	return f.settings.Log.Read(ctx, platform.ConfigStream, from, readLimit, int(wait.Milliseconds()))
 }
@@ -323,10 +348,17 @@
 		f.foldOne(r)
 	}
 	if f.state.Next != before {
+		f.wake()
 		f.publish()
 	}
 }
 
+// wake lets waiters look at the state again; the caller holds mu.
+func (f *Follower) wake() {
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
 // foldOne folds one record; the caller holds mu.
 func (f *Follower) foldOne(r platform.Record) {
 	if f.state.Stopped != nil {
@@ -344,15 +376,21 @@
 	}
 }
 
-// publish gives the state's document to readers and wakes waiters; the caller holds mu.
+// startHold bounds the time for which documents are held back at start.
+const startHold = 3 * time.Second
+
+// publish gives the state's document to readers; the caller holds mu.
 func (f *Follower) publish() {
-	close(f.changed)
-	f.changed = make(chan struct{})
-	doc := f.state.Doc
-	held := f.doc.Load()
+	if f.state == nil {
+		return
+	}
+	doc, held := f.state.Doc, f.doc.Load()
 	if doc == nil || doc == held {
 		return
 	}
+	if held == nil && f.state.Next < f.startTail && time.Since(f.startedAt) < startHold {
+		return
+	}
 	if !checkMonotone(held, doc) {
 		return
 	}
@@ -375,6 +413,7 @@
 	}
 	f.state = next
 	f.relay.clear()
+	f.wake()
 	f.publish()
 	return true
 }
--- a/configlog/scenario_test.go
+++ b/configlog/scenario_test.go
@@ -207,7 +207,7 @@
 	if !d.cluster.options.appendErrorMeansNo {
 		return f.Submit(ctx, patch)
 	}
-	if err := f.append(ctx, Record{RuleSet: config.RuleSet, Patch: &patch}); err != nil {
+	if err := f.append(ctx, Record{RuleSet: config.RuleSet, Patch: &patch}, time.Second); err != nil {
 		return Decision{ID: patch.ID, Outcome: Refused, Error: errkind.As(err)}
 	}
 	return f.Settle(ctx, patch.ID)
@@ -271,7 +271,7 @@
 	switch rng.IntN(5) {
 	case 0:
 		c.log.mu.Lock()
-		c.log.down = true
+		c.log.down, c.log.silent = true, rng.IntN(2) == 0
 		c.log.mu.Unlock()
 	case 1:
 		c.log.mu.Lock()
--- a/configlog/state_test.go
+++ b/configlog/state_test.go
@@ -257,7 +257,7 @@
 	s := st.fold(NewState())
 	lower, _ := s.At(1)
 	f := NewFollower(Settings{})
-	f.begin(s.Clone())
+	f.begin(s.Clone(), 0)
 	f.state.Doc = lower
 	f.publish()
 	s.install(lower)
--- a/configlog/submit.go
+++ b/configlog/submit.go
@@ -139,10 +139,11 @@
 }
 
 // appendAndSettle appends a record and waits until the fold has decided about id. A response may be lost after the append
-// took effect, so an error settles nothing: the record is looked for in the log and appended again.
+// took effect, so an error settles nothing: the record is looked for in the log and appended again. The time limit of the
+// append grows, for a log that is slow.
 func (f *Follower) appendAndSettle(ctx context.Context, id string, record Record) Decision {
-	for {
-		err := f.append(ctx, record)
+	for limit := f.settings.CallTimeout; ; limit *= 2 {
+		err := f.append(ctx, record, limit)
 		if errkind.Is(err, errkind.BadInput) || errkind.Is(err, errkind.TooLarge) {
 			return Decision{ID: id, Outcome: Refused, Version: versionOf(f.Document()), Error: plain(err)}
 		}
@@ -208,6 +209,8 @@
 	LogReachable bool      `json:"log_reachable"`
 	LastRead     time.Time `json:"last_read"`
 	LogError     string    `json:"log_error,omitempty"`
+	// SnapshotError is the error of the last append of a snapshot by this process.
+	SnapshotError string `json:"snapshot_error,omitempty"`
 	// Stopped is set if the fold goes no further, Alarm if the log broke its contract.
 	Stopped *Stop  `json:"stopped,omitempty"`
 	Alarm   string `json:"alarm,omitempty"`
@@ -221,6 +224,9 @@
 	if f.logError != nil {
 		status.LogError = f.logError.Error()
 	}
+	if f.snapshotError != nil {
+		status.SnapshotError = f.snapshotError.Error()
+	}
 	if f.state == nil {
 		return status
 	}
--- a/operatorapi/config.go
+++ b/operatorapi/config.go
@@ -15,12 +15,32 @@
 	"github.com/redwingthread/redwingthread/errkind"
 )
 
-// decisionStatus returns the HTTP status of a decision.
-func decisionStatus(d configlog.Decision) int {
+// DecisionResult is a decision as the API answers it. Kind, Message and Remedy are those of its error, in the place where
+// every error answer has them.
+type DecisionResult struct {
+	configlog.Decision
+	Kind    errkind.Kind `json:"kind,omitempty"`
+	Message string       `json:"message,omitempty"`
+	Remedy  string       `json:"remedy,omitempty"`
+}
+
+// decided answers with a decision; a refused or unknown one has the status of its error.
+func decided(d configlog.Decision) (int, any, error) {
+	result := DecisionResult{Decision: d}
 	if d.Outcome == configlog.Accepted || d.Error == nil {
-		return http.StatusOK
+		return http.StatusOK, result, nil
 	}
-	return d.Error.Kind.Status()
+	result.Kind, result.Message, result.Remedy = d.Error.Kind, d.Error.Message, d.Error.Remedy
+	return d.Error.Kind.Status(), result, nil
+}
+
+// read answers with 200 whatever the decision was, since the request was to read it; an unknown one is an error.
+func read(d configlog.Decision) (int, any, error) {
+	status, result, err := decided(d)
+	if d.Outcome != configlog.Unknown {
+		status = http.StatusOK
+	}
+	return status, result, err
 }
 
 // readBody reads the whole body within the limit.
@@ -52,11 +72,11 @@
 	d := a.settings.Configuration.Initialise(ctx, configlog.Initialise{
 		ID: "init-" + uuid.NewString(), Author: who.operator, Reason: "initialise", Document: doc,
 	})
-	return decisionStatus(d), d, nil
+	return decided(d)
 }
 
-// planBody is the answer to a plan.
-type planBody struct {
+// PlanResult is the answer to a plan.
+type PlanResult struct {
 	Base    uint64      `json:"base"`
 	Version uint64      `json:"version"`
 	Changes []config.Op `json:"changes"`
@@ -71,7 +91,7 @@
 	if err != nil {
 		return 0, nil, err
 	}
-	return http.StatusOK, planBody{Base: before.Version, Version: after.Version, Changes: config.Diff(before, after)}, nil
+	return http.StatusOK, PlanResult{Base: before.Version, Version: after.Version, Changes: config.Diff(before, after)}, nil
 }
 
 // readPatch reads a patch. The author is the operator whose token was sent; another name is refused, so that the log of
@@ -101,27 +121,21 @@
 	if err != nil {
 		return 0, nil, err
 	}
-	d := a.settings.Configuration.Submit(ctx, patch)
-	return decisionStatus(d), d, nil
+	return decided(a.settings.Configuration.Submit(ctx, patch))
 }
 
-// settle answers with 200 whatever the decision was, since the request was to read it; an unknown one is an error.
 func (a *API) settle(ctx context.Context, r *http.Request, _ principal) (int, any, error) {
-	d := a.settings.Configuration.Settle(ctx, r.PathValue("id"))
-	if d.Outcome == configlog.Unknown {
-		return decisionStatus(d), d, nil
-	}
-	return http.StatusOK, d, nil
+	return read(a.settings.Configuration.Settle(ctx, r.PathValue("id")))
 }
 
-// withdrawBody is the body of a withdrawal.
-type withdrawBody struct {
+// WithdrawRequest is the body of a withdrawal. An empty author stands for the operator whose token was sent.
+type WithdrawRequest struct {
 	Author string `json:"author"`
 	Reason string `json:"reason"`
 }
 
 func (a *API) withdraw(ctx context.Context, r *http.Request, who principal) (int, any, error) {
-	var body withdrawBody
+	var body WithdrawRequest
 	if err := readJSON(r, &body); err != nil {
 		return 0, nil, err
 	}
@@ -131,11 +145,7 @@
 	if body.Reason == "" || len(body.Reason) > config.MaxTextLength {
 		return 0, nil, errkind.New(errkind.BadInput, "give a reason of 1 to 512 bytes", "reason has %d bytes", len(body.Reason))
 	}
-	d := a.settings.Configuration.Withdraw(ctx, r.PathValue("id"), body.Author, body.Reason)
-	if d.Outcome == configlog.Unknown {
-		return decisionStatus(d), d, nil
-	}
-	return http.StatusOK, d, nil
+	return read(a.settings.Configuration.Withdraw(ctx, r.PathValue("id"), body.Author, body.Reason))
 }
 
 // queryVersion reads a version from the query; an absent one gives fallback.
@@ -193,14 +203,14 @@
 	return http.StatusOK, decisions, nil
 }
 
-// statusBody is the configuration in force on this process and on every entry VM.
-type statusBody struct {
+// StatusResult is the configuration in force on this process and on every entry VM.
+type StatusResult struct {
 	Self configlog.Status `json:"self"`
-	VMs  []vmStatusBody   `json:"vms"`
+	VMs  []VMVersion      `json:"vms"`
 }
 
-// vmStatusBody shows an unseen VM's version as "unknown".
-type vmStatusBody struct {
+// VMVersion shows an unseen VM's version as "unknown".
+type VMVersion struct {
 	VM            string `json:"vm"`
 	FailureDomain string `json:"failure_domain"`
 	Version       any    `json:"version"`
@@ -208,9 +218,9 @@
 }
 
 func (a *API) status(ctx context.Context, _ *http.Request, _ principal) (int, any, error) {
-	body := statusBody{Self: a.settings.Configuration.Status(), VMs: []vmStatusBody{}}
+	body := StatusResult{Self: a.settings.Configuration.Status(), VMs: []VMVersion{}}
 	for _, vm := range a.settings.Peers.ConfigStatus(ctx) {
-		entry := vmStatusBody{VM: vm.VM, FailureDomain: vm.FailureDomain, Version: outcomeUnknown}
+		entry := VMVersion{VM: vm.VM, FailureDomain: vm.FailureDomain, Version: outcomeUnknown}
 		if vm.Known {
 			entry.Version = vm.Version
 			entry.Digest = strconv.FormatUint(vm.Digest, 16)
@@ -220,8 +230,8 @@
 	return http.StatusOK, body, nil
 }
 
-// healthBody is the health of this daemon and what it sees of the others.
-type healthBody struct {
+// HealthResult is the health of this daemon and what it sees of the others.
+type HealthResult struct {
 	Ready            bool              `json:"ready"`
 	Configuration    configlog.Status  `json:"configuration"`
 	Peers            []PeerHealth      `json:"peers"`
@@ -229,7 +239,7 @@
 }
 
 func (a *API) health(ctx context.Context, _ *http.Request, _ principal) (int, any, error) {
-	return http.StatusOK, healthBody{
+	return http.StatusOK, HealthResult{
 		Ready:            a.settings.Ready == nil || a.settings.Ready(),
 		Configuration:    a.settings.Configuration.Status(),
 		Peers:            a.settings.Peers.Health(ctx),
--- a/operatorapi/jobs.go
+++ b/operatorapi/jobs.go
@@ -11,8 +11,8 @@
 	"github.com/redwingthread/redwingthread/jobs"
 )
 
-// jobBody is the answer to a submission or cancellation.
-type jobBody struct {
+// JobResult is the answer to a submission or cancellation.
+type JobResult struct {
 	Outcome string      `json:"outcome"`
 	Job     jobs.Status `json:"job"`
 }
@@ -40,7 +40,7 @@
 		// The id is that of another account's job, which the caller must not see.
 		return 0, nil, errkind.New(errkind.Conflict, "choose another id", "job id %s is in use", job.ID)
 	}
-	return http.StatusOK, jobBody{Outcome: outcomeCompleted, Job: status}, nil
+	return http.StatusOK, JobResult{Outcome: outcomeCompleted, Job: status}, nil
 }
 
 // maxCommandBytes bounds the command line of a task.
@@ -139,8 +139,8 @@
 	return http.StatusOK, status, err
 }
 
-// whyBody is the answer to why.
-type whyBody struct {
+// WhyResult is the answer to why.
+type WhyResult struct {
 	ID  string `json:"id"`
 	Why string `json:"why"`
 }
@@ -154,7 +154,7 @@
 	if why == "" {
 		why = string(status.State)
 	}
-	return http.StatusOK, whyBody{ID: status.Job.ID, Why: why}, nil
+	return http.StatusOK, WhyResult{ID: status.Job.ID, Why: why}, nil
 }
 
 func (a *API) cancelJob(ctx context.Context, r *http.Request, who principal) (int, any, error) {
@@ -165,5 +165,5 @@
 	if err != nil {
 		return 0, nil, err
 	}
-	return http.StatusOK, jobBody{Outcome: outcomeCompleted, Job: status}, nil
+	return http.StatusOK, JobResult{Outcome: outcomeCompleted, Job: status}, nil
 }
