--- a/admission/queue.go
+++ b/admission/queue.go
@@ -60,7 +60,7 @@
 	virtual float64
 	rate    rate
 	service average
-	// unbounded switches fairness and shedding off; only tests set it, to show that their checks need both.
+	// unbounded is set by UnsafeUnbounded.
 	unbounded bool
 }
 
@@ -69,6 +69,9 @@
 	return &Queue[T]{limits: limits, weights: weights, accounts: map[string]*account[T]{}}
 }
 
+// UnsafeUnbounded switches fairness, bounds and shedding off. Only tests call it, to show that their checks need them.
+func (q *Queue[T]) UnsafeUnbounded() { q.unbounded = true }
+
 const overloadRemedy = "retry later with backoff, or with a longer Request-Timeout-Ms"
 
 // Offer adds a request to its account's queue. It returns the request that had to leave for it, if any, and an error if
--- a/endpoint/pool.go
+++ b/endpoint/pool.go
@@ -50,9 +50,8 @@
 	pools map[string]*pool
 	// closed is set by Close; guarded by mu.
 	closed bool
-	// trust accepts responses without the checks of id, length and digest; only tests set it.
-	trust bool
-	// keepDoubtful keeps connections after timeouts and doubts; only tests set it.
+	// trust and keepDoubtful are set by UnsafeTrust.
+	trust        bool
 	keepDoubtful bool
 }
 
@@ -61,6 +60,10 @@
 	return &Pools{dial: dial, pools: map[string]*pool{}}
 }
 
+// UnsafeTrust passes responses on without the checks of id, length and digest, and keeps connections after doubts. Only
+// tests call it, before the first attempt, to show that their checks need both.
+func (p *Pools) UnsafeTrust() { p.trust, p.keepDoubtful = true, true }
+
 // pool holds the connections to one address.
 type pool struct {
 	owner   *Pools
--- a/gateway/fake_test.go
+++ b/gateway/fake_test.go
@@ -47,7 +47,7 @@
 // run is one request that an endpoint ran.
 type run struct {
 	endpoint string
-	key      string
+	method   string
 	tag      string
 	at       time.Time
 }
@@ -100,7 +100,6 @@
 	maxConns int
 	waiting  []chan struct{}
 	leaving  bool
-	dead     bool
 	listener net.Listener
 }
 
@@ -179,7 +178,7 @@
 	}
 	load := e.slot()
 	defer e.freeSlot()
-	e.ledger.add(run{endpoint: e.id, key: r.Header.Get(headerKey), tag: string(body), at: time.Now()})
+	e.ledger.add(run{endpoint: e.id, method: r.Method, tag: string(body), at: time.Now()})
 	if e.takes != nil {
 		time.Sleep(e.takes())
 	}
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -170,6 +170,9 @@
 		c.issued = true
 		w.Header().Set(headerKey, c.keyText)
 	}
+	if c.key.Owner != g.owner && g.unsafe.adopt {
+		c.key = g.issue(c.account.Name)
+	}
 	if c.key.Owner != g.owner {
 		return g.forward(ctx, c)
 	}
--- a/gateway/lifecycle.go
+++ b/gateway/lifecycle.go
@@ -102,9 +102,11 @@
 	case <-ctx.Done():
 	}
 	g.lifecycle.advance(refusing)
-	select {
-	case <-g.lifecycle.idle:
-	case <-ctx.Done():
+	if !g.unsafe.cut {
+		select {
+		case <-g.lifecycle.idle:
+		case <-ctx.Done():
+		}
 	}
 	_, active := g.lifecycle.state()
 	whole := invariant.Check(active == 0, invariant.ShutdownCutsNothing,
--- a/gateway/memnet_test.go
+++ b/gateway/memnet_test.go
@@ -216,28 +216,28 @@
 }
 
 // take returns data that has arrived, or what to wait for.
-func (p *memPipe) take(b []byte) (n int, err error, wait time.Duration, wake chan struct{}) {
+func (p *memPipe) take(b []byte) (n int, wait time.Duration, wake chan struct{}, err error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.silent {
-		return 0, nil, time.Hour, p.wake
+		return 0, time.Hour, p.wake, nil
 	}
 	if len(p.chunks) == 0 {
 		if p.closed {
-			return 0, io.EOF, 0, nil
+			return 0, 0, nil, io.EOF
 		}
-		return 0, nil, time.Hour, p.wake
+		return 0, time.Hour, p.wake, nil
 	}
 	head := &p.chunks[0]
 	if left := time.Until(head.at); left > 0 {
-		return 0, nil, left, p.wake
+		return 0, left, p.wake, nil
 	}
 	n = copy(b, head.data)
 	head.data = head.data[n:]
 	if len(head.data) == 0 {
 		p.chunks = p.chunks[1:]
 	}
-	return n, nil, 0, nil
+	return n, 0, nil, nil
 }
 
 func (c *memConn) state() (deadline time.Time, closed bool) {
@@ -263,7 +263,7 @@
 		if !held {
 			var n int
 			var err error
-			n, err, wait, wake = c.in.take(b)
+			n, wait, wake, err = c.in.take(b)
 			if n > 0 || err != nil {
 				return n, err
 			}
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -105,6 +105,19 @@
 	// flights holds the running keys by sequence number; guarded by keysMu.
 	flights map[uint64]*flight
 	server  http.Server
+	unsafe  unsafeRules
+}
+
+// unsafeRules switches rules of a gateway off. Only tests set them, to show that their checks need the rules.
+type unsafeRules struct {
+	// replay tries every failed request again.
+	replay bool
+	// claimNotRun reports not_run for every request without a response.
+	claimNotRun bool
+	// adopt runs requests with keys of other gateways.
+	adopt bool
+	// cut ends a shutdown without waiting for accepted requests.
+	cut bool
 }
 
 // New returns a gateway that serves requests at once. Run must be called for its periodic work.
--- a/gateway/run.go
+++ b/gateway/run.go
@@ -43,7 +43,7 @@
 	for n := 1; ; n++ {
 		choice, err := g.dispatcher.acquire(ctx, c, tried)
 		if err != nil {
-			return refusal(outcomeOf(attempts), reason(err, last))
+			return refusal(g.outcomeOf(attempts), reason(err, last))
 		}
 		last = g.attempt(ctx, c, choice, attempts, n)
 		if last.Response != nil && !last.NotRun {
@@ -51,12 +51,12 @@
 		}
 		g.dispatcher.release(choice, report(last))
 		if !g.mayRetry(c, attempts, last, n) {
-			return refusal(outcomeOf(attempts), failure(last))
+			return refusal(g.outcomeOf(attempts), failure(last))
 		}
 		g.meters.retries.Inc(1)
 		tried = append(tried, choice.Endpoint)
 		if !pause(ctx, retryPause<<(n-1), c.deadline) {
-			return refusal(outcomeOf(attempts), failure(last))
+			return refusal(g.outcomeOf(attempts), failure(last))
 		}
 	}
 }
@@ -77,8 +77,8 @@
 }
 
 // outcomeOf says what the attempts so far allow to tell the caller.
-func outcomeOf(a *request.Attempts) request.Outcome {
-	if a.MayHaveRun() {
+func (g *Gateway) outcomeOf(a *request.Attempts) request.Outcome {
+	if a.MayHaveRun() && !g.unsafe.claimNotRun {
 		return request.Unknown
 	}
 	return request.NotRun
@@ -134,7 +134,7 @@
 	if n >= maxAttempts || last.Failure == endpoint.Withheld {
 		return false
 	}
-	if attempts.MayHaveRun() && !attempts.Repeatable {
+	if attempts.MayHaveRun() && !attempts.Repeatable && !g.unsafe.replay {
 		return false
 	}
 	if !time.Now().Before(c.deadline) {
--- a/request/table.go
+++ b/request/table.go
@@ -112,7 +112,7 @@
 	stored int
 	// storedBy holds the stored bytes per account.
 	storedBy map[string]int
-	// allowReuse disables the record of used keys; only tests set it, to show that their checks need the record.
+	// allowReuse is set by UnsafeAllowReuse.
 	allowReuse bool
 }
 
@@ -129,6 +129,9 @@
 	}
 }
 
+// UnsafeAllowReuse lets ended keys run again. Only tests call it, to show that their checks need the record of used keys.
+func (t *Table) UnsafeAllowReuse() { t.allowReuse = true }
+
 // Issue returns a new key for the account.
 func (t *Table) Issue(account string) Key {
 	sequence := t.next
--- a/routing/choose.go
+++ b/routing/choose.go
@@ -42,7 +42,7 @@
 
 // hasSlot reports whether one more exchange probably finds a free slot, within the hard bound of connections.
 func (t *Table) hasSlot(e *endpoint, now time.Time) bool {
-	if t.ignoreBound {
+	if t.unsafe.Bound {
 		return true
 	}
 	return e.inflight < min(e.connections, e.config.Slots) && e.use(now) < float64(e.config.Slots)
@@ -89,7 +89,7 @@
 func (t *Table) candidates(s *service, match func(*endpoint) bool) []*endpoint {
 	s.candidates = s.candidates[:0]
 	for _, e := range s.endpoints {
-		if match(e) && t.mayWork(e) && (t.ignoreHealth || e.health.state == usable) {
+		if match(e) && t.mayWork(e) && (t.unsafe.Health || e.health.state == usable) {
 			s.candidates = append(s.candidates, e)
 		}
 	}
@@ -102,7 +102,7 @@
 		return false
 	}
 	_, leaving := t.leaving.since(e)
-	return !leaving || t.ignoreLeaving
+	return !leaving || t.unsafe.Leaving
 }
 
 // lessLoaded returns the less loaded of two random endpoints with a free slot, nil if there is none. Two choices spread
--- a/routing/table.go
+++ b/routing/table.go
@@ -27,13 +27,20 @@
 	ejectPercent  int
 	services      map[string]*service
 	leaving       leavingSet
-	// ignoreLeaving, ignoreHealth and ignoreBound switch rules off; only tests set them, to show that their checks
-	// need the rules.
-	ignoreLeaving bool
-	ignoreHealth  bool
-	ignoreBound   bool
+	// unsafe is set by UnsafeIgnore.
+	unsafe Rules
 }
 
+// Rules names rules of a Table.
+type Rules struct {
+	Leaving bool
+	Health  bool
+	Bound   bool
+}
+
+// UnsafeIgnore switches rules off. Only tests call it, to show that their checks need the rules.
+func (t *Table) UnsafeIgnore(rules Rules) { t.unsafe = rules }
+
 // service holds the endpoints of one service in order of their id.
 type service struct {
 	name      string
