--- a/config/packing.go
+++ b/config/packing.go
@@ -66,6 +66,9 @@
 // The result is part of the rule set: a change of the method needs a new RuleSet.
 func Pack(workers []resource.Worker, demands []Demand) ([]Cell, error) {
 	p := newPacker(workers, demands)
+	if err := p.shortage(); err != nil {
+		return nil, err
+	}
 	order := p.initialOrder()
 	firstFailed := -1
 	for range packRounds {
@@ -88,9 +91,46 @@
 		d.Account, d.Copy+1, d.Guarantee, describe(d.Shape))
 }
 
+// shortage returns an error if the demands need more than all workers have, or one needs more than any place can hold. It
+// names the reason, where a failed search could only name a demand.
+func (p *packer) shortage() error {
+	var needed resource.Resources
+	held := map[resource.Shape]bool{}
+	for _, d := range p.demands {
+		if !held[d.Shape] && !p.holdsAlone(d.Shape) {
+			return errkind.New(errkind.Infeasible, "guarantee a smaller shape, relax the adjacency or add workers",
+				"account %s: guarantee %d (%s) has no room even on empty workers", d.Account, d.Guarantee, describe(d.Shape))
+		}
+		held[d.Shape] = true
+		needed = needed.Add(d.Shape.Total())
+		if !needed.Fits(p.total) {
+			return errkind.New(errkind.Infeasible, "guarantee less or add workers",
+				"account %s: with copy %d of guarantee %d, guarantees need %s of %s", d.Account, d.Copy+1, d.Guarantee,
+				amount(needed), amount(p.total))
+		}
+	}
+	return nil
+}
+
+// holdsAlone reports whether empty workers hold the shape.
+func (p *packer) holdsAlone(s resource.Shape) bool {
+	p.empty()
+	return p.place(s) != nil
+}
+
+// empty gives all capacity back.
+func (p *packer) empty() {
+	for i, w := range p.workers {
+		p.free[i] = w.Capacity
+	}
+}
+
+func amount(r resource.Resources) string {
+	return fmt.Sprintf("%d accelerators, %d milli-CPU, %d MB", r.Accelerators, r.MilliCPU, r.MemoryMB)
+}
+
 func describe(s resource.Shape) string {
-	return fmt.Sprintf("%d members of %d accelerators, %d milli-CPU, %d MB, adjacency %s",
-		s.Members, s.PerMember.Accelerators, s.PerMember.MilliCPU, s.PerMember.MemoryMB, s.Adjacency)
+	return fmt.Sprintf("%d members of %s, adjacency %s", s.Members, amount(s.PerMember), s.Adjacency)
 }
 
 // promote moves demand to half its position.
@@ -178,9 +218,7 @@
 
 // tryOrder places the demands in order and returns the first that found no place, -1 if all did.
 func (p *packer) tryOrder(order []int) int {
-	for i, w := range p.workers {
-		p.free[i] = w.Capacity
-	}
+	p.empty()
 	for _, d := range order {
 		p.placed[d] = p.place(p.demands[d].Shape)
 		if p.placed[d] == nil {
--- a/configlog/append.go
+++ b/configlog/append.go
@@ -51,5 +51,10 @@
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	_, err = f.settings.Log.Append(ctx, platform.ConfigStream, [][]byte{raw})
+	if err != nil {
+		metricAppendErrors.Inc(1)
+	} else if record.Snapshot != nil {
+		metricSnapshots.Inc(1)
+	}
 	return err
 }
--- a/configlog/catchup.go
+++ b/configlog/catchup.go
@@ -118,6 +118,7 @@
 	}
 	f.settings.Logger.Error().Uint64("from", f.state.Next).Uint64("to", oldest).Msg("configuration records expired unread")
 	f.state.CarryOver(oldest)
+	metricCarriedOver.Inc(1)
 	f.relay.clear()
 	f.gapSince = time.Time{}
 	f.wake()
@@ -270,7 +271,11 @@
 		f.settings.Logger.Warn().Err(err).Str("peer", p.ID()).Msg("state of a peer cannot be used")
 		return false
 	}
-	return f.replace(state)
+	if !f.replace(state) {
+		return false
+	}
+	metricFromPeers.Inc(1)
+	return true
 }
 
 // everyPeerEmpty reports whether each peer answered that it has no configuration.
--- a/configlog/follower.go
+++ b/configlog/follower.go
@@ -261,6 +261,7 @@
 	f.publish()
 	f.mu.Unlock()
 	if err != nil && ctx.Err() == nil {
+		metricReadErrors.Inc(1)
 		f.settings.Logger.Warn().Err(err).Uint64("offset", from).Msg("configuration log cannot be read")
 	}
 	return err
@@ -315,6 +316,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.alarm = errkind.As(err).Message
+	metricStopped.Update(1)
 	return err
 }
 
@@ -364,8 +366,12 @@
 	if f.state.Stopped != nil {
 		return
 	}
+	began := time.Now()
 	decision := f.state.Fold(r.Offset, r.Data)
+	timeFold(began)
+	countDecision(decision)
 	if stop := f.state.Stopped; stop != nil {
+		metricStopped.Update(1)
 		f.settings.Logger.Error().Str("reason", string(stop.Reason)).Uint64("offset", stop.Offset).Msg(stop.Detail)
 		return
 	}
@@ -395,6 +401,7 @@
 		return
 	}
 	f.doc.Store(doc)
+	metricVersion.Update(int64(doc.Version))
 	for _, c := range f.subscribers {
 		select {
 		case <-c:
--- a/configlog/submit.go
+++ b/configlog/submit.go
@@ -163,6 +163,7 @@
 }
 
 func unknown(id, format string, args ...any) Decision {
+	metricUnknown.Inc(1)
 	return Decision{ID: id, Outcome: Unknown, Error: &errkind.Error{
 		Kind:    errkind.Unknown,
 		Message: fmt.Sprintf(format, args...),
--- a/operatorapi/api.go
+++ b/operatorapi/api.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"golang.org/x/sync/semaphore"
 
 	"github.com/redwingthread/redwingthread/config"
 	"github.com/redwingthread/redwingthread/configlog"
@@ -80,6 +81,8 @@
 	MaxBodyBytes int64
 	// Timeout bounds one request, so that a decision that cannot be read back is reported as unknown.
 	Timeout time.Duration
+	// MaxConcurrent bounds the requests handled at once; others are refused as overloaded.
+	MaxConcurrent int64
 	// Ready reports whether the daemon takes requests; nil for always.
 	Ready func() bool
 }
@@ -88,12 +91,15 @@
 const (
 	defaultMaxBodyBytes = 4 << 20
 	defaultTimeout      = 10 * time.Second
+	// defaultMaxConcurrent bounds the memory of requests to 64 bodies of the largest size.
+	defaultMaxConcurrent = 64
 )
 
 // API is the http.Handler of the operator API.
 type API struct {
 	settings Settings
 	mux      *http.ServeMux
+	slots    *semaphore.Weighted
 }
 
 // New returns the API.
@@ -104,7 +110,10 @@
 	if settings.Timeout == 0 {
 		settings.Timeout = defaultTimeout
 	}
-	a := &API{settings: settings, mux: http.NewServeMux()}
+	if settings.MaxConcurrent == 0 {
+		settings.MaxConcurrent = defaultMaxConcurrent
+	}
+	a := &API{settings: settings, mux: http.NewServeMux(), slots: semaphore.NewWeighted(settings.MaxConcurrent)}
 	a.routes()
 	return a
 }
--- a/operatorapi/api_test.go
+++ b/operatorapi/api_test.go
@@ -292,3 +292,43 @@
 		t.Errorf("%d %v", status, body)
 	}
 }
+
+// TestClient guards against a client that loses a decision or its error, or takes a change without an answer for refused.
+func TestClient(t *testing.T) {
+	f := newFixture(t, false)
+	server := httptest.NewServer(f.api)
+	c, err := NewClient(server.URL, "ana")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var patch config.Patch
+	if err := json.Unmarshal([]byte(goodPatch), &patch); err != nil {
+		t.Fatal(err)
+	}
+	if plan, err := c.Plan(t.Context(), patch); err != nil || len(plan.Changes) != 1 {
+		t.Errorf("plan %+v %v", plan, err)
+	}
+	if d, err := c.Submit(t.Context(), patch); err != nil || d.Outcome != configlog.Accepted || d.Version != 1 {
+		t.Errorf("submit %+v %v", d, err)
+	}
+	patch.ID = "p-2"
+	if d, err := c.Submit(t.Context(), patch); !errkind.Is(err, errkind.Conflict) || d.Outcome != configlog.Refused || d.Version != 1 {
+		t.Errorf("lost race %+v %v", d, err)
+	}
+	if doc, err := c.Document(t.Context(), new(uint64)); err != nil || doc.Version != 0 {
+		t.Errorf("version 0: %v", err)
+	}
+	if d, err := c.Settle(t.Context(), "p-2"); err != nil || d.Outcome != configlog.Refused {
+		t.Errorf("settle %+v %v", d, err)
+	}
+	if why, err := c.Why(t.Context(), "j-blades"); err != nil || why.Why != "running" {
+		t.Errorf("why %+v %v", why, err)
+	}
+	server.Close()
+	if _, err := c.Submit(t.Context(), patch); !errkind.Is(err, errkind.Unknown) {
+		t.Errorf("submit without an answer: %v", err)
+	}
+	if _, err := c.Status(t.Context()); !errkind.Is(err, errkind.Unavailable) {
+		t.Errorf("status without an answer: %v", err)
+	}
+}
--- a/operatorapi/respond.go
+++ b/operatorapi/respond.go
@@ -7,18 +7,35 @@
 	"io"
 	"net/http"
 
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
+
 	"github.com/redwingthread/redwingthread/errkind"
 )
 
 // handler serves one path. It returns the status and body of the answer, or a typed error.
 type handler func(ctx context.Context, r *http.Request, who principal) (status int, body any, err error)
 
-// handle registers h with authentication, body limit, time limit and typed errors.
+// tracer makes the spans of this package; they are dropped unless the daemon installs an exporter.
+var tracer = otel.Tracer("github.com/redwingthread/redwingthread/operatorapi")
+
+// handle registers h with a span, authentication, limits of requests at once, body and time, and typed errors.
 func (a *API) handle(pattern string, s scope, h handler) {
 	a.mux.HandleFunc(pattern, func(w http.ResponseWriter, r *http.Request) {
+		if !a.slots.TryAcquire(1) {
+			a.fail(w, r, principal{}, errkind.New(errkind.Overloaded, "try again in a moment",
+				"%d operator requests are under way", a.settings.MaxConcurrent))
+			return
+		}
+		defer a.slots.Release(1)
 		r.Body = http.MaxBytesReader(w, r.Body, a.settings.MaxBodyBytes)
-		ctx, cancel := context.WithTimeout(r.Context(), a.settings.Timeout)
+		ctx := otel.GetTextMapPropagator().Extract(r.Context(), propagation.HeaderCarrier(r.Header))
+		ctx, span := tracer.Start(ctx, pattern, trace.WithSpanKind(trace.SpanKindServer))
+		defer span.End()
+		ctx, cancel := context.WithTimeout(ctx, a.settings.Timeout)
 		defer cancel()
+		r = r.WithContext(ctx)
 		who, err := a.authenticate(r, s)
 		if err != nil {
 			a.fail(w, r, who, err)
@@ -30,11 +47,20 @@
 			return
 		}
 		a.settings.Logger.Info().Str("method", r.Method).Str("path", r.URL.Path).Int("status", status).
-			Str("operator", who.operator).Str("account", who.account).Msg("operator request")
+			Str("operator", who.operator).Str("account", who.account).Str("trace", traceID(ctx)).Msg("operator request")
 		respond(w, status, body)
 	})
 }
 
+// traceID returns the id of the trace that ctx belongs to, empty if there is none.
+func traceID(ctx context.Context) string {
+	span := trace.SpanContextFromContext(ctx)
+	if !span.HasTraceID() {
+		return ""
+	}
+	return span.TraceID().String()
+}
+
 // errorBody is the JSON form of an error answer.
 type errorBody struct {
 	Kind    errkind.Kind `json:"kind"`
@@ -54,7 +80,8 @@
 func (a *API) fail(w http.ResponseWriter, r *http.Request, who principal, err error) {
 	typed := errkind.As(err)
 	a.settings.Logger.Warn().Str("method", r.Method).Str("path", r.URL.Path).Int("status", typed.Kind.Status()).
-		Str("kind", string(typed.Kind)).Str("operator", who.operator).Str("account", who.account).Msg(typed.Message)
+		Str("kind", string(typed.Kind)).Str("operator", who.operator).Str("account", who.account).
+		Str("trace", traceID(r.Context())).Msg(typed.Message)
 	body := errorBody{Kind: typed.Kind, Message: typed.Message, Remedy: typed.Remedy, Outcome: outcomeNotRun}
 	if typed.Kind == errkind.Unknown || typed.Kind == errkind.Internal {
 		body.Outcome = outcomeUnknown
