--- a/config/config_test.go
+++ b/config/config_test.go
@@ -144,6 +144,22 @@
 	}
 }
 
+// TestDescribe guards against a review that misses a change or shows a whole token digest.
+func TestDescribe(t *testing.T) {
+	got := strings.Join(Describe(sample(1), []Op{
+		op("accounts/orders", Account{TokenDigest: TokenDigest("new"), Weight: 2}), op("drains/v", Drain{Reason: "disk"}),
+		{Op: OpRemove, Path: "workers/w-000"}, {Op: OpRemove, Path: "workers/none"}}), "\n")
+	for _, want := range []string{"accounts/orders weight: 1 -> 2", "token_digest: " + TokenDigest("orders")[:8] + "... -> ",
+		`drains/v: added, reason "disk"`, "workers/w-000: removed", "workers/none: not possible"} {
+		if !strings.Contains(got, want) {
+			t.Errorf("%q lacks %q", got, want)
+		}
+	}
+	if strings.Contains(got, TokenDigest("new")) {
+		t.Error("a token digest is shown")
+	}
+}
+
 // TestCanonicalEncoding guards against equal documents with different digests, which would raise a false alarm.
 func TestCanonicalEncoding(t *testing.T) {
 	doc := sample(50)
--- a/configlog/cluster_test.go
+++ b/configlog/cluster_test.go
@@ -112,7 +112,7 @@
 			var peers []Peer
 			for _, other := range c.nodes {
 				if other != n && !c.options.noPeers {
-					peers = append(peers, link{n, other})
+					peers = append(peers, NewPeer(fmt.Sprint(other.id), "", link{n, other}))
 				}
 			}
 			return peers
--- a/configlog/fake_test.go
+++ b/configlog/fake_test.go
@@ -180,34 +180,16 @@
 	return n.follower
 }
 
-// link is one node's way to another, a Peer.
+// link is one node's way to another, an inner.Caller.
 type link struct{ from, to *node }
 
-func (l link) ID() string { return string(rune('a' + l.to.id)) }
-
-// target returns the other node's follower after the network delay, or an error.
-func (l link) target(ctx context.Context) (*Follower, error) {
+// Call answers as the other node's follower does, after the network delay.
+func (l link) Call(ctx context.Context, _ string, req *inner.Request) (*inner.Response, error) {
 	sleep(ctx, time.Duration(1+l.from.cluster.roll(5))*time.Millisecond)
 	f := l.to.current()
 	if f == nil || !l.from.cluster.connected(l.from, l.to) {
 		<-ctx.Done()
 		return nil, ctx.Err()
 	}
-	return f, ctx.Err()
-}
-
-func (l link) FetchRecords(ctx context.Context, req inner.FetchRecords) (inner.FetchRecordsResponse, error) {
-	f, err := l.target(ctx)
-	if err != nil {
-		return inner.FetchRecordsResponse{}, err
-	}
-	return f.FetchRecords(req), nil
-}
-
-func (l link) FetchState(ctx context.Context) (inner.FetchStateResponse, error) {
-	f, err := l.target(ctx)
-	if err != nil {
-		return inner.FetchStateResponse{}, err
-	}
-	return f.FetchState()
+	return f.Handle(req)
 }
--- a/operatorapi/config.go
+++ b/operatorapi/config.go
@@ -80,6 +80,8 @@
 	Base    uint64      `json:"base"`
 	Version uint64      `json:"version"`
 	Changes []config.Op `json:"changes"`
+	// Summary has one line for each changed field.
+	Summary []string `json:"summary"`
 }
 
 func (a *API) plan(_ context.Context, r *http.Request, who principal) (int, any, error) {
@@ -91,7 +93,10 @@
 	if err != nil {
 		return 0, nil, err
 	}
-	return http.StatusOK, PlanResult{Base: before.Version, Version: after.Version, Changes: config.Diff(before, after)}, nil
+	changes := config.Diff(before, after)
+	return http.StatusOK, PlanResult{
+		Base: before.Version, Version: after.Version, Changes: changes, Summary: config.Describe(before, changes),
+	}, nil
 }
 
 // readPatch reads a patch. The author is the operator whose token was sent; another name is refused, so that the log of
