--- a/configlog/follower_test.go
+++ b/configlog/follower_test.go
@@ -113,6 +113,14 @@
 		if d := b.nodes[0].current().Submit(b.ctx, old); d.Outcome != Refused || d.Error.Kind != errkind.Conflict || d.Version != 1 {
 			t.Errorf("patch on an old base: %+v", d)
 		}
+		old.Base = 9
+		if d := b.nodes[0].current().Submit(b.ctx, old); d.Outcome != Unknown {
+			t.Errorf("patch on a version that cannot be read: %+v", d)
+		}
+		b.setDown(false)
+		if d := b.nodes[0].current().Submit(b.ctx, old); d.Outcome != Refused || d.Error.Kind != errkind.Conflict {
+			t.Errorf("patch on a version that does not exist: %+v", d)
+		}
 		if d := b.submit(0, "p-1", time.Second); d.Outcome != Accepted || d.Version != 1 {
 			t.Errorf("second submission of the same id: %+v", d)
 		}
--- a/configlog/submit.go
+++ b/configlog/submit.go
@@ -21,6 +21,13 @@
 	if patch.ID == "" {
 		patch.ID = uuid.NewString()
 	}
+	if doc := f.Document(); doc != nil && patch.Base > doc.Version {
+		// The patch may have been written against a version that this process has yet to read.
+		// Without the log a refusal could be wrong: another process may have appended the same patch on that version.
+		if f.CatchUp(ctx) != nil {
+			return unknown(patch.ID, "version %d, the base of patch %s, cannot be read from the log", patch.Base, patch.ID)
+		}
+	}
 	if d, done := f.precheck(patch); done {
 		return d
 	}
@@ -28,35 +35,41 @@
 	return f.appendAndSettle(ctx, patch.ID, record)
 }
 
-// precheck decides without the log what the fold would refuse anyway: the version only grows, so a patch on an older base
-// or a faulty one on the base in force can never take effect.
+// precheck decides without the log what can never take effect unless it is appended: the version only grows, so a patch
+// on an older base, a faulty one on the base in force and one on a version that does not exist are refused.
 func (f *Follower) precheck(patch config.Patch) (Decision, bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
 	d := Decision{ID: patch.ID, Outcome: Refused, Base: patch.Base, Author: patch.Author, Reason: patch.Reason}
-	if f.state == nil || f.state.Doc == nil {
+	doc, stop := f.stateNow()
+	if doc == nil {
 		d.Error = plain(notInitialised())
 		return d, true
 	}
-	if decided, ok := f.state.Decision(patch.ID); ok {
+	if decided, ok := f.decision(patch.ID); ok {
 		return decided, true
 	}
-	d.Version = f.state.Doc.Version
-	if f.state.Stopped != nil {
-		d.Error = &errkind.Error{Kind: errkind.Unavailable, Message: "this process follows the configuration no further: " + f.state.Stopped.Detail,
+	d.Version = doc.Version
+	if stop != nil {
+		d.Error = &errkind.Error{Kind: errkind.Unavailable, Message: "this process follows the configuration no further: " + stop.Detail,
 			Remedy: "upgrade it or submit through another process"}
 		return d, true
 	}
-	if patch.Base > f.state.Doc.Version {
-		return d, false
-	}
-	if _, err := config.Apply(f.state.Doc, patch); err != nil {
+	if _, err := config.Apply(doc, patch); err != nil {
 		d.Error = plain(err)
 		return d, true
 	}
 	return d, false
 }
 
+// stateNow returns the document in force and the reason for which the fold goes no further, nil if it does.
+func (f *Follower) stateNow() (*config.Document, *Stop) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.state == nil {
+		return nil, nil
+	}
+	return f.state.Doc, f.state.Stopped
+}
+
 // Plan returns the ops that a patch would make of the document in force, or its refusal.
 func (f *Follower) Plan(patch config.Patch) (before, after *config.Document, err error) {
 	doc := f.Document()
--- a/operatorapi/api_test.go
+++ b/operatorapi/api_test.go
@@ -204,6 +204,7 @@
 		"settle absent":          {"GET", "/v1/config/patches/p-9", "ana", "", 502, "unknown"},
 		"path below a patch":     {"GET", "/v1/config/patches/p-9/x", "ana", "", 404, "not_found"},
 		"withdraw":               {"POST", "/v1/config/patches/p-9/withdraw", "ana", `{"reason":"late"}`, 200, "withdrawn"},
+		"withdraw, bad id":       {"POST", "/v1/config/patches/p%209/withdraw", "ana", `{"reason":"r"}`, 400, "id of a patch"},
 		"withdraw, no reason":    {"POST", "/v1/config/patches/p-9/withdraw", "ana", `{}`, 400, "reason"},
 		"status":                 {"GET", "/v1/config/status", "ana", "", 200, `"version":"unknown"`},
 		"health":                 {"GET", "/v1/health", "ana", "", 200, "vm-2"},
--- a/operatorapi/config.go
+++ b/operatorapi/config.go
@@ -144,6 +144,9 @@
 	if err := readJSON(r, &body); err != nil {
 		return 0, nil, err
 	}
+	if id := r.PathValue("id"); !validID(id) {
+		return 0, nil, errkind.New(errkind.BadInput, "give the id of a patch", "%q cannot be the id of a patch", id)
+	}
 	if err := setAuthor(&body.Author, who); err != nil {
 		return 0, nil, err
 	}
