--- /dev/null
+++ b/gateway/fixture_test.go
@@ -0,0 +1,279 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+
+	"github.com/redwingthread/redwingthread/config"
+	"github.com/redwingthread/redwingthread/errkind"
+	"github.com/redwingthread/redwingthread/inner"
+	"github.com/redwingthread/redwingthread/invariant"
+)
+
+// fixture is a deployment of gateways over in-memory endpoints.
+type fixture struct {
+	t         testing.TB
+	net       *memNet
+	doc       *config.Document
+	ledger    *ledger
+	endpoints map[string]*fakeEndpoint
+	mu        sync.Mutex
+	gateways  map[string]*node
+	log       *invariant.Log
+	// unsafe switches rules of each new gateway off, nil for none.
+	unsafe func(n *node)
+	cancel context.CancelFunc
+	ctx    context.Context
+}
+
+// node is one gateway of a fixture.
+type node struct {
+	*Gateway
+	fixture *fixture
+	member  inner.Member
+	cancel  context.CancelFunc
+	dead    chan struct{}
+}
+
+func tokenOf(account string) string { return "token-" + account }
+
+func digestOf(token string) string {
+	sum := sha256.Sum256([]byte(token))
+	return hex.EncodeToString(sum[:])
+}
+
+// newFixture makes a deployment with endpoints e-0 and so on, spread over the failure domains fd-0 to fd-2.
+func newFixture(t testing.TB, endpoints, slots int) *fixture {
+	f := &fixture{t: t, net: newMemNet(time.Millisecond), ledger: &ledger{}, endpoints: map[string]*fakeEndpoint{},
+		gateways: map[string]*node{}, log: &invariant.Log{}}
+	f.ctx, f.cancel = context.WithCancel(context.Background())
+	service := config.Service{Name: "scan", TimeoutMS: 4000, MaxBodyBytes: 1 << 16, Endpoints: map[string]config.Endpoint{}}
+	for i := range endpoints {
+		id := fmt.Sprintf("e-%d", i)
+		service.Endpoints[id] = config.Endpoint{ID: id, FailureDomain: fmt.Sprintf("fd-%d", i%3), Address: id,
+			Slots: slots, MaxConnections: 64}
+		f.endpoints[id] = &fakeEndpoint{id: id, address: id, incarnation: id + "-1", slots: slots, ledger: f.ledger}
+		go f.endpoints[id].serve(f.net.listen(id))
+	}
+	f.doc = &config.Document{Accounts: map[string]config.Account{}, Services: map[string]config.Service{"scan": service}}
+	for _, name := range []string{"orders", "blades", "flood"} {
+		f.doc.Accounts[name] = config.Account{Name: name, TokenDigest: digestOf(tokenOf(name)), Weight: 1}
+	}
+	t.Cleanup(invariant.SetRecorder(f.log.Record))
+	return f
+}
+
+// start adds a gateway.
+func (f *fixture) start(vm, incarnation, failureDomain string, change func(*Options)) *node {
+	member := inner.Member{FailureDomain: failureDomain, VM: vm, Role: "gateway", Incarnation: incarnation, Address: vm}
+	n := &node{fixture: f, member: member, dead: make(chan struct{})}
+	o := Options{
+		Self:     member,
+		Config:   func() *config.Document { return f.doc },
+		Gateways: f.members,
+		Caller:   n,
+		Dial:     func(ctx context.Context, address string) (net.Conn, error) { return f.net.dial(ctx, vm, address) },
+		Seed:     7,
+		Log:      zerolog.Nop(),
+		Metrics:  metrics.NewRegistry(),
+	}
+	if change != nil {
+		change(&o)
+	}
+	g, err := New(o)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	n.Gateway = g
+	if f.unsafe != nil {
+		f.unsafe(n)
+	}
+	f.mu.Lock()
+	f.gateways[vm] = n
+	f.mu.Unlock()
+	ctx, cancel := context.WithCancel(f.ctx)
+	n.cancel = cancel
+	go g.Run(ctx)
+	return n
+}
+
+// members lists the live gateways.
+func (f *fixture) members() []inner.Member {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	list := make([]inner.Member, 0, len(f.gateways))
+	for _, n := range f.gateways {
+		list = append(list, n.member)
+	}
+	return list
+}
+
+// kill ends a gateway without warning: callers and peers hear nothing more of it.
+func (f *fixture) kill(n *node) {
+	f.mu.Lock()
+	if f.gateways[n.member.VM] == n {
+		delete(f.gateways, n.member.VM)
+	}
+	f.mu.Unlock()
+	n.cancel()
+	close(n.dead)
+	f.net.kill(n.member.VM)
+}
+
+// Call carries an inner message to a peer over the faults of the network.
+func (n *node) Call(ctx context.Context, address string, req *inner.Request) (*inner.Response, error) {
+	f := n.fixture
+	if err := f.cross(ctx, n.member.VM, address); err != nil {
+		return nil, err
+	}
+	f.mu.Lock()
+	peer := f.gateways[address]
+	f.mu.Unlock()
+	if peer == nil {
+		return nil, errRefused
+	}
+	type reply struct {
+		response *inner.Response
+		err      error
+	}
+	replies := make(chan reply, 1)
+	go func() {
+		response, err := peer.Handle(ctx, n.member, req)
+		replies <- reply{response, err}
+	}()
+	select {
+	case r := <-replies:
+		if err := f.cross(ctx, address, n.member.VM); err != nil {
+			return nil, err
+		}
+		return r.response, r.err
+	case <-peer.dead:
+		return nil, io.ErrUnexpectedEOF
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// cross waits until a message can pass from one host to another.
+func (f *fixture) cross(ctx context.Context, from, to string) error {
+	for {
+		held, changed := f.net.blocked(from, to)
+		if !held {
+			time.Sleep(f.net.delay)
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// reply is what a caller saw. Outcome is empty if the gateway died before it answered.
+type reply struct {
+	status  int
+	outcome string
+	kind    errkind.Kind
+	key     string
+	body    string
+	aborted bool
+}
+
+// sending is a request of a test caller.
+type sending struct {
+	account string
+	method  string
+	key     string
+	body    string
+	path    string
+	timeout time.Duration
+	header  http.Header
+}
+
+// send makes a request at a gateway. It returns early if the gateway dies.
+func (n *node) send(s sending) reply {
+	if s.path == "" {
+		s.path = "/v1/services/scan/work"
+	}
+	r := httptest.NewRequest(s.method, s.path, bytes.NewReader([]byte(s.body)))
+	for name, values := range s.header {
+		r.Header[name] = values
+	}
+	r.Header.Set("Authorization", "Bearer "+tokenOf(s.account))
+	if s.key != "" {
+		r.Header.Set(headerKey, s.key)
+	}
+	if s.timeout > 0 {
+		r.Header.Set(headerTimeout, strconv.FormatInt(s.timeout.Milliseconds(), 10))
+	}
+	done := make(chan reply, 1)
+	go func() { done <- n.serveOnce(r) }()
+	select {
+	case answer := <-done:
+		return answer
+	case <-n.dead:
+		return reply{}
+	}
+}
+
+// serveOnce runs the handler and reads the recorded response.
+func (n *node) serveOnce(r *http.Request) (out reply) {
+	w := httptest.NewRecorder()
+	defer func() {
+		if recover() != nil {
+			out = reply{aborted: true}
+		}
+	}()
+	n.ServeHTTP(w, r)
+	out = reply{status: w.Code, outcome: w.Header().Get(headerOutcome), key: w.Header().Get(headerKey), body: w.Body.String()}
+	var typed struct {
+		Kind errkind.Kind `json:"kind"`
+		Key  string       `json:"key"`
+	}
+	if json.Unmarshal(w.Body.Bytes(), &typed) == nil {
+		out.kind = typed.Kind
+		if typed.Key != "" {
+			out.key = typed.Key
+		}
+	}
+	return out
+}
+
+// newKey gets a request key.
+func (n *node) newKey(account string) string {
+	return n.send(sending{account: account, method: http.MethodPost, path: "/v1/keys"}).key
+}
+
+// close ends all gateways and endpoints.
+func (f *fixture) close() {
+	f.cancel()
+	f.mu.Lock()
+	nodes := make([]*node, 0, len(f.gateways))
+	for _, n := range f.gateways {
+		nodes = append(nodes, n)
+	}
+	f.mu.Unlock()
+	for _, n := range nodes {
+		f.kill(n)
+	}
+	for id, e := range f.endpoints {
+		f.net.kill(id)
+		e.stopListening()
+	}
+}
