routing: compare both ways of sharing slots, age load reports by exchange time

Driver: 50 endpoints of 8 slots, 3 failure domains, exponential exchanges of 50 ms, 1 ms per message, 60,000 requests. (a) slots owned by one gateway of the failure domain and lent, (b) less loaded of two random endpoints by reported load.

Cause: full endpoints stayed avoided long after their requests ended.

Conclusion: (a) waits less up to 90% load, (b) less above it, and (b) keeps all slots in use when a gateway is lost without a protocol. (b) stays in the program; its cost is that endpoints see more requests than slots for short times.

--- a/routing/choose.go
+++ b/routing/choose.go
@@ -5,18 +5,20 @@
 	"time"
 )
 
-// Age limits of a load report. A report counts in full up to reportFresh; after that the requests of other gateways are
-// assumed to end, and from reportStale on they no longer count. Without this, an endpoint reported as full would never
-// be tried again by a gateway that sends it nothing.
+// Ages at which a load report counts half: the fixed one if the exchange time is not known, else a multiple of that.
+// Reports must lose weight: an endpoint reported as full would otherwise never be tried again by a gateway that sends
+// it nothing. With a fixed age of 100 to 500 ms, exchanges of 50 ms left free slots unused at 90% load.
 const (
-	reportFresh = 100 * time.Millisecond
-	reportStale = 500 * time.Millisecond
+	reportLife      = 50 * time.Millisecond
+	reportExchanges = 2
 )
 
 // load is what an endpoint last reported about its use by other gateways.
 type load struct {
 	others int
 	at     time.Time
+	// exchange is the mean time of an exchange, by which requests of other gateways end.
+	exchange time.Duration
 }
 
 // report takes in the number of exchanges that the endpoint counted, own ones included.
@@ -28,13 +30,11 @@
 // estimate returns the exchanges of other gateways that probably still run.
 func (l *load) estimate(now time.Time) float64 {
 	age := now.Sub(l.at)
-	switch {
-	case age <= reportFresh:
-		return float64(l.others)
-	case age >= reportStale:
-		return 0
+	life := reportExchanges * l.exchange
+	if life <= 0 {
+		life = reportLife
 	}
-	return float64(l.others) * float64(reportStale-age) / float64(reportStale-reportFresh)
+	return float64(l.others) / (1 + float64(age)/float64(life))
 }
 
 // use returns the estimated exchanges at the endpoint.
--- a/routing/health.go
+++ b/routing/health.go
@@ -119,6 +119,7 @@
 		t.observe(e, r.Incarnation, r.Leaving, now)
 	}
 	t.judge(e, c.Probe, r, now)
+	e.load.exchange = e.health.took
 }
 
 // judge updates the health of an endpoint.
--- a/routing/sharing_test.go
+++ b/routing/sharing_test.go
@@ -72,6 +72,7 @@
 		took := time.Duration(s.random.ExpFloat64() * float64(simService))
 		run := func() {
 			s.after(took, func() {
+				load := e.busy
 				e.busy--
 				if len(e.waiting) > 0 {
 					next := e.waiting[0]
@@ -94,7 +95,7 @@
 }
 
 // runSim returns the driver after requests were served at the share of capacity, with owned slots or by reported load.
-func runSim(gateways int, load float64, owned bool) *sim {
+func runSim(gateways int, load float64, owned, ownerDead bool) *sim {
 	s := &sim{now: time.Unix(0, 0), random: rand.New(rand.NewPCG(3, uint64(gateways))), endpoints: map[string]*simEndpoint{}}
 	doc := &config.Document{Services: map[string]config.Service{"s": {Endpoints: map[string]config.Endpoint{}}}}
 	byDomain := map[string][]string{}
@@ -126,12 +127,18 @@
 		stocks[g] = NewOwned(slots, ids, uint64(g)+1)
 	}
 	for g := range gateways {
+		if g == 0 && ownerDead {
+			continue
+		}
 		// The balancer's share per gateway keeps each failure domain at the same load.
 		share := float64(len(byDomain[s.domain[g]])*simSlots) / float64(len(members[s.domain[g]]))
+		if ownerDead && s.domain[g] == s.domain[0] {
+			share *= float64(len(members[s.domain[0]])) / float64(len(members[s.domain[0]])-1)
+		}
 		gap := float64(simService) / share / load
 		var pump func()
 		if owned {
-			pump = s.pumpOwned(g, stocks, members[s.domain[g]])
+			pump = s.pumpOwned(g, stocks, members[s.domain[g]], ownerDead)
 		} else {
 			pump = s.pumpReported(g, tables[g])
 		}
@@ -199,7 +206,7 @@
 }
 
 // pumpOwned dispatches to owned slots and borrows from the other gateways of the failure domain when none is free.
-func (s *sim) pumpOwned(g int, stocks []*Owned, members []int) func() {
+func (s *sim) pumpOwned(g int, stocks []*Owned, members []int, ownerDead bool) func() {
 	borrowing := 0
 	var pump func()
 	pump = func() {
@@ -220,7 +227,7 @@
 			borrowing++
 			s.after(simDelay, func() {
 				id, ok := "", false
-				if len(s.queues[peer]) == 0 {
+				if len(s.queues[peer]) == 0 && !(peer == 0 && ownerDead) {
 					id, ok = stocks[peer].Take()
 				}
 				s.after(simDelay, func() {
@@ -246,9 +253,9 @@
 // TestSharing compares both ways of sharing slots.
 func TestSharing(t *testing.T) {
 	for _, gateways := range []int{6, 7} {
-		for _, load := range []float64{0.7, 0.9, 0.95} {
+		for _, load := range []float64{0.7, 0.9, 0.95, -0.7} {
 			for _, owned := range []bool{true, false} {
-				s := runSim(gateways, load, owned)
+				s := runSim(gateways, max(load, -load), owned, load < 0)
 				n := len(s.waits)
 				var sum time.Duration
 				for _, w := range s.waits {
