--- /dev/null
+++ b/admission/queue_test.go
@@ -0,0 +1,133 @@
+package admission
+
+import (
+	"testing"
+	"time"
+
+	"github.com/redwingthread/redwingthread/errkind"
+)
+
+var start = time.Unix(1000, 0)
+
+func accept(*Item[int]) bool { return true }
+
+func item(account string, deadline time.Duration) *Item[int] {
+	return &Item[int]{Account: account, Deadline: start.Add(deadline)}
+}
+
+// TestFairness guards against one account's requests keeping those of others waiting beyond their share by weight.
+func TestFairness(t *testing.T) {
+	weights := map[string]int{"a": 1, "b": 3}
+	for _, unfair := range []bool{false, true} {
+		q := NewQueue[int](DefaultLimits(), func(account string) int { return weights[account] })
+		if unfair {
+			q.UnsafeUnbounded()
+		}
+		for _, account := range []string{"a", "b"} {
+			for range 400 {
+				if _, err := q.Offer(item(account, time.Hour), start); err != nil {
+					t.Fatal(err)
+				}
+			}
+		}
+		served := map[string]int{}
+		for range 400 {
+			next, _ := q.Next(start, accept)
+			served[next.Account]++
+		}
+		if fair := served["a"] == 100 && served["b"] == 300; fair == unfair {
+			t.Errorf("unfair %v: served %v", unfair, served)
+		}
+	}
+}
+
+// TestBounds guards against queues that grow without bound, and against a flood that fills the queue for others.
+func TestBounds(t *testing.T) {
+	q := NewQueue[int](Limits{Queued: 10, QueuedPerAccount: 8, WaitPercent: 50}, func(string) int { return 1 })
+	refused, pushedOut := 0, 0
+	for _, account := range []string{"flood", "a"} {
+		for range 12 {
+			out, err := q.Offer(item(account, time.Hour), start)
+			if errkind.Is(err, errkind.Overloaded) {
+				refused++
+			}
+			if out != nil {
+				pushedOut++
+				if out.Account != "flood" {
+					t.Errorf("request of %s was pushed out", out.Account)
+				}
+			}
+		}
+	}
+	if q.Len() != 10 || refused != 11 || pushedOut != 3 {
+		t.Errorf("got %d waiting, %d refused, %d pushed out", q.Len(), refused, pushedOut)
+	}
+}
+
+// TestDeadlines guards against work past its deadline, queued or dispatched, and against waits that cannot be met.
+func TestDeadlines(t *testing.T) {
+	q := NewQueue[int](DefaultLimits(), func(string) int { return 1 })
+	if _, err := q.Offer(item("a", 0), start); !errkind.Is(err, errkind.DeadlineExceeded) {
+		t.Errorf("late request got %v", err)
+	}
+	q.Served(100 * time.Millisecond)
+	q.Offer(item("a", 150*time.Millisecond), start)
+	q.Offer(item("a", time.Second), start)
+	next, dropped := q.Next(start.Add(100*time.Millisecond), accept)
+	if len(dropped) != 1 || next == nil || q.Len() != 0 {
+		t.Errorf("got %v, dropped %d", next, len(dropped))
+	}
+	// 10 requests per second were dispatched, so that 20 waiting ones take 2 s.
+	now := start
+	for range 20 {
+		q.Offer(item("a", time.Hour), now)
+		q.Next(now, accept)
+		now = now.Add(100 * time.Millisecond)
+	}
+	for range 20 {
+		q.Offer(item("a", time.Hour), now)
+	}
+	soon := &Item[int]{Account: "a", Deadline: now.Add(2 * time.Second)}
+	if _, err := q.Offer(soon, now); !errkind.Is(err, errkind.Overloaded) {
+		t.Errorf("request that must wait too long got %v", err)
+	}
+	// Another account has half of the rate for itself.
+	other := &Item[int]{Account: "b", Deadline: now.Add(2 * time.Second)}
+	if _, err := q.Offer(other, now); err != nil {
+		t.Errorf("request of an account without backlog got %v", err)
+	}
+}
+
+// TestRefusedStays guards against a request that is lost when no slot is free for it.
+func TestRefusedStays(t *testing.T) {
+	q := NewQueue[int](DefaultLimits(), func(string) int { return 1 })
+	first := item("a", time.Hour)
+	q.Offer(first, start)
+	if next, _ := q.Next(start, func(*Item[int]) bool { return false }); next != nil || q.Len() != 1 {
+		t.Errorf("got %v, %d waiting", next, q.Len())
+	}
+	if !q.Remove(first) || q.Remove(first) || q.Len() != 0 {
+		t.Error("waiting request could not be removed once")
+	}
+	if next, _ := q.Next(start, accept); next != nil {
+		t.Error("removed request was dispatched")
+	}
+}
+
+// TestBudget guards against retries that multiply the load, and against accounts that can never retry.
+func TestBudget(t *testing.T) {
+	b := NewBudgets()
+	retries := 0
+	for range 1000 {
+		b.First("a", 20)
+		if b.Retry("a") {
+			retries++
+		}
+	}
+	if retries < 200 || retries > 200+retryReserve {
+		t.Errorf("%d retries for 1000 first attempts at 20%%", retries)
+	}
+	if !b.Retry("b") {
+		t.Error("new account cannot retry")
+	}
+}
--- /dev/null
+++ b/routing/table_test.go
@@ -0,0 +1,181 @@
+package routing
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/redwingthread/redwingthread/config"
+	"github.com/redwingthread/redwingthread/invariant"
+)
+
+var start = time.Unix(1000, 0)
+
+// testTable returns a table of a gateway in fd-0 with n endpoints in turn in fd-0 and fd-1.
+func testTable(n, connections int) *Table {
+	endpoints := map[string]config.Endpoint{}
+	for i := range n {
+		id := fmt.Sprintf("e-%d", i)
+		endpoints[id] = config.Endpoint{FailureDomain: fmt.Sprintf("fd-%d", i%2), Address: id, Slots: 8,
+			MaxConnections: connections}
+	}
+	t := NewTable("fd-0", 1)
+	t.SetConfig(&config.Document{Services: map[string]config.Service{"s": {Endpoints: endpoints}}})
+	return t
+}
+
+// TestConnectionBound guards against more connections than this gateway's share of an endpoint's bound.
+func TestConnectionBound(t *testing.T) {
+	for connections, want := range map[int]int{64: 8, 63: 7, 15: 1, 7: 0} {
+		for _, ignore := range []bool{false, true} {
+			table := testTable(1, connections)
+			table.UnsafeIgnore(Rules{Bound: ignore})
+			got := 0
+			for got < 20 {
+				if _, ok := table.Pick("s", nil, false, start); !ok {
+					break
+				}
+				got++
+			}
+			if (got != want) != (ignore && want > 0) {
+				t.Errorf("%d connections, bound ignored %v: got %d exchanges at once, want %d", connections, ignore, got, want)
+			}
+		}
+	}
+}
+
+// TestEjection guards against requests for endpoints that fail, are slow or flap, against too many ejections, and
+// against an ejected endpoint that never returns.
+func TestEjection(t *testing.T) {
+	bad := map[string]func(round int, id string) Report{
+		"failing":      func(int, string) Report { return Report{Kind: Failed, Inflight: -1} },
+		"server error": func(int, string) Report { return Report{Kind: ServerError, Took: time.Millisecond, Inflight: -1} },
+		"slow":         func(int, string) Report { return Report{Took: time.Second, Inflight: -1} },
+		"unreachable":  func(int, string) Report { return Report{Kind: NoConnection, Inflight: -1} },
+	}
+	for name, report := range bad {
+		for _, ignore := range []bool{false, true} {
+			table := testTable(20, 64)
+			table.UnsafeIgnore(Rules{Health: ignore})
+			now := start
+			late := 0
+			for round := range 3000 {
+				now = now.Add(time.Millisecond)
+				c, ok := table.Pick("s", nil, false, now)
+				if !ok {
+					t.Fatalf("%s: no endpoint in round %d", name, round)
+				}
+				r := Report{Took: 10 * time.Millisecond, Inflight: -1}
+				if c.Endpoint == "e-0" {
+					r = report(round, c.Endpoint)
+					if round >= 2000 {
+						late++
+					}
+				}
+				table.Done(c, r, now)
+			}
+			if (late > 0) != ignore {
+				t.Errorf("%s: endpoint got %d late requests, health ignored %v", name, late, ignore)
+			}
+		}
+	}
+}
+
+// TestEjectionBound guards against a fault of the gateway itself that ejects every endpoint.
+func TestEjectionBound(t *testing.T) {
+	table := testTable(20, 64)
+	now := start
+	for range 2000 {
+		now = now.Add(time.Millisecond)
+		if c, ok := table.Pick("s", nil, false, now); ok {
+			table.Done(c, Report{Kind: Failed, Inflight: -1}, now)
+		}
+	}
+	n := 0
+	for _, e := range table.Status() {
+		if e.Ejected {
+			n++
+		}
+	}
+	if n == 0 || n > 6 {
+		t.Errorf("%d of 20 endpoints are ejected, bound 30%%", n)
+	}
+}
+
+// TestProbing guards against a probe that harms a request that cannot be repeated, or more than one at a time.
+func TestProbing(t *testing.T) {
+	table := testTable(8, 64)
+	eject := func(now time.Time) {
+		for range failuresInRow {
+			table.Done(Choice{Service: "s", Endpoint: "e-0", Address: "e-0"}, Report{Kind: Failed, Inflight: -1}, now)
+		}
+	}
+	eject(start)
+	now := start.Add(ejectBase)
+	if c, _ := table.Pick("s", nil, false, now); c.Probe {
+		t.Fatal("request that cannot be repeated is a probe")
+	}
+	probe, _ := table.Pick("s", nil, true, now)
+	if second, _ := table.Pick("s", nil, true, now); !probe.Probe || second.Probe {
+		t.Fatalf("got probes %v and %v", probe, second)
+	}
+	table.Done(probe, Report{Kind: Failed, Inflight: -1}, now)
+	if c, _ := table.Pick("s", nil, true, now.Add(ejectBase)); c.Probe {
+		t.Error("ejection after a failed probe is not longer")
+	}
+	probe, _ = table.Pick("s", nil, true, now.Add(2*ejectBase))
+	table.Done(probe, Report{Took: time.Millisecond, Inflight: -1}, now.Add(2*ejectBase))
+	if !probe.Probe || table.Status()[0].Ejected {
+		t.Errorf("got probe %v, status %v", probe, table.Status()[0])
+	}
+}
+
+// TestFlapping guards against an endpoint that comes and goes and takes requests down with it each time.
+func TestFlapping(t *testing.T) {
+	table := testTable(8, 64)
+	now := start
+	for range flapCount {
+		for range unreachableAfter {
+			table.Done(Choice{Service: "s", Endpoint: "e-0", Address: "e-0"}, Report{Kind: NoConnection, Inflight: -1}, now)
+		}
+		now = now.Add(probeBase)
+		for _, p := range table.Probes(now) {
+			table.ProbeDone(p, ProbeResult{Connected: true}, now)
+		}
+	}
+	if !table.Status()[0].Ejected {
+		t.Error("flapping endpoint is not ejected")
+	}
+}
+
+// TestLeavingAssertion guards against an assertion that does not notice work for a leaving endpoint.
+func TestLeavingAssertion(t *testing.T) {
+	for _, ignore := range []bool{false, true} {
+		table := testTable(1, 64)
+		table.UnsafeIgnore(Rules{Leaving: ignore})
+		table.Done(Choice{Service: "s", Endpoint: "e-0", Address: "e-0"}, Report{Incarnation: "i", Leaving: true}, start)
+		now := start.Add(LeavingBound + time.Millisecond)
+		var log invariant.Log
+		restore := invariant.SetRecorder(log.Record)
+		c, ok := table.Pick("s", nil, false, now)
+		if ok {
+			table.Dispatching(c, now)
+		}
+		restore()
+		if ok != ignore || len(log.Violations()) > 0 != ignore {
+			t.Errorf("leaving ignored %v: picked %v, violations %v", ignore, ok, log.Violations())
+		}
+	}
+}
+
+// TestLateResponseOfOldIncarnation guards against an old incarnation's late response that marks the new one as leaving.
+func TestLateResponseOfOldIncarnation(t *testing.T) {
+	table := testTable(1, 64)
+	c := Choice{Service: "s", Endpoint: "e-0", Address: "e-0"}
+	for i, r := range []Report{{Incarnation: "old"}, {Incarnation: "new"}, {Incarnation: "old", Leaving: true}} {
+		table.Done(c, r, start)
+		if table.Status()[0].Leaving {
+			t.Errorf("endpoint is leaving after report %d", i)
+		}
+	}
+}
