--- /dev/null
+++ b/endpoint/pool_test.go
@@ -0,0 +1,168 @@
+package endpoint
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// serve starts an endpoint on loopback. answer writes the response to a request and reports whether to go on.
+func serve(t *testing.T, answer func(c net.Conn, r *http.Request) bool) (address string) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				reader := bufio.NewReader(c)
+				for {
+					r, err := http.ReadRequest(reader)
+					if err != nil {
+						return
+					}
+					if _, err := io.Copy(io.Discard, r.Body); err != nil || !answer(c, r) {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+// respond writes a whole response.
+func respond(c net.Conn, r *http.Request, body string) bool {
+	_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Digest: %s\r\nContent-Length: %d\r\n\r\n%s",
+		HeaderRequestID, r.Header.Get(HeaderRequestID), FormatDigest([]byte(body)), len(body), body)
+	return err == nil
+}
+
+func attempt(p *Pools, address, id string, bound int) Result {
+	return p.Attempt(context.Background(), address, bound, &Request{
+		ID: id, Method: "POST", Path: "/x?y=1", Body: []byte("b"), Deadline: time.Now().Add(5 * time.Second),
+		Timeout: 300 * time.Millisecond, BufferBytes: 1000, BeforeWrite: func() error { return nil },
+	})
+}
+
+// TestWritten guards against an attempt that claims that nothing was written when something may have been.
+func TestWritten(t *testing.T) {
+	pools := NewPools(NetDial)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.Close()
+	if r := attempt(pools, l.Addr().String(), "1", 1); r.Failure != NoConnection || r.Written {
+		t.Errorf("refused connection: got %+v", r)
+	}
+	silent := serve(t, func(net.Conn, *http.Request) bool { time.Sleep(time.Second); return false })
+	if r := attempt(pools, silent, "1", 1); r.Failure != Timeout || !r.Written || pools.Open(silent) != 0 {
+		t.Errorf("silent endpoint: got %+v", r)
+	}
+	closing := serve(t, func(net.Conn, *http.Request) bool { return false })
+	if r := attempt(pools, closing, "1", 1); r.Failure != Broken || !r.Written || pools.Open(closing) != 0 {
+		t.Errorf("closed connection: got %+v", r)
+	}
+}
+
+// TestStaleConnection guards against a write on a connection that the endpoint closed or sent something on while it was
+// idle: such an attempt would end as unknown although a new connection works.
+func TestStaleConnection(t *testing.T) {
+	for _, extra := range []string{"", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"} {
+		var exchanges atomic.Int32
+		address := serve(t, func(c net.Conn, r *http.Request) bool {
+			exchanges.Add(1)
+			ok := respond(c, r, "b")
+			time.Sleep(20 * time.Millisecond)
+			if extra != "" {
+				io.WriteString(c, extra)
+				return ok
+			}
+			return false
+		})
+		pools := NewPools(NetDial)
+		for i := range 3 {
+			if r := attempt(pools, address, fmt.Sprint(i), 1); r.Failure != NoFailure || string(r.Response.Body) != "b" {
+				t.Errorf("extra %q, attempt %d: got %+v", extra, i, r)
+			}
+			time.Sleep(60 * time.Millisecond)
+		}
+		if n := exchanges.Load(); n != 3 {
+			t.Errorf("extra %q: endpoint saw %d requests", extra, n)
+		}
+	}
+}
+
+// TestBound guards against more connections than allowed, also while some are being opened.
+func TestBound(t *testing.T) {
+	var open, most atomic.Int32
+	address := serve(t, func(c net.Conn, r *http.Request) bool {
+		most.Store(max(most.Load(), open.Add(1)))
+		time.Sleep(30 * time.Millisecond)
+		open.Add(-1)
+		return respond(c, r, "b")
+	})
+	pools := NewPools(NetDial)
+	var all sync.WaitGroup
+	var busy atomic.Int32
+	for i := range 20 {
+		all.Go(func() {
+			if r := attempt(pools, address, fmt.Sprint(i), 4); r.Failure == Busy && !r.Written {
+				busy.Add(1)
+			}
+		})
+	}
+	all.Wait()
+	if most.Load() > 4 || busy.Load() < 10 || pools.Open(address) > 4 {
+		t.Errorf("most %d at once, %d busy, %d open", most.Load(), busy.Load(), pools.Open(address))
+	}
+	pools.Close()
+	if n := pools.OpenTotal(); n != 0 {
+		t.Errorf("%d connections are open after Close", n)
+	}
+}
+
+// TestLargeBody guards against a large body that is passed on as whole although it is cut off or altered.
+func TestLargeBody(t *testing.T) {
+	body := strings.Repeat("z", 100_000)
+	for name, alter := range map[string]func(string) string{
+		"whole":   func(s string) string { return s },
+		"cut off": func(s string) string { return s[:99_000] },
+		"altered": func(s string) string { return s[:99_999] + "y" },
+	} {
+		address := serve(t, func(c net.Conn, r *http.Request) bool {
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Digest: %s\r\nContent-Length: %d\r\n\r\n%s",
+				HeaderRequestID, r.Header.Get(HeaderRequestID), FormatDigest([]byte(body)), len(body), alter(body))
+			return name == "whole"
+		})
+		pools := NewPools(NetDial)
+		r := attempt(pools, address, "1", 1)
+		if r.Failure != NoFailure || r.Response.Stream == nil {
+			t.Fatalf("%s: got %+v", name, r)
+		}
+		got, err := io.ReadAll(r.Response.Stream)
+		r.Response.Stream.Close()
+		whole := err == nil && string(got) == body
+		if whole != (name == "whole") || !whole && len(got) == len(body) {
+			t.Errorf("%s: read %d bytes, %v", name, len(got), err)
+		}
+		if kept := pools.Open(address) == 1; kept != whole {
+			t.Errorf("%s: connection kept %v", name, kept)
+		}
+	}
+}
