--- /dev/null
+++ b/gateway/bench_test.go
@@ -0,0 +1,136 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"slices"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/redwingthread/redwingthread/config"
+	"github.com/redwingthread/redwingthread/endpoint"
+	"github.com/redwingthread/redwingthread/inner"
+)
+
+// measured is the cost of requests on one path.
+type measured struct {
+	p50, p99  time.Duration
+	perSecond float64
+	allocs    float64
+}
+
+// measure sends n requests one after the other, then n with 16 callers at once.
+func measure(b *testing.B, client *http.Client, url string, n int) (m measured) {
+	body := bytes.Repeat([]byte("b"), 200)
+	send := func() {
+		r, err := http.NewRequest(http.MethodPost, url, bytes.NewReader(body))
+		if err != nil {
+			b.Fatal(err)
+		}
+		r.Header.Set("Authorization", "Bearer "+tokenOf("orders"))
+		r.Header.Set(headerRequestID, "direct")
+		response, err := client.Do(r)
+		if err != nil {
+			b.Error(err)
+			return
+		}
+		defer response.Body.Close()
+		if _, err := io.Copy(io.Discard, response.Body); err != nil || response.StatusCode != http.StatusOK {
+			b.Errorf("status %d, %v", response.StatusCode, err)
+		}
+	}
+	for range 50 {
+		send()
+	}
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	took := make([]time.Duration, n)
+	for i := range took {
+		start := time.Now()
+		send()
+		took[i] = time.Since(start)
+	}
+	runtime.ReadMemStats(&after)
+	slices.Sort(took)
+	m.p50, m.p99 = took[n/2], took[n*99/100]
+	m.allocs = float64(after.Mallocs-before.Mallocs) / float64(n)
+	start := time.Now()
+	var all sync.WaitGroup
+	for range 16 {
+		all.Go(func() {
+			for range n / 16 {
+				send()
+			}
+		})
+	}
+	all.Wait()
+	m.perSecond = float64(n/16*16) / time.Since(start).Seconds()
+	return m
+}
+
+// BenchmarkHop compares requests through the gateway with requests sent to the same endpoint directly, in one run over
+// loopback. Callers, gateway and endpoint share the process; allocations of the gateway are the difference of both.
+func BenchmarkHop(b *testing.B) {
+	listen := func() net.Listener {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			b.Fatal(err)
+		}
+		return l
+	}
+	target := listen()
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		h := w.Header()
+		h.Set(endpoint.HeaderRequestID, r.Header.Get(endpoint.HeaderRequestID))
+		h.Set(endpoint.HeaderDigest, endpoint.FormatDigest(body))
+		h.Set(endpoint.HeaderInflight, "1")
+		h.Set(endpoint.HeaderIncarnation, "i")
+		h.Set("Content-Length", strconv.Itoa(len(body)))
+		w.Write(body)
+	})}
+	go server.Serve(target)
+	defer server.Close()
+	address := target.Addr().String()
+	doc := &config.Document{
+		Accounts: map[string]config.Account{"orders": {TokenDigest: digestOf(tokenOf("orders")), Weight: 1}},
+		Services: map[string]config.Service{"scan": {Endpoints: map[string]config.Endpoint{
+			"e": {FailureDomain: "fd-0", Address: address, Slots: 32, MaxConnections: 32 * 8}}}},
+	}
+	g, err := New(Options{
+		Self:   inner.Member{FailureDomain: "fd-0", VM: "vm-0", Incarnation: "i"},
+		Config: func() *config.Document { return doc },
+		Caller: &node{},
+		Log:    zerolog.New(io.Discard),
+	})
+	if err != nil {
+		b.Fatal(err)
+	}
+	front := listen()
+	go g.Serve(front)
+	defer g.server.Close()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go g.Run(ctx)
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 32}}
+	const n = 4000
+	for b.Loop() {
+		direct := measure(b, client, "http://"+address+"/work", n)
+		hop := measure(b, client, "http://"+front.Addr().String()+"/v1/services/scan/work", n)
+		b.ReportMetric(float64(direct.p50.Microseconds()), "direct-p50-µs")
+		b.ReportMetric(float64(hop.p50.Microseconds()), "gateway-p50-µs")
+		b.ReportMetric(float64(hop.p50)/float64(direct.p50), "p50-ratio")
+		b.ReportMetric(float64(hop.p99)/float64(direct.p99), "p99-ratio")
+		b.ReportMetric(hop.perSecond/direct.perSecond, "throughput-ratio")
+		b.ReportMetric(hop.perSecond, "gateway-req/s")
+		b.ReportMetric(hop.allocs-direct.allocs, "gateway-allocs/request")
+	}
+}
