--- a/scheduler/consolidate.go
+++ b/scheduler/consolidate.go
@@ -13,16 +13,20 @@
 	moveWaits        = 4
 	// consolidateLossShare is the share of the standard large shape's accelerator time over policy.max_wait_ms that one
 	// consolidation may lose at full weight on fragmentation.
-	consolidateLossShare = 0.25
+	consolidateLossShare = 1.0
 )
 
-// consolidate frees room for one more standard large shape by moving jobs that save their progress into scattered free
-// capacity. It runs only with weight on fragmentation, and only if all moved jobs have room elsewhere at once.
+// consolidate frees room for one more standard large shape by moving jobs that save their progress, or have little to
+// lose, into scattered free capacity. It runs only with weight on fragmentation, and only if all moved jobs have room elsewhere at once.
 func (c *Core) consolidate() {
 	standard := c.policy.StandardLargeShape
 	if c.weight() == 0 || standard.Members == 0 || c.options.noConsolidation || c.now.Before(c.nextConsolidation) {
 		return
 	}
+	if c.recheck || c.reviewedIn == c.plans {
+		// This plan has searched enough; the next one follows soon.
+		return
+	}
 	c.nextConsolidation = c.now.Add(c.waits(consolidateWaits))
 	phantom := &job{Job: jobs.Job{Shape: standard, CanCheckpoint: true}}
 	var taken [][]*worker
@@ -111,6 +115,6 @@
 
 // movable reports whether a consolidation may move v.
 func (c *Core) movable(v *job) bool {
-	return v.CanCheckpoint && v.cell == nil && !v.Urgent && v.state == jobs.StateRunning &&
+	return !v.hard() && v.cell == nil && !v.Urgent && v.state == jobs.StateRunning &&
 		(v.movedAt.IsZero() || c.now.Sub(v.movedAt) >= c.waits(moveWaits))
 }
--- a/scheduler/reserve.go
+++ b/scheduler/reserve.go
@@ -13,7 +13,7 @@
 	// reservedShare bounds the share of accelerators under reservations, except for a single one.
 	reservedShare = 0.5
 	// maxReservationStops caps how often one job is stopped for reservations; after that it runs to its end.
-	maxReservationStops = 2
+	maxReservationStops = 4
 	// lossShare is the share of the accelerator time for which the gang has waited that stops for it may lose. The
 	// allowance grows while the gang waits, so dear victims get time to end by themselves.
 	lossShare = 0.5
