--- a/control/adopt.go
+++ b/control/adopt.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"slices"
 	"time"
 
 	"github.com/redwingthread/redwingthread/gang"
@@ -170,7 +171,11 @@
 		}
 	}
 	delete(t.blocked, id)
-	t.planner.Adopt(e.Job, attempt, c.plannerPlacement(g), jobs.StateRunning, now)
+	placement := c.plannerPlacement(g)
+	t.planner.Adopt(e.Job, attempt, placement, jobs.StateRunning, now)
+	if g.Unseen() {
+		t.guessed[id] = placement
+	}
 	c.log.Info().Str("job", id).Str("account", e.Job.Account).Uint64("attempt", attempt).Msg("attempt adopted")
 	return true
 }
@@ -192,6 +197,25 @@
 	return placement
 }
 
+// correctPlacement tells the planner where the members of an adopted gang really are, once all were found.
+func (c *Control) correctPlacement(g *gang.Gang, now time.Time) {
+	t := c.tenure
+	id := g.Job().ID
+	guess, ok := t.guessed[id]
+	if !ok || g.Unseen() {
+		return
+	}
+	delete(t.guessed, id)
+	found := g.Placement()
+	if slices.Equal(guess, found) || slices.Contains(found, "") {
+		return
+	}
+	// A checkpointed stop lets the planner keep the job as waiting, from where it is adopted again.
+	t.planner.Ended(id, t.plannerAttempt[id], scheduler.Result{Kind: scheduler.ResultStopped, Checkpointed: true}, now)
+	t.planner.Adopt(g.Job(), t.plannerAttempt[id], found, jobs.StateRunning, now)
+	t.planDue = true
+}
+
 func (c *Control) newestAttempt(id string) (attempt uint64, found bool) {
 	for _, w := range c.workers {
 		if !w.read {
--- a/control/control.go
+++ b/control/control.go
@@ -105,6 +105,8 @@
 	intentSent map[string]uint64
 	// checkpoints holds the checkpoints of jobs that were stopped in this tenure.
 	checkpoints map[string][]string
+	// guessed holds the placement that the planner was told of adopted gangs with members that were not found yet.
+	guessed map[string]scheduler.Placement
 	// spans holds the trace span of each start under way.
 	spans     map[string]startSpan
 	planDue   bool
@@ -285,6 +287,7 @@
 		released:       map[string]bool{},
 		intentSent:     map[string]uint64{},
 		checkpoints:    map[string][]string{},
+		guessed:        map[string]scheduler.Placement{},
 		spans:          map[string]startSpan{},
 	}
 	c.state.Store(c.tenure.epoch)
--- a/control/tenure.go
+++ b/control/tenure.go
@@ -164,6 +164,7 @@
 	if g.WantsIntent() {
 		c.checkIntent(g)
 	}
+	c.correctPlacement(g, now)
 	g.Step(now)
 	if g.WantsIntent() {
 		c.sendIntent(g)
@@ -247,6 +248,9 @@
 	if known && e.Cancelled && gang.Cancelled(result) {
 		final = jobs.StateCancelled
 	}
+	if status, ok := t.planner.Status(job.ID); ok && final == "" && status.State.Final() {
+		final, result.Detail = status.State, status.Reason
+	}
 	if final != "" {
 		c.end(job, g.ID().Attempt, final, result.Detail)
 		return
@@ -283,6 +287,7 @@
 	id := g.Job().ID
 	delete(t.gangs, id)
 	delete(t.plannerAttempt, id)
+	delete(t.guessed, id)
 	for _, worker := range g.Workers() {
 		if w := c.workers[worker]; w != nil && w.read {
 			c.sortStrays(w)
--- a/gang/gang.go
+++ b/gang/gang.go
@@ -163,6 +163,11 @@
 	return placement
 }
 
+// Unseen reports whether a member of an adopted gang was not found yet.
+func (g *Gang) Unseen() bool {
+	return g.any(func(m *member) bool { return m.state == stateUnseen })
+}
+
 // Checkpoints returns the checkpoint of each member, nil unless all have one.
 func (g *Gang) Checkpoints() []string {
 	names := make([]string, len(g.members))
