--- a/control/fakes_test.go
+++ b/control/fakes_test.go
@@ -66,6 +66,7 @@
 	leaving     bool
 	bad         bool // fails what it starts
 	unfenced    bool // grants its lease to anyone
+	longer      time.Duration
 	incarnation int
 	revision    uint64
 	epoch       uint64
@@ -172,7 +173,7 @@
 	case platform.OpRelease:
 		if task.State == platform.TaskHeld {
 			task.State = platform.TaskRunning
-			task.endsAt = now.Add(w.random.between(3*time.Second, 40*time.Second))
+			task.endsAt = now.Add(w.random.between(3*time.Second, 40*time.Second) + w.longer)
 			task.fails = w.bad || w.random.chance(0.03)
 			w.onRun(w, task)
 			return ""
--- a/jobs/service.go
+++ b/jobs/service.go
@@ -182,17 +182,19 @@
 	if err := validate(job, doc); err != nil {
 		return Status{}, err
 	}
-	if job.FailureDomain == "" {
-		known, found, err := s.find(ctx, job.ID, doc)
-		switch {
-		case found:
-			job.FailureDomain = known.Job.FailureDomain
-		case err != nil:
+	// An id names one job in all failure domains, since Get and Cancel name no failure domain.
+	known, found, err := s.find(ctx, job.ID, doc)
+	switch {
+	case found && (job.FailureDomain == "" || job.FailureDomain == known.Job.FailureDomain):
+		job.FailureDomain = known.Job.FailureDomain
+		return s.same(ctx, job, known)
+	case found:
+		return Status{}, inUse(job.ID)
+	case err != nil:
+		return Status{}, err
+	case job.FailureDomain == "":
+		if job.FailureDomain, err = ChooseFailureDomain(job, doc); err != nil {
 			return Status{}, err
-		default:
-			if job.FailureDomain, err = ChooseFailureDomain(job, doc); err != nil {
-				return Status{}, err
-			}
 		}
 	}
 	if err := feasible(job, job.FailureDomain, doc); err != nil {
@@ -203,12 +205,6 @@
 
 func (s *Service) record(ctx context.Context, job Job) (Status, error) {
 	st := s.stream(job.FailureDomain)
-	if err := st.catchUp(ctx); err != nil {
-		return Status{}, err
-	}
-	if known, ok := st.get(job.ID); ok {
-		return s.same(ctx, job, known)
-	}
 	if job.Submitted.IsZero() {
 		job.Submitted = time.Now().UTC()
 	}
@@ -232,11 +228,15 @@
 // same returns the state of a job that is already recorded, or a Conflict if its content differs.
 func (s *Service) same(ctx context.Context, job Job, known Entry) (Status, error) {
 	if known.Digest != ContentDigest(job) {
-		return Status{}, errkind.New(errkind.Conflict, "choose another id", "job id %s is in use for another job", job.ID)
+		return Status{}, inUse(job.ID)
 	}
 	return s.present(ctx, known), nil
 }
 
+func inUse(id string) error {
+	return errkind.New(errkind.Conflict, "choose another id", "job id %s is in use for another job", id)
+}
+
 // Cancel records the cancellation of a job and returns its state. A job that has ended stays as it is.
 func (s *Service) Cancel(ctx context.Context, id, account, author string) (Status, error) {
 	known, st, err := s.lookup(ctx, id, account)
