--- /dev/null
+++ b/gang/gang_test.go
@@ -0,0 +1,325 @@
+package gang
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/redwingthread/redwingthread/invariant"
+	"github.com/redwingthread/redwingthread/jobs"
+	"github.com/redwingthread/redwingthread/platform"
+	"github.com/redwingthread/redwingthread/resource"
+	"github.com/redwingthread/redwingthread/scheduler"
+)
+
+const members = 3
+
+// cluster is the workers' side of one attempt, one member on each worker.
+type cluster struct {
+	t     *testing.T
+	g     *Gang
+	now   time.Time
+	tasks []platform.Task
+	// dead, refuse and silent name members by index. The commands of silent ones have effect, their answers are lost.
+	dead, silent map[int]bool
+	refuse       map[int]platform.Op
+	sent         map[platform.Op]int
+}
+
+func newCluster(t *testing.T, job jobs.Job) *cluster {
+	c := &cluster{t: t, now: time.Unix(1000, 0), tasks: make([]platform.Task, members), dead: map[int]bool{},
+		silent: map[int]bool{}, refuse: map[int]platform.Op{}, sent: map[platform.Op]int{}}
+	job.ID, job.Run = "a", []string{"run"}
+	job.Shape = resource.Shape{Members: members, PerMember: resource.Resources{MilliCPU: 1}}
+	c.g = New(job, 1, scheduler.Placement{"w-0", "w-1", "w-2"}, nil, false, c.now)
+	return c
+}
+
+func worker(i int) string { return fmt.Sprintf("w-%d", i) }
+
+// step lets 100 ms pass: every member's worker gets its commands and answers with its inventory.
+func (c *cluster) step() {
+	c.now = c.now.Add(100 * time.Millisecond)
+	c.g.Step(c.now)
+	for i := range members {
+		commands := c.g.Commands(worker(i), c.now)
+		if c.dead[i] {
+			continue
+		}
+		for _, command := range commands {
+			c.sent[command.Op]++
+			if c.refuse[i] != command.Op {
+				c.apply(i, command)
+			}
+		}
+		if c.silent[i] {
+			continue
+		}
+		c.observe(i)
+		for _, command := range commands {
+			if c.refuse[i] == command.Op {
+				c.g.Refused(i, command.Op, "no", c.now)
+			} else {
+				c.g.Acknowledged(i, command.Op, c.now)
+			}
+		}
+	}
+	c.g.Step(c.now)
+}
+
+func (c *cluster) apply(i int, command platform.Command) {
+	task := &c.tasks[i]
+	switch command.Op {
+	case platform.OpReserve:
+		task.State = platform.TaskReserved
+	case platform.OpStart:
+		task.State = platform.TaskHeld
+	case platform.OpRelease:
+		task.State = platform.TaskRunning
+		for k := range c.tasks {
+			if s := c.tasks[k].State; s != platform.TaskHeld && s != platform.TaskRunning && !c.dead[k] {
+				c.t.Errorf("member %d released while member %d is %q", i, k, s)
+			}
+		}
+	case platform.OpStop:
+		task.State = platform.TaskStopped
+		if command.Checkpoint != "" {
+			task.Checkpoint = fmt.Sprint("cp-", i)
+		}
+	}
+}
+
+func (c *cluster) observe(i int) {
+	if c.tasks[i].State != "" {
+		c.g.Observe(i, worker(i), c.tasks[i])
+	}
+	c.g.Absent(worker(i), false, func(int) bool { return c.tasks[i].State != "" })
+}
+
+// until steps until the phase is reached, at most for a minute.
+func (c *cluster) until(phase Phase) {
+	c.t.Helper()
+	for range 600 {
+		if c.g.Phase() == phase {
+			return
+		}
+		c.step()
+	}
+	c.t.Fatalf("phase is %s after a minute, want %s", c.g.Phase(), phase)
+}
+
+// kill restarts a member's worker without its tasks.
+func (c *cluster) kill(i int) {
+	c.tasks[i] = platform.Task{}
+	c.g.Absent(worker(i), true, func(int) bool { return false })
+	c.dead[i] = true
+}
+
+func recordViolations(t *testing.T) {
+	restore := invariant.SetRecorder(func(v invariant.Violation) { t.Error(v) })
+	t.Cleanup(restore)
+}
+
+// TestWorkerDeathAtEachStep guards against members that go on after another one was lost.
+func TestWorkerDeathAtEachStep(t *testing.T) {
+	recordViolations(t)
+	cases := map[Phase]scheduler.ResultKind{PhaseReserving: scheduler.ResultNotStarted, PhaseStarting: scheduler.ResultNotStarted,
+		PhaseReleasing: scheduler.ResultLost, PhaseRunning: scheduler.ResultLost}
+	for phase, want := range cases {
+		t.Run(string(phase), func(t *testing.T) {
+			c := newCluster(t, jobs.Job{})
+			c.until(phase)
+			if phase == PhaseReserving {
+				c.dead[1] = true
+			} else {
+				c.kill(1)
+			}
+			c.until(PhaseEnded)
+			if c.g.Result().Kind != want && !(phase == PhaseReleasing && c.g.Result().Kind == scheduler.ResultNotStarted) {
+				t.Fatalf("result %+v, want %s", c.g.Result(), want)
+			}
+			for i := range members {
+				if s := c.tasks[i].State; s == platform.TaskRunning || s == platform.TaskHeld {
+					t.Fatalf("member %d is left %s", i, s)
+				}
+			}
+		})
+	}
+}
+
+// TestRefusalAtEachStep guards against a gang that starts without a member which was refused.
+func TestRefusalAtEachStep(t *testing.T) {
+	recordViolations(t)
+	for _, op := range []platform.Op{platform.OpReserve, platform.OpStart, platform.OpRelease} {
+		t.Run(string(op), func(t *testing.T) {
+			c := newCluster(t, jobs.Job{})
+			c.refuse[2] = op
+			c.until(PhaseEnded)
+			if c.g.Result().Kind == scheduler.ResultCompleted || len(c.g.Result().Workers) != 1 || c.g.Result().Workers[0] != "w-2" {
+				t.Fatalf("result %+v", c.g.Result())
+			}
+		})
+	}
+}
+
+// TestLostAnswersAreRepeated guards against a gang that fails because answers were lost for less than its bounds.
+func TestLostAnswersAreRepeated(t *testing.T) {
+	recordViolations(t)
+	c := newCluster(t, jobs.Job{})
+	for _, phase := range []Phase{PhaseReserving, PhaseStarting, PhaseReleasing} {
+		c.until(phase)
+		c.silent[1] = true
+		for range 10 {
+			c.step()
+		}
+		if c.g.Phase() != phase {
+			t.Fatalf("phase %s ended without an answer", phase)
+		}
+		c.silent[1] = false
+	}
+	c.until(PhaseRunning)
+}
+
+// TestReleaseBound guards against a gang that runs partially for longer than the release bound and the stop bound.
+func TestReleaseBound(t *testing.T) {
+	recordViolations(t)
+	c := newCluster(t, jobs.Job{CanCheckpoint: true})
+	c.until(PhaseReleasing)
+	c.refuse[0] = platform.OpRelease
+	start := c.now
+	c.until(PhaseEnded)
+	// The workers of this test stop at once, so only the release bound and two steps may pass.
+	if took := c.now.Sub(start); took > ReleaseBound+200*time.Millisecond || c.g.Result().Kind != scheduler.ResultLost {
+		t.Fatalf("ended after %s with %+v", took, c.g.Result())
+	}
+}
+
+// TestUnreachableMemberIsWaitedOut guards against an end, and so a restart, while a member may still run.
+func TestUnreachableMemberIsWaitedOut(t *testing.T) {
+	c := newCluster(t, jobs.Job{})
+	c.until(PhaseRunning)
+	c.dead[1] = true
+	c.g.Stop("drain", 0)
+	for range 100 {
+		c.step()
+	}
+	if c.g.Phase() != PhaseStopping {
+		t.Fatalf("phase %s although member 1 may run", c.g.Phase())
+	}
+	c.g.WorkerGone(worker(1))
+	c.until(PhaseEnded)
+}
+
+// TestRunOnceNeedsItsIntent guards against a release before the intent is read back, or after another one won.
+func TestRunOnceNeedsItsIntent(t *testing.T) {
+	cases := map[string]struct {
+		event func(*Gang)
+		want  scheduler.ResultKind
+		phase Phase
+	}{
+		"won":     {(*Gang).IntentWon, "", PhaseRunning},
+		"lost":    {(*Gang).IntentLost, scheduler.ResultNotStarted, PhaseEnded},
+		"log out": {func(*Gang) {}, scheduler.ResultNotStarted, PhaseEnded},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			c := newCluster(t, jobs.Job{RunOnce: true})
+			c.until(PhaseIntending)
+			for range 10 {
+				c.step()
+			}
+			if c.sent[platform.OpRelease] != 0 {
+				t.Fatal("released before the intent was read")
+			}
+			test.event(c.g)
+			c.until(test.phase)
+			if c.g.Result().Kind != test.want || test.want != "" && c.sent[platform.OpRelease] != 0 {
+				t.Fatalf("result %+v, %d releases", c.g.Result(), c.sent[platform.OpRelease])
+			}
+		})
+	}
+}
+
+// TestRunOnceEnds guards against a run-once job that is repeated although it may have run, and against one that is
+// given up although its progress was saved.
+func TestRunOnceEnds(t *testing.T) {
+	cases := map[string]struct {
+		job   jobs.Job
+		event func(*cluster)
+		want  scheduler.ResultKind
+	}{
+		"lost":                {jobs.Job{RunOnce: true}, func(c *cluster) { c.kill(0) }, scheduler.ResultUnknown},
+		"stopped":             {jobs.Job{RunOnce: true}, func(c *cluster) { c.g.Stop("drain", time.Second) }, scheduler.ResultUnknown},
+		"checkpointed":        {jobs.Job{RunOnce: true, CanCheckpoint: true}, func(c *cluster) { c.g.Stop("drain", time.Second) }, scheduler.ResultStopped},
+		"lost and repeatable": {jobs.Job{}, func(c *cluster) { c.kill(0) }, scheduler.ResultLost},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			c := newCluster(t, test.job)
+			c.g.IntentWon()
+			c.until(PhaseRunning)
+			test.event(c)
+			c.until(PhaseEnded)
+			if c.g.Result().Kind != test.want {
+				t.Fatalf("result %+v, want %s", c.g.Result(), test.want)
+			}
+		})
+	}
+}
+
+// TestAdoptedGangIsWholeOrStopped guards against a takeover that leaves a gang partially released.
+func TestAdoptedGangIsWholeOrStopped(t *testing.T) {
+	held, running, done := platform.TaskHeld, platform.TaskRunning, platform.TaskDone
+	cases := map[string]struct {
+		states []platform.TaskState
+		want   Phase
+	}{
+		"running":            {[]platform.TaskState{running, running, running}, PhaseRunning},
+		"partially released": {[]platform.TaskState{running, held, held}, PhaseRunning},
+		"member missing":     {[]platform.TaskState{running, running, ""}, PhaseEnded},
+		"only reserved":      {[]platform.TaskState{platform.TaskReserved, held, held}, PhaseEnded},
+		"all done":           {[]platform.TaskState{done, done, done}, PhaseEnded},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			c := newCluster(t, jobs.Job{})
+			c.g = Adopt(c.g.job, 1, false)
+			for i, state := range test.states {
+				c.tasks[i].State = state
+				c.observe(i)
+			}
+			c.g.UnseenGone()
+			c.step()
+			for range 30 {
+				c.step()
+			}
+			if c.g.Phase() != test.want {
+				t.Fatalf("phase %s, want %s", c.g.Phase(), test.want)
+			}
+			for i := range members {
+				if s := c.tasks[i].State; test.want == PhaseRunning && s != running || s == held {
+					t.Fatalf("member %d is %s", i, s)
+				}
+			}
+		})
+	}
+}
+
+// TestAssertionNoticesPartialGang guards against an assertion of P2 that never fires.
+func TestAssertionNoticesPartialGang(t *testing.T) {
+	var log invariant.Log
+	defer invariant.SetRecorder(log.Record)()
+	c := newCluster(t, jobs.Job{})
+	c.until(PhaseRunning)
+	c.g.members[0].state = platform.TaskHeld
+	c.g.phase = PhaseRunning
+	c.g.checkWhole(c.now)
+	c.g.checkWhole(c.now.Add(DifferBound))
+	if len(log.Violations()) != 0 {
+		t.Fatal("fired within the bound")
+	}
+	c.g.checkWhole(c.now.Add(DifferBound + time.Millisecond))
+	if len(log.Violations()) != 1 {
+		t.Fatal("did not fire after the bound")
+	}
+}
