Do work per event instead of per gang and worker

At 120 workers and 756 tasks the shell used 6.3% of a core, because each answer of a worker stepped all gangs, read the fold and stepped the lease. Gangs that run are now stepped by events only.

--- a/control/adopt.go
+++ b/control/adopt.go
@@ -37,6 +37,9 @@
 		if g == nil || g.ID() != task.Attempt {
 			continue
 		}
+		if g.Unseen() {
+			t.onWorker = nil
+		}
 		g.Observe(task.Member, w.id, task)
 		if seen[task.Attempt.Job] == nil {
 			seen[task.Attempt.Job] = map[int]bool{}
@@ -121,6 +124,7 @@
 	}
 	if !c.withoutLapseWait && c.unread() > 0 && now.Before(t.lapseAt) {
 		t.blocked[id] = true
+		t.resolved = false
 		return
 	}
 	delete(t.blocked, id)
@@ -162,6 +166,8 @@
 	}
 	g := gang.Adopt(e.Job, attempt, e.Intent != nil && e.Intent.Attempt == attempt)
 	t.gangs[id] = g
+	t.unsettled[id] = g
+	t.resolved = false
 	t.plannerAttempt[id] = attempt
 	for _, w := range c.workers {
 		for _, task := range w.tasks {
@@ -170,6 +176,7 @@
 			}
 		}
 	}
+	t.onWorker = nil
 	delete(t.blocked, id)
 	placement := c.plannerPlacement(g)
 	t.planner.Adopt(e.Job, attempt, placement, jobs.StateRunning, now)
@@ -233,9 +240,10 @@
 // resolveUnread settles what waits for workers that were not read, once there are none or their leases have lapsed.
 func (c *Control) resolveUnread(now time.Time) {
 	t := c.tenure
-	if c.unread() > 0 && now.Before(t.lapseAt) {
+	if t.resolved || c.unread() > 0 && now.Before(t.lapseAt) {
 		return
 	}
+	t.resolved = true
 	for _, g := range t.gangs {
 		g.UnseenGone()
 	}
--- a/control/control.go
+++ b/control/control.go
@@ -107,6 +107,14 @@
 	checkpoints map[string][]string
 	// guessed holds the placement that the planner was told of adopted gangs with members that were not found yet.
 	guessed map[string]scheduler.Placement
+	// unsettled holds the gangs that need time to pass or members to be found; the others only need events.
+	unsettled map[string]*gang.Gang
+	// onWorker lists the gangs on each worker in order of job id; nil after a change of placements.
+	onWorker map[string][]*gang.Gang
+	// resolved is set once no adopted gang and no job waits for workers that were not read.
+	resolved bool
+	// healthAt is the time of the next check of all workers' health.
+	healthAt time.Time
 	// spans holds the trace span of each start under way.
 	spans     map[string]startSpan
 	planDue   bool
@@ -210,7 +218,7 @@
 	}
 	if t := c.tenure; t != nil {
 		earlier(t.planAt)
-		for _, g := range t.gangs {
+		for _, g := range t.unsettled {
 			earlier(g.Next())
 			earlier(g.RepeatAt())
 		}
@@ -259,7 +267,11 @@
 
 // stepLease advances the lease and starts or ends the tenure.
 func (c *Control) stepLease(now time.Time) {
-	sends, next := c.lease.Step(now, c.Random())
+	random := c.Random()
+	if c.tenure != nil && now.Before(c.leaseDue) && c.lease.Active(now) {
+		return
+	}
+	sends, next := c.lease.Step(now, random)
 	if !c.withoutLeaseCheck && c.tenure != nil && !c.lease.Active(now) {
 		c.endTenure("the majority of worker leases is lost")
 	}
@@ -272,6 +284,9 @@
 		c.startTenure(now)
 	}
 	c.leaseDue = next
+	if soonest := now.Add(minLeaseStep); c.tenure != nil && next.Before(soonest) {
+		c.leaseDue = soonest
+	}
 }
 
 func (c *Control) startTenure(now time.Time) {
@@ -288,6 +303,7 @@
 		intentSent:     map[string]uint64{},
 		checkpoints:    map[string][]string{},
 		guessed:        map[string]scheduler.Placement{},
+		unsettled:      map[string]*gang.Gang{},
 		spans:          map[string]startSpan{},
 	}
 	c.state.Store(c.tenure.epoch)
--- a/control/options.go
+++ b/control/options.go
@@ -39,6 +39,10 @@
 	readGrace = time.Second
 	// catchUpGrace is the time that the log has to give the job stream's tail before planning starts without it.
 	catchUpGrace = 2 * time.Second
+	// minLeaseStep bounds how often the active scheduler looks for due renewals, so that they are sent in batches.
+	minLeaseStep = 50 * time.Millisecond
+	// healthInterval is the time between checks for workers that fell silent.
+	healthInterval = 250 * time.Millisecond
 	// maxIdle bounds the time between two steps of the loop without an event.
 	maxIdle = time.Second
 	// giveUpTimeout bounds the requests that give the lease up on a stop.
--- a/control/tenure.go
+++ b/control/tenure.go
@@ -34,16 +34,24 @@
 
 // gangsOn returns the gangs with a member on a worker.
 func (t *tenure) gangsOn(worker string) []*gang.Gang {
-	var on []*gang.Gang
+	if t.onWorker != nil {
+		return t.onWorker[worker]
+	}
+	t.onWorker = map[string][]*gang.Gang{}
 	for _, g := range t.gangs {
-		if g.On(worker) {
-			on = append(on, g)
+		for _, on := range g.Workers() {
+			t.onWorker[on] = append(t.onWorker[on], g)
 		}
 	}
-	sort.Slice(on, func(i, k int) bool { return on[i].Job().ID < on[k].Job().ID })
-	return on
+	for _, on := range t.onWorker {
+		sort.Slice(on, func(i, k int) bool { return on[i].Job().ID < on[k].Job().ID })
+	}
+	return t.onWorker[worker]
 }
 
+// settled reports whether a gang needs no step before the next event.
+func settled(g *gang.Gang) bool { return g.Phase() == gang.PhaseRunning && !g.Unseen() }
+
 // stepTenure does what the active scheduler has to do now.
 func (c *Control) stepTenure(ctx context.Context, now time.Time) {
 	t := c.tenure
@@ -53,11 +61,14 @@
 		}
 		c.adoptAll(now)
 	}
-	for _, w := range c.workers {
-		c.updateHealth(w, now)
+	if !now.Before(t.healthAt) {
+		t.healthAt = now.Add(healthInterval)
+		for _, w := range c.workers {
+			c.updateHealth(w, now)
+		}
 	}
 	c.resolveUnread(now)
-	for _, g := range t.gangs {
+	for _, g := range t.unsettled {
 		c.stepGang(g, now)
 	}
 	c.plan(ctx, now)
@@ -166,6 +177,11 @@
 	}
 	c.correctPlacement(g, now)
 	g.Step(now)
+	if settled(g) {
+		delete(t.unsettled, id)
+	} else {
+		t.unsettled[id] = g
+	}
 	if g.WantsIntent() {
 		c.sendIntent(g)
 	}
@@ -286,6 +302,8 @@
 	t := c.tenure
 	id := g.Job().ID
 	delete(t.gangs, id)
+	delete(t.unsettled, id)
+	t.onWorker = nil
 	delete(t.plannerAttempt, id)
 	delete(t.guessed, id)
 	for _, worker := range g.Workers() {
@@ -347,6 +365,7 @@
 	attempt := t.epoch*attemptsPerTenure + start.Attempt%attemptsPerTenure
 	g := gang.New(start.Job, attempt, start.Placement, from, start.Job.RunOnce && !c.logUp(), now)
 	t.gangs[id] = g
+	t.onWorker = nil
 	t.plannerAttempt[id] = start.Attempt
 	_, span := otel.Tracer("redwingthread/control").Start(ctx, "start attempt", trace.WithAttributes(
 		attribute.String("job", id), attribute.String("account", start.Job.Account),
--- a/gang/gang.go
+++ b/gang/gang.go
@@ -265,8 +265,3 @@
 	invariant.Check(now.Sub(g.differSince) <= DifferBound, invariant.GangWhole,
 		"members of job %s attempt %d differ since %s", g.job.ID, g.attempt, g.differSince)
 }
-
-// On reports whether a member is placed on the worker.
-func (g *Gang) On(worker string) bool {
-	return g.any(func(m *member) bool { return m.worker == worker })
-}
