--- a/control/adopt.go
+++ b/control/adopt.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"slices"
 	"time"
 
 	"github.com/redwingthread/redwingthread/gang"
@@ -36,12 +37,18 @@
 		if g == nil || g.ID() != task.Attempt {
 			continue
 		}
+		if g.Unseen() {
+			t.onWorker = nil
+		}
 		g.Observe(task.Member, w.id, task)
 		if seen[task.Attempt.Job] == nil {
 			seen[task.Attempt.Job] = map[int]bool{}
 		}
 		seen[task.Attempt.Job][task.Member] = true
 	}
+	if c.withoutLossReports {
+		return
+	}
 	for _, g := range t.gangsOn(w.id) {
 		members := seen[g.Job().ID]
 		g.Absent(w.id, restarted, func(index int) bool { return members[index] })
@@ -117,6 +124,7 @@
 	}
 	if !c.withoutLapseWait && c.unread() > 0 && now.Before(t.lapseAt) {
 		t.blocked[id] = true
+		t.resolved = false
 		return
 	}
 	delete(t.blocked, id)
@@ -158,6 +166,8 @@
 	}
 	g := gang.Adopt(e.Job, attempt, e.Intent != nil && e.Intent.Attempt == attempt)
 	t.gangs[id] = g
+	t.unsettled[id] = g
+	t.resolved = false
 	t.plannerAttempt[id] = attempt
 	for _, w := range c.workers {
 		for _, task := range w.tasks {
@@ -166,8 +176,13 @@
 			}
 		}
 	}
+	t.onWorker = nil
 	delete(t.blocked, id)
-	t.planner.Adopt(e.Job, attempt, c.plannerPlacement(g), jobs.StateRunning, now)
+	placement := c.plannerPlacement(g)
+	t.planner.Adopt(e.Job, attempt, placement, jobs.StateRunning, now)
+	if g.Unseen() {
+		t.guessed[id] = placement
+	}
 	c.log.Info().Str("job", id).Str("account", e.Job.Account).Uint64("attempt", attempt).Msg("attempt adopted")
 	return true
 }
@@ -189,6 +204,25 @@
 	return placement
 }
 
+// correctPlacement tells the planner where the members of an adopted gang really are, once all were found.
+func (c *Control) correctPlacement(g *gang.Gang, now time.Time) {
+	t := c.tenure
+	id := g.Job().ID
+	guess, ok := t.guessed[id]
+	if !ok || g.Unseen() {
+		return
+	}
+	delete(t.guessed, id)
+	found := g.Placement()
+	if slices.Equal(guess, found) || slices.Contains(found, "") {
+		return
+	}
+	// A checkpointed stop lets the planner keep the job as waiting, from where it is adopted again.
+	t.planner.Ended(id, t.plannerAttempt[id], scheduler.Result{Kind: scheduler.ResultStopped, Checkpointed: true}, now)
+	t.planner.Adopt(g.Job(), t.plannerAttempt[id], found, jobs.StateRunning, now)
+	t.planDue = true
+}
+
 func (c *Control) newestAttempt(id string) (attempt uint64, found bool) {
 	for _, w := range c.workers {
 		if !w.read {
@@ -206,9 +240,10 @@
 // resolveUnread settles what waits for workers that were not read, once there are none or their leases have lapsed.
 func (c *Control) resolveUnread(now time.Time) {
 	t := c.tenure
-	if c.unread() > 0 && now.Before(t.lapseAt) {
+	if t.resolved || c.unread() > 0 && now.Before(t.lapseAt) {
 		return
 	}
+	t.resolved = true
 	for _, g := range t.gangs {
 		g.UnseenGone()
 	}
--- a/control/fakes_test.go
+++ b/control/fakes_test.go
@@ -65,6 +65,8 @@
 	dead        bool
 	leaving     bool
 	bad         bool // fails what it starts
+	unfenced    bool // grants its lease to anyone
+	longer      time.Duration
 	incarnation int
 	revision    uint64
 	epoch       uint64
@@ -114,7 +116,7 @@
 	w.advance(now)
 	free := !now.Before(w.leaseUntil)
 	sameHolder := req.Holder == w.holder && req.Epoch >= w.epoch
-	granted := req.Epoch > 0 && (sameHolder || free && req.Epoch > w.epoch)
+	granted := req.Epoch > 0 && (w.unfenced || sameHolder || free && req.Epoch > w.epoch)
 	answer := platform.CommandsResponse{Granted: granted}
 	if granted {
 		w.epoch, w.holder = req.Epoch, req.Holder
@@ -171,7 +173,7 @@
 	case platform.OpRelease:
 		if task.State == platform.TaskHeld {
 			task.State = platform.TaskRunning
-			task.endsAt = now.Add(w.random.between(3*time.Second, 40*time.Second))
+			task.endsAt = now.Add(w.random.between(3*time.Second, 40*time.Second) + w.longer)
 			task.fails = w.bad || w.random.chance(0.03)
 			w.onRun(w, task)
 			return ""
--- a/control/options.go
+++ b/control/options.go
@@ -39,6 +39,10 @@
 	readGrace = time.Second
 	// catchUpGrace is the time that the log has to give the job stream's tail before planning starts without it.
 	catchUpGrace = 2 * time.Second
+	// minLeaseStep bounds how often the active scheduler looks for due renewals, so that they are sent in batches.
+	minLeaseStep = 50 * time.Millisecond
+	// healthInterval is the time between checks for workers that fell silent.
+	healthInterval = 250 * time.Millisecond
 	// maxIdle bounds the time between two steps of the loop without an event.
 	maxIdle = time.Second
 	// giveUpTimeout bounds the requests that give the lease up on a stop.
@@ -65,10 +69,12 @@
 	// Random returns numbers in 0..1; nil for a random source.
 	Random func() float64
 
-	// withoutIntentCheck, withoutLapseWait and withoutLeaseCheck switch mechanisms off to show that tests notice.
+	// The fields below switch mechanisms off to show that the tests notice.
 	withoutIntentCheck bool
 	withoutLapseWait   bool
 	withoutLeaseCheck  bool
+	withoutLossReports bool
+	withoutTailCheck   bool
 }
 
 // withDefaults fills in what is optional and refuses what is missing.
