Compare the gang's attempt before and after the kill in the demo

The number of the first attempt is up to the scheduler and need not be 1. What the demo has to show is that the attempt which ran before the kill is the one that completed; each member's single release is checked as before.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -98,6 +98,7 @@
   operator vm-a1 job show gang-1 -wait running -wait-timeout 15s
   gang_attempt=$(field attempt)
   expect "workers of the gang" "$(field workers | tr ' ' '\n' | sort -u | grep -c .)" 4
+  attempt=$(field attempt)
   passed "runs on $(field workers)"
 }
 
