--- a/configlog/catchup.go
+++ b/configlog/catchup.go
@@ -52,7 +52,7 @@
 	}
 	// Nobody has a configuration, so an initialise record may make one.
 	state := NewState()
-	state.CarryOver(resp.Oldest)
+	state.SkipTo(resp.Oldest)
 	f.begin(state, 0)
 	return nil
 }
@@ -107,7 +107,7 @@
 	if state != nil && f.replace(state) {
 		return nil
 	}
-	if !f.mayBridge(ctx) {
+	if !f.maySkip(ctx) {
 		return errkind.New(errkind.Unavailable, "wait for the snapshot of another process",
 			"records %d to %d expired before they were read", f.nextOffset(), oldest)
 	}
@@ -117,22 +117,22 @@
 		return nil
 	}
 	f.settings.Logger.Error().Uint64("from", f.state.Next).Uint64("to", oldest).Msg("configuration records expired unread")
-	f.state.CarryOver(oldest)
-	metricCarriedOver.Inc(1)
+	f.state.SkipTo(oldest)
+	metricSkipped.Inc(1)
 	f.relay.clear()
 	f.gapSince = time.Time{}
 	f.wake()
 	return nil
 }
 
-// mayBridge reports whether this process may carry its state on over expired records. Another process may have read them
+// maySkip reports whether this process may carry its state on over expired records. Another process may have read them
 // and accepted a higher version, so a process that does not hear from every peer waits much longer for that one's snapshot.
-func (f *Follower) mayBridge(ctx context.Context) bool {
+func (f *Follower) maySkip(ctx context.Context) bool {
 	missing := f.gapAge()
 	if missing < f.settings.GapGrace {
 		return false
 	}
-	return missing >= f.settings.LonelyGapGrace || f.everyPeerAnswers(ctx)
+	return missing >= f.settings.IsolatedGapGrace || f.everyPeerAnswers(ctx)
 }
 
 // gapAge returns for how long the next records have been missing from the log.
--- a/configlog/check_test.go
+++ b/configlog/check_test.go
@@ -36,11 +36,11 @@
 	behindGap bool
 }
 
-// tell goes through the whole history, expired records included. Records that a bridge names have no effect.
+// tell goes through the whole history, expired records included. Records in a skipped range have no effect.
 func (c *cluster) tell(valid map[string]bool) *truth {
 	tr := &truth{ids: map[string]verdict{}}
 	initialised := false
-	void, behindGap := c.bridged()
+	void, behindGap := c.skipped()
 	for i, raw := range c.log.records {
 		r, err := decode(raw.Data)
 		switch {
@@ -70,19 +70,19 @@
 	return tr
 }
 
-// bridged reports for each record whether a bridge says that it expired unread, and whether it was appended before the
-// snapshot that made the bridge known.
-func (c *cluster) bridged() (void, behindGap []bool) {
+// skipped reports for each record whether a snapshot says that it expired unread, and whether it was appended before the
+// first snapshot that says so.
+func (c *cluster) skipped() (void, behindGap []bool) {
 	void, behindGap = make([]bool, len(c.log.records)), make([]bool, len(c.log.records))
 	for _, raw := range c.log.records {
 		r, err := decode(raw.Data)
-		if err != nil || r.Snapshot == nil || r.Snapshot.Bridge == nil {
+		if err != nil || r.Snapshot == nil || r.Snapshot.Skipped == nil {
 			continue
 		}
-		for o := r.Snapshot.Bridge.From; o < r.Snapshot.Bridge.To; o++ {
+		for o := r.Snapshot.Skipped.From; o < r.Snapshot.Skipped.To; o++ {
 			void[o] = true
 		}
-		for o := r.Snapshot.Bridge.To; o < raw.Offset; o++ {
+		for o := r.Snapshot.Skipped.To; o < raw.Offset; o++ {
 			behindGap[o] = true
 		}
 	}
--- a/configlog/follower.go
+++ b/configlog/follower.go
@@ -39,10 +39,10 @@
 	// CallTimeout bounds one call to a peer and one append.
 	CallTimeout time.Duration
 	// GapGrace is the time for which a process whose next records expired waits for another process's snapshot before it
-	// carries its own state on. LonelyGapGrace takes its place while a peer does not answer: that one may hold a higher
+	// carries its own state on. IsolatedGapGrace takes its place while a peer does not answer: that one may hold a higher
 	// version.
-	GapGrace       time.Duration
-	LonelyGapGrace time.Duration
+	GapGrace         time.Duration
+	IsolatedGapGrace time.Duration
 	// SnapshotJitter spreads the snapshots of all processes; an append waits up to this long and is then checked again.
 	SnapshotJitter time.Duration
 	// RelayBytes bounds the records kept for peers.
@@ -54,15 +54,15 @@
 // Defaults of Settings. GapGrace leaves room for the rest of the 8 s within which a change must be in force. A change reaches a process that can reach a peer within PollWait + ReadMargin + 2 PeerPeriod,
 // 5.5 s, also when its connection to the log went silent; the requirement is 8 s.
 const (
-	defaultPollWait       = 2 * time.Second
-	defaultReadMargin     = 1500 * time.Millisecond
-	defaultPeerPeriod     = time.Second
-	defaultCallTimeout    = 2 * time.Second
-	defaultGapGrace       = 3 * time.Second
-	defaultLonelyGapGrace = 5 * time.Minute
-	defaultSnapshotJitter = 10 * time.Second
-	defaultRelayBytes     = 2 << 20
-	defaultRetention      = 24 * time.Hour
+	defaultPollWait         = 2 * time.Second
+	defaultReadMargin       = 1500 * time.Millisecond
+	defaultPeerPeriod       = time.Second
+	defaultCallTimeout      = 2 * time.Second
+	defaultGapGrace         = 3 * time.Second
+	defaultIsolatedGapGrace = 5 * time.Minute
+	defaultSnapshotJitter   = 10 * time.Second
+	defaultRelayBytes       = 2 << 20
+	defaultRetention        = 24 * time.Hour
 	// defaultEveryRecords bounds the fold at start, at 2 to 3 ms a record at the planned size.
 	defaultEveryRecords = 250
 )
@@ -78,7 +78,7 @@
 	set(&s.PeerPeriod, defaultPeerPeriod)
 	set(&s.CallTimeout, defaultCallTimeout)
 	set(&s.GapGrace, defaultGapGrace)
-	set(&s.LonelyGapGrace, defaultLonelyGapGrace)
+	set(&s.IsolatedGapGrace, defaultIsolatedGapGrace)
 	set(&s.SnapshotJitter, defaultSnapshotJitter)
 	set(&s.Retention.Period, defaultRetention)
 	if s.Retention.EveryRecords == 0 {
@@ -375,6 +375,11 @@
 		f.settings.Logger.Error().Str("reason", string(stop.Reason)).Uint64("offset", stop.Offset).Msg(stop.Detail)
 		return
 	}
+	if f.state.Next != r.Offset+1 {
+		// The records kept for peers belong to the state that was given up.
+		f.relay.clear()
+		return
+	}
 	f.relay.add(r, f.settings.RelayBytes)
 	if decision != nil {
 		f.settings.Logger.Info().Str("patch", decision.ID).Str("outcome", string(decision.Outcome)).
--- a/configlog/metrics.go
+++ b/configlog/metrics.go
@@ -17,7 +17,7 @@
 	metricFromPeers    = metrics.GetOrRegisterCounter("config.states_from_peers", metrics.DefaultRegistry)
 	metricUnknown      = metrics.GetOrRegisterCounter("config.outcomes_unknown", metrics.DefaultRegistry)
 	metricSnapshots    = metrics.GetOrRegisterCounter("config.snapshots_appended", metrics.DefaultRegistry)
-	metricCarriedOver  = metrics.GetOrRegisterCounter("config.gaps_carried_over", metrics.DefaultRegistry)
+	metricSkipped      = metrics.GetOrRegisterCounter("config.gaps_skipped", metrics.DefaultRegistry)
 	// metricStopped is 1 while the fold goes no further or the log broke its contract; it needs an operator.
 	metricStopped = metrics.GetOrRegisterGauge("config.stopped", metrics.DefaultRegistry)
 	metricFold    = metrics.GetOrRegisterTimer("config.fold", metrics.DefaultRegistry)
--- a/configlog/record.go
+++ b/configlog/record.go
@@ -49,16 +49,16 @@
 	Document *config.Document `cbor:"document"`
 	// Decisions are the bounded history, in log order.
 	Decisions []Decision `cbor:"decisions"`
-	// Bridge is set if the writer was carried over expired records and that is not known to all yet.
-	Bridge *Bridge `cbor:"bridge,omitempty"`
+	// Skipped is set if the writer skipped expired records and that is not known to all yet.
+	Skipped *SkippedRange `cbor:"skipped,omitempty"`
 }
 
-// Bridge tells that the records from From on, up to but without To, expired before any process that could be asked had
+// SkippedRange tells that the records from From on, up to but without To, expired before any process that could be asked had
 // read them. They have no effect.
-type Bridge struct {
+type SkippedRange struct {
 	From uint64 `cbor:"from"`
 	To   uint64 `cbor:"to"`
-	// Version is the one that was carried over.
+	// Version is the one held there.
 	Version uint64 `cbor:"version"`
 }
 
--- a/configlog/scenario_test.go
+++ b/configlog/scenario_test.go
@@ -18,7 +18,7 @@
 const (
 	// testRetention is short, so that a run sees many expiries.
 	testRetention = 5 * time.Minute
-	// quiet is the fault-free end of a run: longer than LonelyGapGrace.
+	// quiet is the fault-free end of a run: longer than IsolatedGapGrace.
 	quiet = 6 * time.Minute
 	// changeEvery is the mean time between two changes at 3,100 changes per day.
 	changeEvery = 24 * time.Hour / 3100
--- a/configlog/snapshot.go
+++ b/configlog/snapshot.go
@@ -24,30 +24,33 @@
 	case snap.Offset > offset:
 		// No process can have folded records that are not written yet.
 		s.stop(StopDisagreement, offset, "snapshot claims offset %d ahead of its own", snap.Offset)
+	case s.Doc == nil && s.Skipped != nil:
+		// Nobody that could be asked had a configuration; the writer has one.
+		s.adopt(offset, r)
 	case s.Doc == nil:
 		s.stop(StopDisagreement, offset, "snapshot of version %d, but the records before it hold no configuration", snap.Version)
 	case !known:
 		// The history does not reach back to the snapshot; there is nothing to compare.
 	case version == snap.Version && digest == snap.Digest:
 		s.noteSnapshot(offset, r.At)
-		s.confirmBridge(snap)
-	case snap.Bridge != nil || s.Bridge != nil:
-		s.foldBridged(offset, r, version)
+		s.confirmSkip(snap)
+	case snap.Skipped != nil || s.Skipped != nil:
+		s.foldAfterSkip(offset, r, version)
 	default:
 		s.stop(StopDisagreement, offset, "snapshot of offset %d has version %d digest %016x, the fold had version %d digest %016x",
 			snap.Offset, snap.Version, snap.Digest, version, digest)
 	}
 }
 
-// foldBridged joins two states, one of which was carried over records that nobody read. The higher version stays if the
+// foldAfterSkip joins two states, one of which skipped records that it could not read. The higher version stays if the
 // other process has accepted nothing since; anything else needs an operator.
-func (s *State) foldBridged(offset uint64, r Record, version uint64) {
+func (s *State) foldAfterSkip(offset uint64, r Record, version uint64) {
 	snap := r.Snapshot
 	switch {
 	case snap.Version < version:
 		// The writer was behind; it adopts a snapshot of this version, which is due now.
 		s.HasSnapshot = false
-	case snap.Version > version && s.Bridge != nil && s.Doc.Version == s.Bridge.Version:
+	case snap.Version > version && s.Skipped != nil && s.Doc.Version == s.Skipped.Version:
 		s.adopt(offset, r)
 	default:
 		s.stop(StopDisagreement, offset, "snapshot of offset %d has version %d, this process went from version %d to %d without it",
@@ -55,23 +58,22 @@
 	}
 }
 
-// confirmBridge forgets a bridge that a snapshot has made known, once a patch was accepted behind it. Until then a
+// confirmSkip forgets a skipped range that a snapshot has made known, once a patch was accepted behind it. Until then a
 // process that read the missing records may still come with a higher version.
-func (s *State) confirmBridge(snap *Snapshot) {
-	if s.Bridge != nil && snap.Offset >= s.Bridge.To && s.Doc.Version > s.Bridge.Version {
-		s.Bridge = nil
+func (s *State) confirmSkip(snap *Snapshot) {
+	if s.Skipped != nil && snap.Offset >= s.Skipped.To && s.Doc.Version > s.Skipped.Version {
+		s.Skipped = nil
 	}
 }
 
-// adopt takes over the state of a snapshot of a higher version, together with the records behind its offset, all of
-// which changed nothing here.
+// adopt takes over the state of a snapshot of a higher version. Next goes back to the snapshot's offset, since the records
+// behind it must be decided again on that version.
 func (s *State) adopt(offset uint64, r Record) {
 	next, err := fromSnapshot(r)
 	if err != nil {
 		return
 	}
 	next.Malformed = s.Malformed
-	next.Next = offset
 	next.noteSnapshot(offset, r.At)
 	*s = *next
 }
--- a/configlog/state.go
+++ b/configlog/state.go
@@ -47,8 +47,8 @@
 	Decisions []Decision
 	// Stopped is set if the fold goes no further.
 	Stopped *Stop
-	// Bridge is set if the state was carried over expired records, until confirmBridge.
-	Bridge *Bridge
+	// Skipped is set if the state skipped expired records, until confirmSkip.
+	Skipped *SkippedRange
 	// Malformed counts records that hold nothing this program can read; they are skipped.
 	Malformed uint64
 	// SnapshotOffset and SnapshotAt are the offset and the writer's clock (Unix milliseconds) of the newest snapshot or
@@ -75,7 +75,7 @@
 	}
 	s := NewState()
 	s.Next, s.Doc, s.Digest, s.RuleSet = snap.Offset, snap.Document, snap.Digest, r.RuleSet
-	s.Bridge = snap.Bridge
+	s.Skipped = snap.Skipped
 	for _, d := range snap.Decisions {
 		s.remember(d)
 	}
@@ -94,12 +94,13 @@
 		Digest:    s.Digest,
 		Document:  s.Doc,
 		Decisions: append([]Decision(nil), s.Decisions...),
-		Bridge:    s.Bridge,
+		Skipped:   s.Skipped,
 	}
 }
 
 // Fold applies the record at offset, which must be s.Next, and returns the decision that it made, if any. A record that
-// this program cannot judge stops the fold and leaves Next in front of it.
+// this program cannot judge stops the fold and leaves Next in front of it. Next is the record that must be folded then;
+// it goes back if the record held the state of a process that had read more.
 func (s *State) Fold(offset uint64, raw []byte) *Decision {
 	if s.Stopped != nil || offset != s.Next {
 		return nil
@@ -117,7 +118,7 @@
 	}
 	s.RuleSet = max(s.RuleSet, number)
 	decision := s.foldRecord(offset, r)
-	if s.Stopped == nil {
+	if s.Stopped == nil && s.Next == offset {
 		s.Next++
 	}
 	return decision
@@ -249,13 +250,13 @@
 	return n
 }
 
-// CarryOver carries the state over records that expired before any reachable process read them, up to oldest. The caller
+// SkipTo carries the state on over records that expired before any reachable process read them, up to oldest. The caller
 // has made sure that neither the log nor a peer holds them or a later state.
-func (s *State) CarryOver(oldest uint64) {
-	s.Bridge = &Bridge{From: s.Next, To: oldest}
+func (s *State) SkipTo(oldest uint64) {
+	s.Skipped = &SkippedRange{From: s.Next, To: oldest}
 	s.Next, s.HasSnapshot = oldest, false
 	if s.Doc != nil {
-		s.Bridge.Version = s.Doc.Version
+		s.Skipped.Version = s.Doc.Version
 	}
 }
 
--- a/configlog/state_test.go
+++ b/configlog/state_test.go
@@ -43,8 +43,8 @@
 
 // fold folds the records from state.Next on.
 func (s *stream) fold(state *State) *State {
-	for o := state.Next; o < uint64(len(s.records)) && state.Stopped == nil; o++ {
-		state.Fold(o, s.records[o])
+	for state.Next < uint64(len(s.records)) && state.Stopped == nil {
+		state.Fold(state.Next, s.records[state.Next])
 	}
 	return state
 }
@@ -141,14 +141,14 @@
 		stream *stream
 		stops  bool
 	}{
-		"agrees":            {snapshot(func(*Snapshot) {}), false},
-		"other document":    {snapshot(func(s *Snapshot) { s.Document, s.Digest = other, config.Digest(other) }), true},
-		"other digest":      {snapshot(func(s *Snapshot) { s.Digest++ }), true},
-		"other version":     {snapshot(func(s *Snapshot) { s.Version++ }), true},
-		"offset ahead":      {snapshot(func(s *Snapshot) { s.Offset = 9 }), true},
-		"earlier offset":    {snapshot(func(s *Snapshot) { s.Offset = 2 }), true},
-		"behind a bridge":   {snapshot(func(s *Snapshot) { s.Offset, s.Bridge = 2, &Bridge{From: 1, To: 2} }), true},
-		"lower with bridge": {bridged(base(), 0), false},
+		"agrees":          {snapshot(func(*Snapshot) {}), false},
+		"other document":  {snapshot(func(s *Snapshot) { s.Document, s.Digest = other, config.Digest(other) }), true},
+		"other digest":    {snapshot(func(s *Snapshot) { s.Digest++ }), true},
+		"other version":   {snapshot(func(s *Snapshot) { s.Version++ }), true},
+		"offset ahead":    {snapshot(func(s *Snapshot) { s.Offset = 9 }), true},
+		"earlier offset":  {snapshot(func(s *Snapshot) { s.Offset = 2 }), true},
+		"behind a skip":   {snapshot(func(s *Snapshot) { s.Offset, s.Skipped = 2, &SkippedRange{From: 1, To: 2} }), true},
+		"lower with skip": {skipping(base(), 0), false},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -160,30 +160,36 @@
 	}
 }
 
-// bridged appends the snapshot of a process that held only the first record when the others expired.
-func bridged(st *stream, version uint64) *stream {
+// skipping appends the snapshot of a process that held only the first record when the others expired.
+func skipping(st *stream, version uint64) *stream {
 	behind := NewState()
 	for o := range version + 1 {
 		behind.Fold(o, st.records[o])
 	}
-	behind.CarryOver(uint64(len(st.records)))
+	behind.SkipTo(uint64(len(st.records)))
 	return st.add(Record{Snapshot: behind.Snapshot()})
 }
 
-// TestBridgedAdoptsHigherVersion guards against two states for good after one process was carried over records that
+// TestSkippedAdoptsHigherVersion guards against two states for good after one process skipped records that
 // another one had read.
-func TestBridgedAdoptsHigherVersion(t *testing.T) {
+func TestSkippedAdoptsHigherVersion(t *testing.T) {
 	st := new(stream).init().patch("a", 0)
 	ahead := st.fold(NewState())
 	behind := NewState()
 	behind.Fold(0, st.records[0])
-	behind.CarryOver(2)
-	bridged(st, 0).add(Record{Snapshot: ahead.Snapshot()})
+	behind.SkipTo(2)
+	// The patch behind the snapshot's offset is on a version that only one of them has.
+	skipping(st, 0).patch("c", 1).add(Record{Snapshot: ahead.Snapshot()})
 	st.fold(ahead)
 	st.fold(behind)
-	if ahead.Stopped != nil || behind.Stopped != nil || ahead.Digest != behind.Digest || behind.Doc.Version != 1 {
+	if ahead.Stopped != nil || behind.Stopped != nil || ahead.Digest != behind.Digest || behind.Doc.Version != 2 {
 		t.Fatalf("versions %d and %d, stopped %v and %v", ahead.Doc.Version, behind.Doc.Version, ahead.Stopped, behind.Stopped)
 	}
+	empty := NewState()
+	empty.SkipTo(2)
+	if st.fold(empty); empty.Stopped != nil || empty.Digest != ahead.Digest {
+		t.Errorf("a process that had no configuration: %+v", empty.Stopped)
+	}
 	if !ahead.SnapshotDue(time.Now(), 0, Retention{Period: time.Hour, EveryRecords: 100}) {
 		t.Error("the process with the higher version need not append it")
 	}
