--- a/operatorapi/api_test.go
+++ b/operatorapi/api_test.go
@@ -300,6 +300,9 @@
 	if d, err := c.Submit(t.Context(), patch); !errkind.Is(err, errkind.Conflict) || d.Outcome != configlog.Refused || d.Version != 1 {
 		t.Errorf("lost race %+v %v", d, err)
 	}
+	if log, err := c.Log(t.Context(), nil, nil); err != nil || len(log) != 3 || log[1].Summary[0] != `drains/vm-1: added, reason "disk", vm "vm-1"` {
+		t.Errorf("log %+v %v", log, err)
+	}
 	if doc, err := c.Document(t.Context(), new(uint64)); err != nil || doc.Version != 0 {
 		t.Errorf("version 0: %v", err)
 	}
--- a/operatorapi/client.go
+++ b/operatorapi/client.go
@@ -15,7 +15,6 @@
 	"go.opentelemetry.io/otel/propagation"
 
 	"github.com/redwingthread/redwingthread/config"
-	"github.com/redwingthread/redwingthread/configlog"
 	"github.com/redwingthread/redwingthread/errkind"
 	"github.com/redwingthread/redwingthread/jobs"
 )
@@ -81,8 +80,8 @@
 }
 
 // Log returns the decisions of the versions from and to, both included; nil stands for the first and the last.
-func (c *Client) Log(ctx context.Context, from, to *uint64) ([]configlog.Decision, error) {
-	return call[[]configlog.Decision](ctx, c, c.sling.New().Get("config/log").QueryStruct(versionQuery{From: from, To: to}))
+func (c *Client) Log(ctx context.Context, from, to *uint64) ([]LogEntry, error) {
+	return call[[]LogEntry](ctx, c, c.sling.New().Get("config/log").QueryStruct(versionQuery{From: from, To: to}))
 }
 
 // Status returns the version in force on each entry VM.
--- a/operatorapi/config.go
+++ b/operatorapi/config.go
@@ -204,11 +204,35 @@
 	if from > to {
 		return 0, nil, errkind.New(errkind.BadInput, "give from at most to", "from %d is above to %d", from, to)
 	}
-	decisions := state.Log(from, to)
-	if decisions == nil {
-		decisions = []configlog.Decision{}
+	return http.StatusOK, logEntries(state, from, to), nil
+}
+
+// LogEntry is one decision in the log of changes.
+type LogEntry struct {
+	configlog.Decision
+	// Summary has one line for each field that an accepted patch changed; it is empty if the version before is not kept.
+	Summary []string `json:"summary,omitempty"`
+}
+
+// logEntries returns the decisions of the versions from and to, both included, each with its summary. It goes through the
+// versions once, from the oldest on.
+func logEntries(state *configlog.State, from, to uint64) []LogEntry {
+	entries := []LogEntry{}
+	var doc *config.Document
+	for _, d := range state.Log(from, to) {
+		entry := LogEntry{Decision: d}
+		if d.Outcome == configlog.Accepted && d.Version > 0 {
+			if doc == nil || doc.Version != d.Version-1 {
+				doc, _ = state.At(d.Version - 1) // without it there are no summaries
+			}
+			if doc != nil {
+				entry.Summary = config.Describe(doc, d.Ops)
+				doc, _ = config.ApplyOps(doc, d.Ops, d.Version) // these ops were accepted before
+			}
+		}
+		entries = append(entries, entry)
 	}
-	return http.StatusOK, decisions, nil
+	return entries
 }
 
 // StatusResult is the configuration in force on this process and on every entry VM.
