gateway, routing, request: order configuration changes, bound leaving marks, evict in constant time

A caller that read an older document could put it in place of a newer one; the document is now read again under the lock. Marks of incarnations that are not present were taught by gateways to each other for good; only present ones are offered now. Eviction within one account walked over the entries of all accounts.

--- a/gateway/dispatcher.go
+++ b/gateway/dispatcher.go
@@ -235,7 +235,7 @@
 func (g *Gateway) LeavingEndpoints() []inner.EndpointIncarnation {
 	g.dispatcher.mu.Lock()
 	defer g.dispatcher.mu.Unlock()
-	return g.dispatcher.routes.Leaving()
+	return g.dispatcher.routes.Leaving(time.Now())
 }
 
 // LearnLeaving takes in leaving endpoint incarnations from a peer's heartbeat.
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -239,7 +239,7 @@
 		_, _ = w.Write(a.Response.Body)
 		return
 	}
-	g.passOn(w, a, length)
+	g.passOn(w, c, a, length)
 }
 
 // setLength sets Content-Length where a response may have one. The response to a HEAD request keeps the endpoint's.
@@ -257,10 +257,12 @@
 
 // passOn copies a large body. It panics with http.ErrAbortHandler if the body is not whole, which makes net/http close
 // the caller's connection: the caller must not take the part for the whole.
-func (g *Gateway) passOn(w http.ResponseWriter, a answer, length int64) {
+func (g *Gateway) passOn(w http.ResponseWriter, c *call, a answer, length int64) {
 	n, err := io.Copy(w, a.stream)
 	if err != nil || n != length {
 		g.meters.aborted.Inc(1)
+		g.options.Log.Warn().Str("request", c.id).Str("account", c.account.Name).Int64("sent", n).Int64("length", length).
+			Str("failure_domain", g.owner.FailureDomain).AnErr("error", err).Msg("large body aborted")
 		panic(http.ErrAbortHandler)
 	}
 	invariant.Check(n == length, invariant.AnswerWhole, "large body of %d bytes was passed on with %d", length, n)
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -90,8 +90,10 @@
 
 // Gateway serves callers and forwarded requests. Its methods are safe for concurrent use.
 type Gateway struct {
-	options    Options
-	owner      request.Owner
+	options Options
+	owner   request.Owner
+	// configMu orders changes of snapshot and the dispatcher's configuration.
+	configMu   sync.Mutex
 	snapshot   atomic.Pointer[snapshot]
 	dispatcher *dispatcher
 	pools      *endpoint.Pools
--- a/gateway/snapshot.go
+++ b/gateway/snapshot.go
@@ -35,11 +35,22 @@
 	if doc == nil || s != nil && s.doc == doc {
 		return s
 	}
-	next := newSnapshot(doc)
-	if g.snapshot.CompareAndSwap(s, next) {
-		g.dispatcher.setConfig(doc)
+	return g.takeOver()
+}
+
+// takeOver puts the document in force into use. The document is read again under the lock, so that a caller that read an
+// older one cannot put it in place of a newer one.
+func (g *Gateway) takeOver() *snapshot {
+	g.configMu.Lock()
+	defer g.configMu.Unlock()
+	doc := g.options.Config()
+	if s := g.snapshot.Load(); s != nil && s.doc == doc {
+		return s
 	}
-	return g.snapshot.Load()
+	s := newSnapshot(doc)
+	g.dispatcher.setConfig(doc)
+	g.snapshot.Store(s)
+	return s
 }
 
 // refresh takes over a new configuration and takes a seat if there is one.
--- a/request/table.go
+++ b/request/table.go
@@ -93,8 +93,15 @@
 	done        bool
 	result      Result
 	size        int
-	// stored is the element in Table.order while the result is stored.
-	stored *list.Element
+	// stored and storedBy are the elements in Table.order and the account's order while the result is stored.
+	stored   *list.Element
+	storedBy *list.Element
+}
+
+// accountEntries lists the stored entries of one account, oldest first.
+type accountEntries struct {
+	order list.List
+	bytes int
 }
 
 // Table holds the keys issued by one gateway incarnation. A key is issued, running, done with a stored result, or done
@@ -111,8 +118,8 @@
 	// order lists stored entries, oldest first.
 	order  *list.List
 	stored int
-	// storedBy holds the stored bytes per account.
-	storedBy map[string]int
+	// storedBy holds the stored entries of each account.
+	storedBy map[string]*accountEntries
 	// allowReuse is set by UnsafeAllowReuse.
 	allowReuse bool
 }
@@ -126,7 +133,7 @@
 		next:     1,
 		entries:  map[uint64]*entry{},
 		order:    list.New(),
-		storedBy: map[string]int{},
+		storedBy: map[string]*accountEntries{},
 	}
 }
 
@@ -217,20 +224,22 @@
 	if result.Response != nil {
 		e.size += result.Response.size()
 	}
+	own, ok := t.storedBy[e.account]
+	if !ok {
+		own = &accountEntries{}
+		t.storedBy[e.account] = own
+	}
 	e.stored = t.order.PushBack(e)
+	e.storedBy = own.order.PushBack(e)
 	t.stored += e.size
-	t.storedBy[e.account] += e.size
-	t.evict(e.account)
+	own.bytes += e.size
+	t.evict(own)
 }
 
 // evict removes the oldest results until the account's and the whole budget are kept.
-func (t *Table) evict(account string) {
-	for el := t.order.Front(); el != nil && t.storedBy[account] > t.limits.StoredBytesPerAccount; {
-		next := el.Next()
-		if e := el.Value.(*entry); e.account == account {
-			t.remove(e)
-		}
-		el = next
+func (t *Table) evict(own *accountEntries) {
+	for own.bytes > t.limits.StoredBytesPerAccount {
+		t.remove(own.order.Front().Value.(*entry))
 	}
 	for t.stored > t.limits.StoredBytes && t.order.Len() > 0 {
 		t.remove(t.order.Front().Value.(*entry))
@@ -241,8 +250,10 @@
 func (t *Table) remove(e *entry) {
 	t.order.Remove(e.stored)
 	t.stored -= e.size
-	t.storedBy[e.account] -= e.size
-	if t.storedBy[e.account] == 0 {
+	own := t.storedBy[e.account]
+	own.order.Remove(e.storedBy)
+	own.bytes -= e.size
+	if own.bytes == 0 {
 		delete(t.storedBy, e.account)
 	}
 	delete(t.entries, e.sequence)
--- a/routing/leaving.go
+++ b/routing/leaving.go
@@ -134,11 +134,21 @@
 	}
 }
 
-// Leaving lists the leaving incarnations, to be offered to peers.
-func (t *Table) Leaving() []inner.EndpointIncarnation {
-	list := make([]inner.EndpointIncarnation, 0, len(t.leaving))
-	for name := range t.leaving {
-		list = append(list, name)
+// markKept is how long a mark is kept that is not of a present incarnation.
+const markKept = 10 * time.Minute
+
+// Leaving lists the present incarnations that are leaving, to be offered to peers. Marks of others are not passed on and
+// are dropped after a while; gateways would otherwise teach them to each other for good.
+func (t *Table) Leaving(now time.Time) []inner.EndpointIncarnation {
+	var list []inner.EndpointIncarnation
+	for name, since := range t.leaving {
+		e := t.find(name.Service, name.Endpoint)
+		switch {
+		case e != nil && e.name() == name:
+			list = append(list, name)
+		case now.Sub(since) > markKept:
+			delete(t.leaving, name)
+		}
 	}
 	return list
 }
