gateway: answer refused bodies without reading them, test the server over TCP

A request that was refused while its body was still under way (too large, too slow, no valid token) kept its connection: net/http reads the rest of the body before it sends the response, and no deadline was set. Such refusals now close the connection. Found by TestListenerLimits (slow body and large body: no answer within 3 s).

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -141,7 +141,10 @@
 	} else {
 		c.body, err = io.ReadAll(http.MaxBytesReader(w, r.Body, bound))
 	}
-	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
+	if err == nil {
+		w.Header().Del("Connection")
+		_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
+	}
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return errTooLarge(bound)
--- a/gateway/failure_test.go
+++ b/gateway/failure_test.go
@@ -169,7 +169,15 @@
 // TestSilentConnections guards against old connections that go silent for good costing more than seconds, or the
 // endpoints behind them.
 func TestSilentConnections(t *testing.T) {
+	t.Run("with rules", func(t *testing.T) { silentConnections(t, nil) })
+	t.Run("without rules", func(t *testing.T) { silentConnections(t, func(n *node) { n.pools.UnsafeTrust() }) })
+}
+
+// silentConnections expects the rules to hold unless unsafe switches them off.
+func silentConnections(t *testing.T, unsafe func(*node)) {
 	inBubble(t, 3, 8, func(t *testing.T, f *fixture) {
+		f.unsafe = unsafe
+		var faults []string
 		g := f.start("vm-0", "i-0", "fd-0", nil)
 		load := func(n int) (slowest time.Duration) {
 			var all sync.WaitGroup
@@ -182,7 +190,7 @@
 					defer mu.Unlock()
 					slowest = max(slowest, time.Since(start))
 					if r.outcome != "completed" {
-						t.Errorf("got %+v", r)
+						faults = append(faults, fmt.Sprintf("got %+v", r))
 					}
 				})
 			}
@@ -194,16 +202,19 @@
 			f.net.silence(id, func() bool { return true })
 		}
 		if took := load(6); took > 5*time.Second {
-			t.Errorf("requests on silent connections took up to %s", took)
+			faults = append(faults, fmt.Sprintf("requests on silent connections took up to %s", took))
 		}
 		if took := load(6); took > 100*time.Millisecond {
-			t.Errorf("requests after the silence was noticed took up to %s", took)
+			faults = append(faults, fmt.Sprintf("requests after the silence was noticed took up to %s", took))
 		}
 		for _, e := range g.EndpointStatus() {
 			if e.Ejected || e.Gone {
-				t.Errorf("endpoint %s is lost for silent connections", e.Endpoint)
+				faults = append(faults, fmt.Sprintf("endpoint %s is lost for silent connections", e.Endpoint))
 			}
 		}
+		if len(faults) > 0 != (unsafe != nil) {
+			t.Errorf("got faults %q", faults)
+		}
 	})
 }
 
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -35,6 +35,11 @@
 
 // ServeHTTP serves the caller API.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.ContentLength != 0 {
+		// Until the body is read, a refusal closes the connection: net/http would otherwise read the rest of the body
+		// before it sends the refusal, without a time limit.
+		w.Header().Set("Connection", "close")
+	}
 	switch {
 	case r.URL.Path == "/readyz":
 		g.serveReady(w)
--- /dev/null
+++ b/gateway/server_test.go
@@ -0,0 +1,220 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/sdk/trace"
+	"go.opentelemetry.io/otel/sdk/trace/tracetest"
+
+	"github.com/redwingthread/redwingthread/config"
+	"github.com/redwingthread/redwingthread/endpoint"
+	"github.com/redwingthread/redwingthread/inner"
+)
+
+// serveLoopback starts a gateway and an endpoint on loopback.
+func serveLoopback(t *testing.T, limits ListenerLimits, answer http.HandlerFunc) (g *Gateway, url string) {
+	listen := func() net.Listener {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		return l
+	}
+	target, front := listen(), listen()
+	server := &http.Server{Handler: answer}
+	go server.Serve(target)
+	t.Cleanup(func() { server.Close() })
+	doc := &config.Document{
+		Accounts: map[string]config.Account{"orders": {TokenDigest: digestOf(tokenOf("orders")), Weight: 1}},
+		Services: map[string]config.Service{"scan": {MaxBodyBytes: 1000, Endpoints: map[string]config.Endpoint{
+			"e": {FailureDomain: "fd-0", Address: target.Addr().String(), Slots: 8, MaxConnections: 64}}}},
+	}
+	g, err := New(Options{
+		Self:         inner.Member{FailureDomain: "fd-0", VM: "vm-0", Incarnation: "i"},
+		Config:       func() *config.Document { return doc },
+		Caller:       &node{},
+		ReactionTime: 200 * time.Millisecond,
+		Listener:     limits,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	go g.Serve(front)
+	t.Cleanup(func() { g.server.Close() })
+	return g, "http://" + front.Addr().String()
+}
+
+// respondWith writes a response that keeps the contract, with a body of which only a part may be sent.
+func respondWith(w http.ResponseWriter, r *http.Request, body string, sent int) {
+	h := w.Header()
+	h.Set(endpoint.HeaderRequestID, r.Header.Get(endpoint.HeaderRequestID))
+	h.Set(endpoint.HeaderDigest, endpoint.FormatDigest([]byte(body)))
+	h.Set("Content-Length", fmt.Sprint(len(body)))
+	io.WriteString(w, body[:sent])
+}
+
+// call sends a request over HTTP.
+func callHTTP(method, url, body string) (*http.Response, error) {
+	r, err := http.NewRequest(method, url, strings.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	r.Header.Set("Authorization", "Bearer "+tokenOf("orders"))
+	return http.DefaultClient.Do(r)
+}
+
+// TestLargeResponse guards against a truncated large response that a caller takes for the whole.
+func TestLargeResponse(t *testing.T) {
+	body := strings.Repeat("z", 300_000)
+	for name, sent := range map[string]int{"whole": len(body), "cut off": len(body) - 1} {
+		g, url := serveLoopback(t, ListenerLimits{}, func(w http.ResponseWriter, r *http.Request) {
+			respondWith(w, r, body, sent)
+		})
+		response, err := callHTTP("GET", url+"/v1/services/scan/x", "")
+		if err != nil {
+			t.Fatal(err)
+		}
+		got, err := io.ReadAll(response.Body)
+		response.Body.Close()
+		if whole := err == nil && len(got) == len(body); whole != (sent == len(body)) {
+			t.Errorf("%s: read %d bytes, %v", name, len(got), err)
+		}
+		for range 100 {
+			if g.EndpointStatus()[0].Inflight == 0 {
+				break
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		if n := g.EndpointStatus()[0].Inflight; n != 0 {
+			t.Errorf("%s: %d slots are still held", name, n)
+		}
+	}
+}
+
+// TestListenerLimits guards against callers that occupy the gateway with headers, bodies or connections.
+func TestListenerLimits(t *testing.T) {
+	limits := ListenerLimits{Connections: 2, HeaderBytes: 4096, HeaderTime: 200 * time.Millisecond, BodyTime: 200 * time.Millisecond}
+	_, url := serveLoopback(t, limits, func(w http.ResponseWriter, r *http.Request) { respondWith(w, r, "x", 1) })
+	address := strings.TrimPrefix(url, "http://")
+	start := "POST /v1/services/scan/x HTTP/1.1\r\nHost: g\r\nAuthorization: Bearer " + tokenOf("orders") + "\r\n"
+	cases := map[string]struct{ sent, want string }{
+		"slow header":             {start, ""},
+		"large header":            {start + "X: " + strings.Repeat("x", 20_000) + "\r\n\r\n", "431"},
+		"slow body":               {start + "Content-Length: 10\r\n\r\nabc", "400"},
+		"slow body without token": {"POST /v1/services/scan/x HTTP/1.1\r\nHost: g\r\nContent-Length: 10\r\n\r\nabc", "401"},
+		"large body":              {start + "Content-Length: 100000\r\n\r\n", "413"},
+	}
+	for name, c := range cases {
+		conn, err := net.Dial("tcp", address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		conn.SetDeadline(time.Now().Add(3 * time.Second))
+		io.WriteString(conn, c.sent)
+		got, err := io.ReadAll(io.LimitReader(conn, 12))
+		conn.Close()
+		if err != nil && c.want == "" || !strings.Contains(string(got), c.want) {
+			t.Errorf("%s: got %q, %v", name, got, err)
+		}
+	}
+	var held []net.Conn
+	for range 2 {
+		conn, err := net.Dial("tcp", address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		held = append(held, conn)
+	}
+	third, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer third.Close()
+	io.WriteString(third, "GET /readyz HTTP/1.1\r\nHost: g\r\n\r\n")
+	third.SetReadDeadline(time.Now().Add(100 * time.Millisecond))
+	if n, _ := third.Read(make([]byte, 1)); n != 0 {
+		t.Error("a connection above the limit was served")
+	}
+	for _, conn := range held {
+		conn.Close()
+	}
+	third.SetReadDeadline(time.Now().Add(3 * time.Second))
+	if n, err := third.Read(make([]byte, 1)); n != 1 {
+		t.Errorf("a waiting connection was not served: %v", err)
+	}
+}
+
+// TestShutdownOverTCP guards against responses cut off on their way to callers when the listener closes.
+func TestShutdownOverTCP(t *testing.T) {
+	g, url := serveLoopback(t, ListenerLimits{}, func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(400 * time.Millisecond)
+		respondWith(w, r, "x", 1)
+	})
+	outcomes := make(chan string, 8)
+	for range cap(outcomes) {
+		go func() {
+			response, err := callHTTP("POST", url+"/v1/services/scan/x", "b")
+			if err != nil {
+				outcomes <- err.Error()
+				return
+			}
+			defer response.Body.Close()
+			body, err := io.ReadAll(response.Body)
+			outcomes <- fmt.Sprint(response.Header.Get(headerOutcome), string(body), err)
+		}()
+	}
+	time.Sleep(100 * time.Millisecond)
+	if err := g.Shutdown(context.Background()); err != nil {
+		t.Error(err)
+	}
+	for range cap(outcomes) {
+		if got := <-outcomes; got != "completedx<nil>" {
+			t.Errorf("caller got %q", got)
+		}
+	}
+	if _, err := callHTTP("GET", url+"/readyz", ""); err == nil {
+		t.Error("listener is open after the shutdown")
+	}
+}
+
+// TestTrace guards against a trace that breaks off at the gateway, at a forward or at the endpoint.
+func TestTrace(t *testing.T) {
+	spans := tracetest.NewInMemoryExporter()
+	previous := otel.GetTracerProvider()
+	otel.SetTracerProvider(trace.NewTracerProvider(trace.WithSyncer(spans)))
+	defer otel.SetTracerProvider(previous)
+	const id = "0af7651916cd43dd8448eb211c80319c"
+	inBubble(t, 3, 8, func(t *testing.T, f *fixture) {
+		seen := ""
+		for _, e := range f.endpoints {
+			e.next = func(r *http.Request) fault {
+				seen = r.Header.Get("Traceparent")
+				return healthy
+			}
+		}
+		a := f.start("vm-0", "i-0", "fd-0", nil)
+		b := f.start("vm-1", "i-1", "fd-1", nil)
+		b.send(sending{account: "orders", method: "POST", key: a.newKey("orders"),
+			header: http.Header{"Traceparent": {"00-" + id + "-b7ad6b7169203331-01"}}})
+		if !strings.Contains(seen, id) {
+			t.Errorf("endpoint got traceparent %q", seen)
+		}
+	})
+	var names []string
+	for _, span := range spans.GetSpans() {
+		if span.SpanContext.TraceID().String() == id {
+			names = append(names, span.Name)
+		}
+	}
+	if got := strings.Join(names, " "); got != "endpoint.attempt gateway.forwarded gateway.forward gateway.request" {
+		t.Errorf("got spans %q", got)
+	}
+}
