routing: ask ejected endpoints of services without repeatable requests; gateway: test need of the leaving rule

Only repeatable requests may probe an ejected endpoint, so a service that gets POST alone never got its ejected endpoints back.

--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -8,9 +8,11 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strconv"
 	"sync"
 	"testing"
@@ -114,15 +116,20 @@
 
 // members lists the live gateways.
 func (f *fixture) members() []inner.Member {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	list := make([]inner.Member, 0, len(f.gateways))
-	for _, n := range f.gateways {
+	var list []inner.Member
+	for _, n := range f.nodes() {
 		list = append(list, n.member)
 	}
 	return list
 }
 
+// nodes returns the live gateways.
+func (f *fixture) nodes() []*node {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Collect(maps.Values(f.gateways))
+}
+
 // kill ends a gateway without warning: callers and peers hear nothing more of it.
 func (f *fixture) kill(n *node) {
 	f.mu.Lock()
@@ -138,7 +145,7 @@
 // Call carries an inner message to a peer over the faults of the network.
 func (n *node) Call(ctx context.Context, address string, req *inner.Request) (*inner.Response, error) {
 	f := n.fixture
-	if err := f.cross(ctx, n.member.VM, address); err != nil {
+	if err := f.net.cross(ctx, n.member.VM, address); err != nil {
 		return nil, err
 	}
 	f.mu.Lock()
@@ -158,7 +165,7 @@
 	}()
 	select {
 	case r := <-replies:
-		if err := f.cross(ctx, address, n.member.VM); err != nil {
+		if err := f.net.cross(ctx, address, n.member.VM); err != nil {
 			return nil, err
 		}
 		return r.response, r.err
@@ -169,22 +176,6 @@
 	}
 }
 
-// cross waits until a message can pass from one host to another.
-func (f *fixture) cross(ctx context.Context, from, to string) error {
-	for {
-		held, changed := f.net.blocked(from, to)
-		if !held {
-			time.Sleep(f.net.delay)
-			return nil
-		}
-		select {
-		case <-changed:
-		case <-ctx.Done():
-			return ctx.Err()
-		}
-	}
-}
-
 // reply is what a caller saw. Outcome is empty if the gateway died before it answered.
 type reply struct {
 	status  int
@@ -263,13 +254,7 @@
 // close ends all gateways and endpoints.
 func (f *fixture) close() {
 	f.cancel()
-	f.mu.Lock()
-	nodes := make([]*node, 0, len(f.gateways))
-	for _, n := range f.gateways {
-		nodes = append(nodes, n)
-	}
-	f.mu.Unlock()
-	for _, n := range nodes {
+	for _, n := range f.nodes() {
 		f.kill(n)
 	}
 	for id, e := range f.endpoints {
--- a/gateway/memnet_test.go
+++ b/gateway/memnet_test.go
@@ -85,25 +85,28 @@
 	return n.cut[[2]string{a, b}] || n.frozen[a] || n.frozen[b], n.changed
 }
 
-var errRefused = errors.New("connection refused")
-
-// dial opens a connection from a host to an address, whose host part is the address itself.
-func (n *memNet) dial(ctx context.Context, from, address string) (net.Conn, error) {
+// cross waits until a message has passed from one host to another.
+func (n *memNet) cross(ctx context.Context, from, to string) error {
 	for {
-		held, changed := n.blocked(from, address)
+		held, changed := n.blocked(from, to)
 		if !held {
-			break
+			time.Sleep(n.delay)
+			return ctx.Err()
 		}
 		select {
 		case <-changed:
 		case <-ctx.Done():
-			return nil, ctx.Err()
+			return ctx.Err()
 		}
 	}
-	select {
-	case <-time.After(n.delay):
-	case <-ctx.Done():
-		return nil, ctx.Err()
+}
+
+var errRefused = errors.New("connection refused")
+
+// dial opens a connection from a host to an address, whose host part is the address itself.
+func (n *memNet) dial(ctx context.Context, from, address string) (net.Conn, error) {
+	if err := n.cross(ctx, from, address); err != nil {
+		return nil, err
 	}
 	n.mu.Lock()
 	l := n.listeners[address]
--- a/gateway/scenario_test.go
+++ b/gateway/scenario_test.go
@@ -14,6 +14,7 @@
 	"github.com/anishathalye/porcupine"
 
 	"github.com/redwingthread/redwingthread/platform"
+	"github.com/redwingthread/redwingthread/routing"
 )
 
 // span of one scenario in virtual time.
@@ -256,12 +257,7 @@
 		for _, e := range w.endpoints {
 			vms = append(vms, platform.VM{ID: e.id, Role: platform.RoleEndpoint, State: platform.VMLive})
 		}
-		w.fixture.mu.Lock()
-		nodes := make([]*node, 0, len(w.gateways))
-		for _, n := range w.gateways {
-			nodes = append(nodes, n)
-		}
-		w.fixture.mu.Unlock()
+		nodes := w.nodes()
 		for _, from := range nodes {
 			from.ObserveVMs(vms)
 			for _, to := range nodes {
@@ -385,7 +381,10 @@
 		"no replay after a write":     func(n *node) { n.unsafe.replay = true },
 		"not_run only when unwritten": func(n *node) { n.unsafe.claimNotRun = true },
 		"keys run at their owner":     func(n *node) { n.unsafe.adopt = true },
-		"checks of responses":         func(n *node) { n.pools.UnsafeTrust() },
+		"leaving endpoints get no work": func(n *node) {
+			n.dispatcher.routes.UnsafeIgnore(routing.Rules{Leaving: true})
+		},
+		"checks of responses": func(n *node) { n.pools.UnsafeTrust() },
 	}
 	for name, unsafe := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/routing/probe.go
+++ b/routing/probe.go
@@ -56,9 +56,19 @@
 		live := e.incarnation.liveSince
 		return e.incarnation.refused || !live.IsZero() && now.Sub(live) >= listedLive, true
 	}
-	return false, e.health.state == unreachable && !now.Before(e.health.until)
+	switch e.health.state {
+	case unreachable:
+		return false, !now.Before(e.health.until)
+	case ejected:
+		return true, !now.Before(e.health.until.Add(probeGrace))
+	}
+	return false, false
 }
 
+// probeGrace is the time after an ejection for which a repeatable request may come by as a probe. A service without such
+// requests has its ejected endpoints asked instead; they would otherwise stay out for good.
+const probeGrace = time.Second
+
 // ProbeDone takes in the result of a probe.
 func (t *Table) ProbeDone(p Probe, r ProbeResult, now time.Time) {
 	e := t.find(p.Service, p.Endpoint)
@@ -67,6 +77,13 @@
 	}
 	e.health.probing = false
 	e.incarnation.probeAt = now.Add(leavingProbe)
+	if p.Ask && e.health.state == ejected {
+		kind := Failed
+		if r.Incarnation != "" {
+			kind = Answered
+		}
+		t.endProbe(e, kind, now)
+	}
 	if !r.Connected {
 		t.turnUnreachable(e, now)
 		return
--- a/routing/table_test.go
+++ b/routing/table_test.go
@@ -130,6 +130,26 @@
 	}
 }
 
+// TestAskedProbe guards against an ejected endpoint that stays out because its service has no request that may probe it.
+func TestAskedProbe(t *testing.T) {
+	table := testTable(8, 64)
+	for range failuresInRow {
+		table.Done(Choice{Service: "s", Endpoint: "e-0", Address: "e-0"}, Report{Kind: Failed, Inflight: -1}, start)
+	}
+	now := start.Add(ejectBase + probeGrace)
+	for i, r := range []ProbeResult{{Connected: true}, {Connected: true, Incarnation: "i"}} {
+		due := table.Probes(now)
+		if len(due) != 1 || !due[0].Ask || len(table.Probes(now)) != 0 {
+			t.Fatalf("round %d: got probes %v", i, due)
+		}
+		table.ProbeDone(due[0], r, now)
+		now = now.Add(2*ejectBase + probeGrace)
+	}
+	if table.Status()[0].Ejected {
+		t.Error("endpoint is ejected after a good probe")
+	}
+}
+
 // TestFlapping guards against an endpoint that comes and goes and takes requests down with it each time.
 func TestFlapping(t *testing.T) {
 	table := testTable(8, 64)
