--- a/gateway/fake_test.go
+++ b/gateway/fake_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -72,7 +73,9 @@
 type fakeEndpoint struct {
 	id, address, incarnation string
 	slots                    int
-	ledger                   *ledger
+	// reportsArrival makes the endpoint report its load at the arrival of a request, not at its response.
+	reportsArrival bool
+	ledger         *ledger
 	// takes returns the service time of a request.
 	takes func() time.Duration
 	// next returns the fault of the next exchange, nil for none.
@@ -139,7 +142,7 @@
 	}
 }
 
-// slot waits for one of the endpoint's slots and returns the load.
+// slot waits for one of the endpoint's slots and returns the load at arrival.
 func (e *fakeEndpoint) slot() int {
 	e.mu.Lock()
 	e.inflight++
@@ -168,16 +171,19 @@
 // exchange runs a request and responds. It reports whether the connection stays open.
 func (e *fakeEndpoint) exchange(c net.Conn, r *http.Request, body []byte) bool {
 	if r.Method == http.MethodOptions && r.URL.Path == "*" {
-		return e.respond(c, r, http.StatusNoContent, nil, healthy, 0)
+		return e.respond(c, r, http.StatusNoContent, nil, healthy)
 	}
 	f := healthy
 	if e.next != nil {
 		f = e.next(r)
 	}
 	if f == refusesRun {
-		return e.respond(c, r, http.StatusServiceUnavailable, nil, f, 0)
+		return e.respond(c, r, http.StatusServiceUnavailable, nil, f)
+	}
+	arrival := e.slot()
+	if e.reportsArrival {
+		r.Header.Set("Arrival-Load", strconv.Itoa(arrival))
 	}
-	load := e.slot()
 	defer e.freeSlot()
 	e.ledger.add(run{endpoint: e.id, method: r.Method, tag: string(body), at: time.Now()})
 	if e.takes != nil {
@@ -193,15 +199,18 @@
 	case resetAfter:
 		return false
 	case fails, plain503:
-		return e.respond(c, r, http.StatusServiceUnavailable, []byte("failed"), f, load)
+		return e.respond(c, r, http.StatusServiceUnavailable, []byte("failed"), f)
 	}
-	return e.respond(c, r, http.StatusOK, append([]byte("done:"), body...), f, load)
+	return e.respond(c, r, http.StatusOK, append([]byte("done:"), body...), f)
 }
 
-func (e *fakeEndpoint) respond(c net.Conn, r *http.Request, status int, body []byte, f fault, load int) bool {
+func (e *fakeEndpoint) respond(c net.Conn, r *http.Request, status int, body []byte, f fault) bool {
 	e.mu.Lock()
-	leaving, incarnation := e.leaving, e.incarnation
+	leaving, incarnation, load := e.leaving, e.incarnation, e.inflight
 	e.mu.Unlock()
+	if at, err := strconv.Atoi(r.Header.Get("Arrival-Load")); err == nil {
+		load = at
+	}
 	id := r.Header.Get(endpoint.HeaderRequestID)
 	if f == crossed {
 		id = "another"
--- a/gateway/overload_test.go
+++ b/gateway/overload_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -34,12 +35,13 @@
 }
 
 // offer sends requests of an account at a rate per second for a time, without waiting for their responses.
-func offer(g *node, account string, rate int, span, deadline time.Duration, all *sync.WaitGroup) *offered {
+func offer(gateways []*node, account string, rate int, span, deadline time.Duration, all *sync.WaitGroup) *offered {
 	o := &offered{}
 	r := rand.New(rand.NewPCG(uint64(rate), 5))
 	all.Go(func() {
 		for end := time.Now().Add(span); time.Now().Before(end); {
 			time.Sleep(time.Duration(r.ExpFloat64() * float64(time.Second) / float64(rate)))
+			g := gateways[r.IntN(len(gateways))]
 			all.Go(func() {
 				start := time.Now()
 				answer := g.send(sending{account: account, method: "POST", body: "x", timeout: deadline})
@@ -62,21 +64,32 @@
 func TestOverload(t *testing.T) {
 	const span = 10 * time.Second
 	const deadline = 500 * time.Millisecond
-	for _, unsafe := range []bool{false, true} {
-		name := "with rules"
-		if unsafe {
-			name = "without rules"
-		}
+	cases := map[string]struct {
+		gateways       int
+		unsafe         bool
+		reportsArrival bool
+	}{
+		"one gateway":                 {1, false, false},
+		"three gateways":              {3, false, false},
+		"three gateways, old reports": {3, false, true},
+		"without rules":               {1, true, false},
+	}
+	for name, c := range cases {
+		unsafe := c.unsafe
 		t.Run(name, func(t *testing.T) {
 			inBubble(t, 6, overloadSlots, func(t *testing.T, f *fixture) {
 				for _, e := range f.endpoints {
 					e.takes = func() time.Duration { return overloadService }
+					e.reportsArrival = c.reportsArrival
+				}
+				f.unsafe = func(n *node) {
+					if unsafe {
+						n.dispatcher.queueLocked("scan").UnsafeUnbounded()
+					}
 				}
-				g := f.start("vm-0", "i-0", "fd-0", nil)
-				if unsafe {
-					g.dispatcher.mu.Lock()
-					g.dispatcher.queueLocked("scan").UnsafeUnbounded()
-					g.dispatcher.mu.Unlock()
+				var g []*node
+				for i := range c.gateways {
+					g = append(g, f.start(fmt.Sprintf("vm-%d", i), "i", "fd-0", nil))
 				}
 				var all sync.WaitGroup
 				full := offer(g, "orders", overloadRate, span, deadline, &all)
--- a/routing/choose.go
+++ b/routing/choose.go
@@ -45,7 +45,11 @@
 	if t.unsafe.Bound {
 		return true
 	}
-	return e.inflight < min(e.connections, e.config.Slots) && e.use(now) < float64(e.config.Slots)
+	if e.inflight >= min(e.connections, e.config.Slots) {
+		return false
+	}
+	// A gateway's share of the slots is always its own, whatever the endpoint reports: reports may be late or wrong.
+	return e.inflight < max(1, e.config.Slots/t.seats) || e.use(now) < float64(e.config.Slots)
 }
 
 // choose picks among the endpoints of the own failure domain, or of the others if no own one is usable at all. Own
