Let unstoppable work displace unclaimed bindings; keep doubtful failures on record

Cells may be bound under work on loan, so an unclaimed cell now moves away from free capacity that such a job can use.

Most of the tail has another cause: small jobs stopped for gangs.

--- a/scheduler/binding.go
+++ b/scheduler/binding.go
@@ -142,3 +142,61 @@
 	}
 	return moved
 }
+
+// startByDisplacing starts unstoppable work on free capacity that unclaimed cells are bound to, if these cells can be
+// bound elsewhere. What runs there on loan does not matter, so the move loses nothing.
+func (c *Core) startByDisplacing(j *job) bool {
+	key := shapeKey{shape: j.Shape, runOnce: j.RunOnce, displacing: true}
+	if j.class.key.solo != "" || c.blocked[key] >= c.seq {
+		return false
+	}
+	place := c.find(&request{job: j, shape: j.Shape})
+	if place == nil || !usableBy(j, place) || !c.displace(j, place) {
+		c.blocked[key] = c.seq
+		return false
+	}
+	c.start(j, place)
+	return true
+}
+
+// displace binds the unclaimed cells elsewhere that leave no room for unstoppable work on the place. It reports whether
+// all found room; if not, nothing is changed.
+func (c *Core) displace(j *job, place []*worker) bool {
+	var moved []*cell
+	var from [][]*worker
+	reserve := func(sign int) {
+		forEachWorker(place, func(w *worker, n int) { w.hard = w.hard.Add(j.Shape.PerMember.Times(sign * n)) })
+	}
+	reserve(1)
+	forEachWorker(place, func(w *worker, _ int) {
+		for !w.bound.Add(w.hard).Fits(w.capacity) {
+			i := slices.IndexFunc(w.cells, func(cl *cell) bool { return cl.claim == nil })
+			if i < 0 {
+				return
+			}
+			cl := w.cells[i]
+			moved, from = append(moved, cl), append(from, cl.place)
+			c.unbind(cl)
+		}
+	})
+	ok := true
+	forEachWorker(place, func(w *worker, _ int) { ok = ok && w.bound.Add(w.hard).Fits(w.capacity) })
+	for _, cl := range moved {
+		if to := c.findBinding(cl); ok && to != nil {
+			c.bind(cl, to)
+		} else {
+			ok = false
+		}
+	}
+	reserve(-1)
+	if ok {
+		return true
+	}
+	for _, cl := range moved {
+		c.unbind(cl)
+	}
+	for i, cl := range moved {
+		c.bind(cl, from[i])
+	}
+	return false
+}
--- a/scheduler/conduct.go
+++ b/scheduler/conduct.go
@@ -62,8 +62,8 @@
 type suspicion struct {
 	job *job
 	at  time.Time
-	// confirmed marks a job that completed on another worker.
-	confirmed bool
+	// confirmed marks a job that completed on another worker, doubtful one that failed on several.
+	confirmed, doubtful bool
 }
 
 // failure is a worker to be avoided by a job.
@@ -132,7 +132,7 @@
 		j.failures = append(j.failures, failure{worker: w})
 		c.suspect(w, j)
 	}
-	c.exonerate(j)
+	c.doubt(j)
 	switch {
 	case j.cancelled:
 		c.finish(j, jobs.StateCancelled, "cancelled")
@@ -215,15 +215,17 @@
 		different > 1 && !c.holdsElsewhere(j)
 }
 
-// exonerate withdraws the failures of a job from the records of its workers once it failed on several: then the job is
-// more likely at fault.
-func (c *Core) exonerate(j *job) {
+// doubt puts the failures of a job on several workers in doubt: the job may be at fault. If it runs elsewhere after all,
+// they count against all those workers.
+func (c *Core) doubt(j *job) {
 	if len(j.failures) < 2 {
 		return
 	}
 	for _, f := range j.failures {
-		f.worker.conduct.suspicions = slices.DeleteFunc(f.worker.conduct.suspicions,
-			func(s suspicion) bool { return s.job == j && !s.confirmed })
+		for i := range f.worker.conduct.suspicions {
+			s := &f.worker.conduct.suspicions[i]
+			s.doubtful = s.doubtful || s.job == j
+		}
 	}
 }
 
@@ -231,10 +233,11 @@
 // elsewhere. A burst of bad jobs fails everywhere alike and quarantines nothing.
 func (c *Core) suspect(w *worker, j *job) {
 	w.conduct.suspicions = append(c.recent(w), suspicion{job: j, at: c.now})
-	if w.conduct.phase != phaseTrusted || len(w.conduct.suspicions) < suspectJobs || c.options.noQuarantine {
+	if w.conduct.phase != phaseTrusted || c.options.noQuarantine {
 		return
 	}
-	if (c.options.blameEveryWorker || c.confirmed(w) >= confirmedJobs) && c.mayQuarantine() {
+	confirmed, open := c.weigh(w)
+	if confirmed+open >= suspectJobs && (c.options.blameEveryWorker || confirmed >= confirmedJobs) && c.mayQuarantine() {
 		c.quarantine(w)
 	}
 }
@@ -246,22 +249,28 @@
 	})
 }
 
-// confirmed counts the jobs that failed on w and run, or completed, elsewhere.
-func (c *Core) confirmed(w *worker) int {
-	n := 0
+// weigh counts the jobs that failed on w and run, or completed, elsewhere, and those of which nothing is known yet.
+func (c *Core) weigh(w *worker) (confirmed, open int) {
 	for _, s := range w.conduct.suspicions {
 		runs := s.job.placed() && !s.job.ranSince.IsZero() && c.now.Sub(s.job.ranSince) >= confirmTime
-		if s.confirmed || runs {
-			n++
+		switch {
+		case s.confirmed || runs:
+			confirmed++
+		case !s.doubtful:
+			open++
 		}
 	}
-	return n
+	return confirmed, open
 }
 
-// underSuspicion reports whether an unexplained failure on w speaks against work that cannot be repeated.
+// underSuspicion reports whether a failure on w speaks against work that cannot be repeated.
 func (c *Core) underSuspicion(w *worker) bool {
-	n := len(w.conduct.suspicions)
-	return n > 0 && c.now.Sub(w.conduct.suspicions[n-1].at) <= suspicionWindow
+	for _, s := range w.conduct.suspicions {
+		if c.now.Sub(s.at) <= suspicionWindow && (s.confirmed || !s.doubtful) {
+			return true
+		}
+	}
+	return false
 }
 
 // mayQuarantine reports whether one more suspended worker stays within policy.quarantine_percent.
--- a/scheduler/plan.go
+++ b/scheduler/plan.go
@@ -135,6 +135,9 @@
 	if !j.hard() {
 		return false
 	}
+	if c.withinQuota(j) && c.startByDisplacing(j) {
+		return true
+	}
 	// Unstoppable work gets no borrowed capacity. Where nothing but bound capacity would ever hold it, it uses up a
 	// larger guarantee of its own account.
 	cl := c.openCell(j, true)
@@ -186,7 +189,7 @@
 		}
 		return place
 	}
-	key := shapeKey{r.shape, r.hard, r.backfill, mayTry(j), j.RunOnce}
+	key := shapeKey{shape: r.shape, hard: r.hard, backfill: r.backfill, trial: mayTry(j), runOnce: j.RunOnce}
 	r.since = c.blocked[key]
 	place := c.find(r)
 	if place == nil {
--- a/scheduler/queue.go
+++ b/scheduler/queue.go
@@ -28,6 +28,8 @@
 	trial bool
 	// runOnce marks jobs that avoid workers under suspicion.
 	runOnce bool
+	// displacing marks searches for capacity whose bindings would move away.
+	displacing bool
 }
 
 // class is a first-in first-out queue of interchangeable waiting jobs. One failed search blocks the whole class, so a
