--- a/scheduler/baseline_test.go
+++ b/scheduler/baseline_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/redwingthread/redwingthread/config"
@@ -40,10 +41,7 @@
 		b.total += w.Capacity.Accelerators
 	}
 	slices.SortFunc(b.workers, func(x, y resource.Worker) int {
-		if x.Rack != y.Rack {
-			return compareText(x.Rack, y.Rack)
-		}
-		return compareText(x.ID, y.ID)
+		return strings.Compare(x.Rack+x.ID, y.Rack+y.ID)
 	})
 	for _, w := range b.workers {
 		b.free = append(b.free, w.Capacity)
@@ -54,16 +52,6 @@
 	return b
 }
 
-func compareText(a, b string) int {
-	if a < b {
-		return -1
-	}
-	if a > b {
-		return 1
-	}
-	return 0
-}
-
 func (b *baseline) Submit(j jobs.Job, _ time.Time) error {
 	b.waiting = append(b.waiting, &baselineJob{Job: j})
 	return nil
--- a/scheduler/bench_test.go
+++ b/scheduler/bench_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"slices"
+	"strings"
 	"testing"
 	"text/tabwriter"
 	"time"
@@ -31,10 +32,13 @@
 	stops                         map[StopReason]int
 	wasted                        float64
 	floor                         *hdrhistogram.Histogram
-	pooled                        int
+	seeds                         float64
 }
 
-func (f *figures) seeds() int { return f.pooled + 1 }
+func newFigures(name string) *figures {
+	h := func() *hdrhistogram.Histogram { return hdrhistogram.New(1, 1e10, 3) }
+	return &figures{name: name, all: h(), large: h(), decision: h(), floor: h(), stops: map[StopReason]int{}}
+}
 
 func (f *figures) fragmentation() float64 { return f.unusable / max(f.free, 1) }
 
@@ -55,11 +59,14 @@
 		m.total += w.Capacity.Accelerators
 	}
 	slices.SortFunc(m.workers, func(a, b resource.Worker) int {
-		return compareText(a.Rack+a.ID, b.Rack+b.ID)
+		return strings.Compare(a.Rack+a.ID, b.Rack+b.ID)
 	})
 	return m
 }
 
+// capacity is the accelerator time of the profile.
+func (m *meter) capacity() float64 { return float64(m.total) * m.p.span.Seconds() }
+
 // advance adds the state that held between two times.
 func (m *meter) advance(from, to time.Time) {
 	if to.After(m.until) {
@@ -79,9 +86,9 @@
 	m.f.scattered += float64(freeCount-standard) * seconds
 	m.f.free += float64(freeCount) * seconds
 	m.f.unusable += float64(freeCount-usable) * seconds
-	m.f.busy += float64(m.total-freeCount) * seconds
+	m.f.busy += float64(m.total-freeCount) * seconds / m.capacity()
 	for _, t := range m.d.live {
-		m.f.tasks += float64(len(t.placement)) * seconds
+		m.f.tasks += float64(len(t.placement)) * seconds / m.p.span.Seconds()
 	}
 }
 
@@ -137,21 +144,17 @@
 	}
 }
 
-// measure runs one scheduler on the arrivals of a profile until all jobs have ended.
-func measure(name string, p *profile, planner Planner, seed uint64) *figures {
-	f := &figures{name: name}
-	f.all, f.large = hdrhistogram.New(1, 1e9, 3), hdrhistogram.New(1, 1e9, 3)
-	f.decision = hdrhistogram.New(1, 1e10, 3)
-	d := newDriver(planner, seed)
+// measure runs one scheduler on the arrivals of a profile until all jobs have ended, and adds its figures to f.
+func measure(f *figures, p *profile, planner Planner, seed uint64) {
+	f.seeds++
+	d := newDriver(planner)
 	m := newMeter(d, p, f)
 	d.onAdvance = m.advance
 	d.decided = func(spent time.Duration) { _ = f.decision.RecordValue(spent.Nanoseconds()) }
 	watch := watchClaims(d, p, f)
-	f.stops = map[StopReason]int{}
-	f.floor = hdrhistogram.New(1, 1e9, 3)
 	d.onStop = func(_ *task, s Stop) { f.stops[s.Reason]++ }
 	horizon := testStart.Add(p.span)
-	d.onEnd = func(t *task, r Result) { f.useful += usefulWithin(d, t, r, horizon) }
+	d.onEnd = func(t *task, r Result) { f.useful += usefulWithin(d, t, r, horizon) / m.capacity() }
 	for _, t := range p.arrivals(seed) {
 		d.after(t.arrived.Sub(testStart), func() {
 			if d.submit(t) {
@@ -173,9 +176,6 @@
 			_ = f.floor.RecordValue(int64(t.length.Seconds()))
 		}
 	}
-	capacity := float64(m.total) * p.span.Seconds()
-	f.busy, f.useful, f.tasks = f.busy/capacity, f.useful/capacity, f.tasks/p.span.Seconds()
-	return f
 }
 
 // usefulWithin returns the accelerator time of an attempt before the horizon whose progress was kept.
@@ -241,40 +241,14 @@
 func compare(p *profile, kinds []kindOf) []*figures {
 	all := make([]*figures, len(kinds))
 	for i, k := range kinds {
+		all[i] = newFigures(k.name)
 		for seed := range uint64(benchSeeds) {
-			f := measure(k.name, p, k.make(p), seed+1)
-			if all[i] == nil {
-				all[i] = f
-			} else {
-				all[i].add(f)
-			}
+			measure(all[i], p, k.make(p), seed+1)
 		}
 	}
 	return all
 }
 
-// add pools the figures of another seed.
-func (f *figures) add(o *figures) {
-	f.all.Merge(o.all)
-	f.large.Merge(o.large)
-	f.decision.Merge(o.decision)
-	f.floor.Merge(o.floor)
-	f.pooled++
-	f.unusable += o.unusable
-	f.scattered += o.scattered
-	f.free += o.free
-	f.busy += o.busy
-	f.useful += o.useful
-	f.violations += o.violations
-	f.claims += o.claims
-	f.unstarted += o.unstarted
-	f.tasks += o.tasks
-	f.wasted += o.wasted
-	for r, n := range o.stops {
-		f.stops[r] += n
-	}
-}
-
 // skipUnlessBench skips a test outside make bench.
 func skipUnlessBench(t *testing.T) {
 	t.Helper()
@@ -334,7 +308,8 @@
 		p := plannedProfile(workers)
 		p.span = 24 * time.Hour
 		p.warm = p.warm * workers / 840
-		f := measure(fmt.Sprint(workers), p, newLoadedCore(p), 1)
+		f := newFigures(fmt.Sprint(workers))
+		measure(f, p, newLoadedCore(p), 1)
 		all = append(all, f)
 	}
 	printFigures("workers", all...)
@@ -353,7 +328,7 @@
 		t.Errorf("missed: %d guarantee violations, %d jobs without an end", core.violations, core.unstarted)
 	}
 	if limit := max(first.useful, count.useful); core.useful < limit {
-		t.Errorf("missed: utilisation %.4f, target %.4f", core.useful, limit)
+		t.Errorf("missed: utilisation %.4f, target %.4f", core.useful/core.seeds, limit/core.seeds)
 	}
 	if p99 := core.decision.ValueAtQuantile(99); p99 > time.Millisecond.Nanoseconds() {
 		t.Errorf("missed: decision p99 %v, target 1ms", time.Duration(p99))
@@ -365,7 +340,7 @@
 	fmt.Fprintf(w, "%s\tp50 s\tp95 s\tp99 s\tlargest p95 s\tfragm.\tfragm. std\tutilis.\tbusy\tviolations/claims\t"+
 		"decision p50\tp99\tmax\ttasks\tjobs\t\n", title)
 	for _, f := range all {
-		n := float64(max(1, f.seeds()))
+		n := f.seeds
 		ns := func(q float64) time.Duration {
 			return time.Duration(f.decision.ValueAtQuantile(q)).Round(time.Microsecond)
 		}
--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -289,3 +289,23 @@
 	}
 	return list
 }
+
+// Usage returns the use of resources by each account that uses any, by account name.
+func (c *Core) Usage() []Usage {
+	var list []Usage
+	for _, a := range c.accounts {
+		if len(a.placed) == 0 {
+			continue
+		}
+		u := Usage{Account: a.name}
+		for _, j := range a.placed {
+			u.Used = u.Used.Add(j.Shape.Total())
+			if j.cell == nil {
+				u.Borrowed = u.Borrowed.Add(j.Shape.Total())
+			}
+		}
+		list = append(list, u)
+	}
+	slices.SortFunc(list, func(x, y Usage) int { return cmp.Compare(x.Account, y.Account) })
+	return list
+}
--- a/scheduler/driver_test.go
+++ b/scheduler/driver_test.go
@@ -1,8 +1,8 @@
 package scheduler
 
 import (
-	"container/heap"
-	"math/rand/v2"
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/redwingthread/redwingthread/jobs"
@@ -14,9 +14,8 @@
 type driver struct {
 	planner Planner
 	now     time.Time
-	random  *rand.Rand
-	pending timers
-	number  int
+	// pending holds the timers, the next one last.
+	pending []timer
 	tasks   map[string]*task
 	// live holds the tasks that have not ended.
 	live map[string]*task
@@ -50,12 +49,10 @@
 	arrived   time.Time
 	attempt   uint64
 	placement Placement
-	began     time.Time
 	// ran is when the members began to run, zero before.
 	ran               time.Time
 	stopping          bool
 	ended             bool
-	outcome           ResultKind
 	starts            int
 	mayRunAgain       bool
 	cancelled         bool
@@ -64,32 +61,13 @@
 }
 
 type timer struct {
-	at     time.Time
-	number int
-	do     func()
+	at time.Time
+	do func()
 }
 
-type timers []timer
-
-func (q timers) Len() int { return len(q) }
-func (q timers) Less(i, j int) bool {
-	if !q[i].at.Equal(q[j].at) {
-		return q[i].at.Before(q[j].at)
-	}
-	return q[i].number < q[j].number
-}
-func (q timers) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *timers) Push(x any)   { *q = append(*q, x.(timer)) }
-func (q *timers) Pop() any {
-	last := len(*q) - 1
-	x := (*q)[last]
-	*q = (*q)[:last]
-	return x
-}
-
-func newDriver(p Planner, seed uint64) *driver {
+func newDriver(p Planner) *driver {
 	return &driver{
-		planner: p, now: testStart, random: rand.New(rand.NewPCG(seed, 1)),
+		planner: p, now: testStart,
 		tasks: map[string]*task{}, live: map[string]*task{}, used: map[string]resource.Resources{}, quiet: map[string]bool{},
 		startDelay: time.Second, stopDelay: time.Second, checkpointDelay: 3 * time.Second,
 	}
@@ -97,8 +75,9 @@
 
 // after schedules do.
 func (d *driver) after(delay time.Duration, do func()) {
-	d.number++
-	heap.Push(&d.pending, timer{d.now.Add(delay), d.number, do})
+	t := timer{d.now.Add(delay), do}
+	i, _ := slices.BinarySearchFunc(d.pending, t, func(a, b timer) int { return cmp.Or(b.at.Compare(a.at), 1) })
+	d.pending = slices.Insert(d.pending, i, t)
 }
 
 // call measures one call of the planner.
@@ -111,11 +90,12 @@
 // run handles events until none is left or the time is reached.
 func (d *driver) run(until time.Time) {
 	for len(d.pending) > 0 {
-		t := d.pending[0]
+		last := len(d.pending) - 1
+		t := d.pending[last]
 		if t.at.After(until) {
 			return
 		}
-		heap.Pop(&d.pending)
+		d.pending = d.pending[:last]
 		if t.at.After(d.now) {
 			if d.onAdvance != nil {
 				d.onAdvance(d.now, t.at)
@@ -143,7 +123,6 @@
 	}
 	for _, s := range p.Condemned {
 		d.tasks[s.Job].ended = true
-		d.tasks[s.Job].outcome = ResultFailed
 		delete(d.live, s.Job)
 	}
 	if d.onPlan != nil {
@@ -182,7 +161,7 @@
 	if d.onStart != nil {
 		d.onStart(t, s)
 	}
-	t.attempt, t.placement, t.began, t.stopping = s.Attempt, s.Placement, d.now, false
+	t.attempt, t.placement, t.stopping = s.Attempt, s.Placement, false
 	t.ran = time.Time{}
 	t.starts++
 	t.mayRunAgain = !t.RunOnce
@@ -272,7 +251,7 @@
 	final := r.Kind == ResultFailed || r.Kind == ResultLost || r.Kind == ResultStopped && !r.Checkpointed
 	t.ended = r.Kind == ResultCompleted || r.Kind == ResultUnknown || t.cancelled || t.RunOnce && final
 	if t.ended {
-		t.outcome, t.endAt = r.Kind, d.now
+		t.endAt = d.now
 		delete(d.live, t.ID)
 	}
 	t.mayRunAgain = t.mayRunAgain || r.Kind == ResultNotStarted || r.Kind == ResultStopped && r.Checkpointed
--- a/scheduler/events.go
+++ b/scheduler/events.go
@@ -115,6 +115,8 @@
 		c.learn(j, now)
 		c.vouch(j, placement)
 		c.finish(j, jobs.StateCompleted, result.Detail)
+	case j.cancelled && result.Kind == ResultStopped:
+		c.finish(j, jobs.StateCancelled, "cancelled")
 	case result.Kind == ResultUnknown, c.mustNotRepeat(j, result):
 		c.finish(j, jobs.StateUnknown, "may have run: "+result.Detail)
 	case result.Kind == ResultFailed:
--- a/scheduler/scenario_test.go
+++ b/scheduler/scenario_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"slices"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -54,7 +55,7 @@
 	core := New(testDomain)
 	core.options = o
 	s := &scenario{core: core, random: r, broken: map[string]bool{}, calm: seed%3 == 0}
-	s.driver = newDriver(core, seed)
+	s.driver = newDriver(core)
 	s.checker = newChecker(core, s.driver)
 	s.checker.calm = s.calm
 	s.checker.broken = func(id string) bool { return s.broken[id] }
@@ -284,7 +285,7 @@
 			list = append(list, t)
 		}
 	}
-	slices.SortFunc(list, func(a, b *task) int { return compareText(a.ID, b.ID) })
+	slices.SortFunc(list, func(a, b *task) int { return strings.Compare(a.ID, b.ID) })
 	return list
 }
 
@@ -367,7 +368,7 @@
 		t.Run(name, func(t *testing.T) {
 			for seed := range uint64(12) {
 				for _, v := range runScenario(t, seed, c.without) {
-					if containsText(v, c.want) {
+					if strings.Contains(v, c.want) {
 						return
 					}
 				}
@@ -376,12 +377,3 @@
 		})
 	}
 }
-
-func containsText(s, part string) bool {
-	for i := 0; i+len(part) <= len(s); i++ {
-		if s[i:i+len(part)] == part {
-			return true
-		}
-	}
-	return false
-}
