--- a/control/control.go
+++ b/control/control.go
@@ -62,10 +62,12 @@
 	// wanted is set if a gang or stray task has commands for the worker.
 	wanted bool
 
-	revision    uint64
-	incarnation string
-	tasks       []platform.Task
-	leaving     bool
+	// revision is that of the inventory in tasks; probeRevision is the one last seen by a standby's probe.
+	revision      uint64
+	probeRevision uint64
+	incarnation   string
+	tasks         []platform.Task
+	leaving       bool
 	// read is set once the inventory was read in this tenure.
 	read bool
 	// health is what the planner was told.
--- a/control/send.go
+++ b/control/send.go
@@ -54,6 +54,9 @@
 		TaskLeaseMS:   gang.TaskLease.Milliseconds(),
 		KnownRevision: w.revision,
 	}
+	if kind == lease.KindProbe {
+		request.KnownRevision = w.probeRevision
+	}
 	if kind == lease.KindClaim {
 		// The whole inventory is read at a takeover. What an earlier claim showed may be of another incarnation of the
 		// worker, whose revisions start anew.
@@ -132,6 +135,9 @@
 		Holder:    r.answer.Holder,
 		ExpiresIn: time.Duration(r.answer.ExpiresInMS) * time.Millisecond,
 	}, now)
+	if inventory := r.answer.Inventory; r.kind == lease.KindProbe && inventory != nil {
+		w.probeRevision = inventory.Revision
+	}
 	if r.kind == lease.KindProbe || r.kind == lease.KindGiveUp {
 		return
 	}
