--- a/scheduler/api.go
+++ b/scheduler/api.go
@@ -116,6 +116,10 @@
 	StopReservation StopReason = "reservation"
 	StopCancelled   StopReason = "cancelled"
 	StopDrain       StopReason = "drain"
+	// StopLost stops the other members of a gang that lost one.
+	StopLost StopReason = "lost"
+	// StopConsolidate moves a job that saves its progress, so that free accelerators become adjacent.
+	StopConsolidate StopReason = "consolidate"
 )
 
 // Stop asks the shell to stop an attempt.
