--- a/control/adopt.go
+++ b/control/adopt.go
@@ -164,7 +164,11 @@
 	if !found {
 		return false
 	}
-	g := gang.Adopt(e.Job, attempt, e.Intent != nil && e.Intent.Attempt == attempt)
+	var from []string
+	if attempt > e.CheckpointAttempt {
+		from = e.Checkpoints
+	}
+	g := gang.Adopt(e.Job, attempt, from, e.Intent != nil && e.Intent.Attempt == attempt)
 	t.gangs[id] = g
 	t.unsettled[id] = g
 	t.resolved = false
@@ -213,8 +217,8 @@
 		return
 	}
 	delete(t.guessed, id)
-	found := g.Placement()
-	if slices.Equal(guess, found) || slices.Contains(found, "") {
+	found := c.plannerPlacement(g)
+	if slices.Equal(guess, found) || g.Phase() == gang.PhaseEnded {
 		return
 	}
 	// A checkpointed stop lets the planner keep the job as waiting, from where it is adopted again.
--- a/control/fakes_test.go
+++ b/control/fakes_test.go
@@ -59,6 +59,7 @@
 	random   *random
 	capacity resource.Resources
 	onRun    func(w *fakeWorker, task *fakeTask)
+	onDone   func(key taskKey)
 	onEffect func(w *fakeWorker, epoch uint64, holder string)
 
 	mu          sync.Mutex
@@ -99,6 +100,8 @@
 			task.State = platform.TaskDone
 			if task.fails {
 				task.State, task.Detail = platform.TaskFailed, "exit status 1"
+			} else if w.onDone != nil {
+				w.onDone(key)
 			}
 		}
 		if before != task.State {
@@ -244,6 +247,7 @@
 func (w *fakeWorker) kill() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.advance(time.Now())
 	w.dead = true
 	w.tasks = map[taskKey]*fakeTask{}
 }
--- a/control/tenure.go
+++ b/control/tenure.go
@@ -261,7 +261,7 @@
 		Str("result", string(result.Kind)).Str("detail", result.Detail).Msg("attempt ended")
 	final := gang.FinalState(job, result, g.Released())
 	e, known := c.fold.Get(job.ID)
-	if known && e.Cancelled && gang.Cancelled(result) {
+	if known && e.Cancelled && (gang.Cancelled(result) || g.Planned() && final == jobs.StateUnknown) {
 		final = jobs.StateCancelled
 	}
 	if status, ok := t.planner.Status(job.ID); ok && final == "" && status.State.Final() {
--- a/gang/gang.go
+++ b/gang/gang.go
@@ -110,16 +110,26 @@
 	// checkpointMS bounds the checkpoint of the stop under way; 0 stops without one.
 	checkpointMS int64
 	stopping     bool
+	// planned is set if the stop was asked for, in contrast to a loss.
+	planned bool
 	// differSince is the time since which members differ in state; zero if they do not.
 	differSince time.Time
 }
 
+// DoneCheckpoint stands for the checkpoint of a member that had completed when the gang was stopped. The member is not
+// started again.
+const DoneCheckpoint = "done"
+
 // New returns an attempt at a job on a placement. With waitLog it starts in PhaseWaitLog. from holds the checkpoints to
 // continue from, by member; nil for a fresh start.
 func New(job jobs.Job, attempt uint64, placement scheduler.Placement, from []string, waitLog bool, now time.Time) *Gang {
 	g := &Gang{job: job, attempt: attempt, from: from}
-	for _, worker := range placement {
-		g.members = append(g.members, member{worker: worker})
+	for i, worker := range placement {
+		m := member{worker: worker}
+		if i < len(from) && from[i] == DoneCheckpoint {
+			m.state = platform.TaskDone
+		}
+		g.members = append(g.members, m)
 	}
 	g.phase = PhaseWaitLog
 	if !waitLog {
@@ -129,12 +139,15 @@
 }
 
 // Adopt returns an attempt that a previous holder started. Its members are unseen until they are observed. intentWon
-// says that the log holds the intent of this very attempt.
-func Adopt(job jobs.Job, attempt uint64, intentWon bool) *Gang {
-	g := &Gang{job: job, attempt: attempt, phase: PhaseRunning, intentWon: intentWon, released: intentWon}
+// says that the log holds the intent of this very attempt. from holds the checkpoints that the attempt continued from.
+func Adopt(job jobs.Job, attempt uint64, from []string, intentWon bool) *Gang {
+	g := &Gang{job: job, attempt: attempt, from: from, phase: PhaseRunning, intentWon: intentWon, released: intentWon}
 	g.members = make([]member, job.Shape.Members)
 	for i := range g.members {
 		g.members[i].state = stateUnseen
+		if i < len(from) && from[i] == DoneCheckpoint {
+			g.members[i].state = platform.TaskDone
+		}
 	}
 	return g
 }
@@ -168,10 +181,17 @@
 	return g.any(func(m *member) bool { return m.state == stateUnseen })
 }
 
-// Checkpoints returns the checkpoint of each member, nil unless all have one.
+// Planned reports whether the attempt ended by a stop that was asked for.
+func (g *Gang) Planned() bool { return g.planned }
+
+// Checkpoints returns the checkpoint of each member, DoneCheckpoint for a completed one, nil unless all have one.
 func (g *Gang) Checkpoints() []string {
 	names := make([]string, len(g.members))
 	for i := range g.members {
+		if g.members[i].state == platform.TaskDone {
+			names[i] = DoneCheckpoint
+			continue
+		}
 		if g.members[i].checkpoint == "" {
 			return nil
 		}
--- a/gang/step.go
+++ b/gang/step.go
@@ -122,6 +122,7 @@
 	if !g.released {
 		kind = scheduler.ResultNotStarted
 	}
+	g.planned = true
 	g.stop(scheduler.Result{Kind: kind, Detail: detail}, bound)
 }
 
@@ -183,7 +184,8 @@
 		g.enter(PhaseStarting, StartBound, now)
 		return
 	}
-	if g.any(func(m *member) bool { return m.state == stateGone || m.state.Ended() }) || late {
+	lost := func(m *member) bool { return m.over() && m.state != stateNone && m.state != platform.TaskDone }
+	if g.any(lost) || late {
 		g.abort(scheduler.Result{Kind: scheduler.ResultNotStarted, Detail: "not reserved in time",
 			Workers: g.workersOf(func(m *member) bool { return !reserved(m) })})
 	}
@@ -295,7 +297,8 @@
 		return false
 	}
 	for i := range g.from {
-		if g.members[i].checkpoint == g.from[i] {
+		m := &g.members[i]
+		if m.state != platform.TaskDone && m.checkpoint == g.from[i] {
 			return false
 		}
 	}
--- a/jobs/fold.go
+++ b/jobs/fold.go
@@ -192,6 +192,7 @@
 	}
 	e.Intent = nil
 	e.Checkpoints = ended.Checkpoints
+	e.CheckpointAttempt = ended.Attempt
 	e.Attempt = ended.Attempt
 	return ChangeStopped
 }
--- a/jobs/records.go
+++ b/jobs/records.go
@@ -83,6 +83,8 @@
 	Ended *Ended `cbor:"ended,omitempty"`
 	// Checkpoints holds the checkpoint of each member from which the job continues.
 	Checkpoints []string `cbor:"checkpoints,omitempty"`
+	// CheckpointAttempt is the attempt that wrote Checkpoints.
+	CheckpointAttempt uint64 `cbor:"checkpoint_attempt,omitempty"`
 	// Attempt is the highest attempt named by an intent or ended record.
 	Attempt uint64 `cbor:"attempt,omitempty"`
 }
