Check in the demo that each response is that of its request

An outcome of completed says nothing about whose response it is. Reads compare the path in the body, and the repeat of an order must give the first response. A signal now also ends the senders of requests.

--- a/scripts/demo-lib.sh
+++ b/scripts/demo-lib.sh
@@ -13,15 +13,14 @@
   choose_ports
 }
 
-# finish ends what is left after a fault; after a planned stop there is nothing to end.
+# finish ends what is left after a fault or a signal: the background jobs of this shell, which are the system's processes
+# and the senders of requests. After a planned stop there is nothing to end.
 finish() {
-  local code=$? name
-  for name in "${!pids[@]}"; do
-    kill -KILL "${pids[$name]}" 2>/dev/null || true
-  done
-  for name in "${!pids[@]}"; do
-    wait "${pids[$name]}" 2>/dev/null || true
+  local code=$? job
+  for job in $(jobs -p); do
+    kill -KILL "$job" 2> /dev/null || true
   done
+  wait 2> /dev/null || true
   if [[ $code != 0 && -z $failed ]]; then
     echo "demo: failed with code $code; logs are in $dir" >&2
   elif [[ $code == 0 ]]; then
@@ -190,12 +189,17 @@
   sed -n 's/^outcome: //p' "$reply" > "$dir/order-$1.outcome"
 }
 
-# send_reads VM sends 20 idempotent requests one after another and keeps their outcomes.
+# send_reads VM sends 20 idempotent requests one after another and keeps their outcomes, "mismatch" for a response to
+# another request.
 send_reads() {
   local i reply=$dir/reads-$1.reply
   for i in $(seq 1 20); do
     caller_code "$1" request GET "orders/stock/$1-$i?work_ms=40" || true
-    sed -n 's/^outcome: //p' "$reply"
+    if grep -q '^outcome: completed' "$reply" && ! grep -q "\"path\":\"/stock/$1-$i?" "$reply"; then
+      echo mismatch
+    else
+      sed -n 's/^outcome: //p' "$reply"
+    fi
   done > "$dir/reads-$1.out"
 }
 
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -84,8 +84,11 @@
   key=$(cat "$out")
   caller vm-a1 request POST orders/order/1 -key "$key" -data '{"bags":40}'
   expect "first order" "$(field outcome)" completed
+  local body
+  body=$(field body)
   caller "$other" request POST orders/order/1 -key "$key" -data '{"bags":40}'
   expect "repeat of the order at another gateway" "$(field outcome)" completed
+  expect "response to the repeat" "$(field body)" "$body"
   expect "runs of the order" "$(runs POST /order/1)" 1
   passed "an order sent twice with one key, at two gateways, ran once"
 }
