--- a/control/tenure.go
+++ b/control/tenure.go
@@ -34,16 +34,24 @@
 
 // gangsOn returns the gangs with a member on a worker.
 func (t *tenure) gangsOn(worker string) []*gang.Gang {
-	var on []*gang.Gang
+	if t.onWorker != nil {
+		return t.onWorker[worker]
+	}
+	t.onWorker = map[string][]*gang.Gang{}
 	for _, g := range t.gangs {
-		if g.On(worker) {
-			on = append(on, g)
+		for _, on := range g.Workers() {
+			t.onWorker[on] = append(t.onWorker[on], g)
 		}
 	}
-	sort.Slice(on, func(i, k int) bool { return on[i].Job().ID < on[k].Job().ID })
-	return on
+	for _, on := range t.onWorker {
+		sort.Slice(on, func(i, k int) bool { return on[i].Job().ID < on[k].Job().ID })
+	}
+	return t.onWorker[worker]
 }
 
+// settled reports whether a gang needs no step before the next event.
+func settled(g *gang.Gang) bool { return g.Phase() == gang.PhaseRunning && !g.Unseen() }
+
 // stepTenure does what the active scheduler has to do now.
 func (c *Control) stepTenure(ctx context.Context, now time.Time) {
 	t := c.tenure
@@ -53,11 +61,14 @@
 		}
 		c.adoptAll(now)
 	}
-	for _, w := range c.workers {
-		c.updateHealth(w, now)
+	if !now.Before(t.healthAt) {
+		t.healthAt = now.Add(healthInterval)
+		for _, w := range c.workers {
+			c.updateHealth(w, now)
+		}
 	}
 	c.resolveUnread(now)
-	for _, g := range t.gangs {
+	for _, g := range t.unsettled {
 		c.stepGang(g, now)
 	}
 	c.plan(ctx, now)
@@ -68,7 +79,7 @@
 func (c *Control) readyToAdopt(now time.Time) bool {
 	waited := now.Sub(c.tenure.since)
 	readWorkers := c.unread() == 0 || waited >= readGrace
-	readLog := c.tailAt.After(c.tenure.since) || (c.readFailed && waited >= readGrace) || waited >= catchUpGrace
+	readLog := c.withoutTailCheck || !c.tailAt.Before(c.tenure.since) || (c.readFailed && waited >= readGrace) || waited >= catchUpGrace
 	return readWorkers && readLog
 }
 
@@ -84,13 +95,23 @@
 		c.setHealth(w, c.reachableHealth(w), now)
 	case !w.read && now.Before(t.lapseAt):
 		c.setHealth(w, scheduler.HealthUnreachable, now)
-	case w.read && now.Before(w.touchedAt.Add(gang.TaskLease+lapseMargin)):
+	case w.read && now.Before(c.tasksLapse(w)) && !c.withoutLapseWait:
 		c.setHealth(w, scheduler.HealthUnreachable, now)
 	default:
 		c.setGone(w, now)
 	}
 }
 
+// tasksLapse returns the time at which all tasks on a silent worker must have lapsed. The previous holder may have
+// renewed them until the start of this tenure.
+func (c *Control) tasksLapse(w *worker) time.Time {
+	last := c.tenure.since
+	if w.touchedAt.After(last) {
+		last = w.touchedAt
+	}
+	return last.Add(gang.TaskLease + lapseMargin)
+}
+
 func (c *Control) reachableHealth(w *worker) scheduler.Health {
 	if _, draining := c.doc.Drains[w.id]; draining || w.leaving || !c.configured(w.id) {
 		return scheduler.HealthLeaving
@@ -122,6 +143,9 @@
 	w.strays = nil
 	w.kept = nil
 	c.setHealth(w, scheduler.HealthGone, now)
+	if c.withoutLossReports {
+		return
+	}
 	for _, g := range c.tenure.gangsOn(w.id) {
 		g.WorkerGone(w.id)
 	}
@@ -151,7 +175,13 @@
 	if g.WantsIntent() {
 		c.checkIntent(g)
 	}
+	c.correctPlacement(g, now)
 	g.Step(now)
+	if settled(g) {
+		delete(t.unsettled, id)
+	} else {
+		t.unsettled[id] = g
+	}
 	if g.WantsIntent() {
 		c.sendIntent(g)
 	}
@@ -234,6 +264,9 @@
 	if known && e.Cancelled && gang.Cancelled(result) {
 		final = jobs.StateCancelled
 	}
+	if status, ok := t.planner.Status(job.ID); ok && final == "" && status.State.Final() {
+		final, result.Detail = status.State, status.Reason
+	}
 	if final != "" {
 		c.end(job, g.ID().Attempt, final, result.Detail)
 		return
@@ -269,7 +302,10 @@
 	t := c.tenure
 	id := g.Job().ID
 	delete(t.gangs, id)
+	delete(t.unsettled, id)
+	t.onWorker = nil
 	delete(t.plannerAttempt, id)
+	delete(t.guessed, id)
 	for _, worker := range g.Workers() {
 		if w := c.workers[worker]; w != nil && w.read {
 			c.sortStrays(w)
@@ -329,6 +365,7 @@
 	attempt := t.epoch*attemptsPerTenure + start.Attempt%attemptsPerTenure
 	g := gang.New(start.Job, attempt, start.Placement, from, start.Job.RunOnce && !c.logUp(), now)
 	t.gangs[id] = g
+	t.onWorker = nil
 	t.plannerAttempt[id] = start.Attempt
 	_, span := otel.Tracer("redwingthread/control").Start(ctx, "start attempt", trace.WithAttributes(
 		attribute.String("job", id), attribute.String("account", start.Job.Account),
--- a/gang/gang.go
+++ b/gang/gang.go
@@ -37,8 +37,9 @@
 	StopBound = LossCheckpointBound + 5*time.Second
 	// DifferBound is the longest time for which members may differ in state.
 	DifferBound = TaskLease + StopBound
-	// repeatInterval is the time after which an acknowledged command without visible effect is sent again.
-	repeatInterval = 500 * time.Millisecond
+	// repeatInterval is the time after which an acknowledged command without visible effect is sent again. It bounds
+	// the delay until a member is seen to be resident, which is part of the 1.8 s that an urgent job has.
+	repeatInterval = 250 * time.Millisecond
 )
 
 // Phase is the progress of an attempt.
@@ -162,6 +163,11 @@
 	return placement
 }
 
+// Unseen reports whether a member of an adopted gang was not found yet.
+func (g *Gang) Unseen() bool {
+	return g.any(func(m *member) bool { return m.state == stateUnseen })
+}
+
 // Checkpoints returns the checkpoint of each member, nil unless all have one.
 func (g *Gang) Checkpoints() []string {
 	names := make([]string, len(g.members))
@@ -259,8 +265,3 @@
 	invariant.Check(now.Sub(g.differSince) <= DifferBound, invariant.GangWhole,
 		"members of job %s attempt %d differ since %s", g.job.ID, g.attempt, g.differSince)
 }
-
-// On reports whether a member is placed on the worker.
-func (g *Gang) On(worker string) bool {
-	return g.any(func(m *member) bool { return m.worker == worker })
-}
