--- a/cmd/redwingctl/config.go
+++ b/cmd/redwingctl/config.go
@@ -149,9 +149,7 @@
 		}
 		return c.print(result, func() {
 			fmt.Fprintf(c.stdout, "version %d would become %d:\n", result.Base, result.Version)
-			for _, op := range result.Changes {
-				fmt.Fprintln(c.stdout, " ", opLine(op))
-			}
+			c.lines(result.Summary)
 		})
 	}
 }
--- a/cmd/redwingctl/config_read.go
+++ b/cmd/redwingctl/config_read.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"github.com/redwingthread/redwingthread/config"
-	"github.com/redwingthread/redwingthread/configlog"
 	"github.com/redwingthread/redwingthread/errkind"
 	"github.com/redwingthread/redwingthread/operatorclient"
 )
@@ -135,6 +134,8 @@
 	From    uint64              `json:"from"`
 	To      uint64              `json:"to"`
 	Changes []operatorclient.Op `json:"changes"`
+	// Summary has one line for each changed field.
+	Summary []string `json:"summary"`
 }
 
 func configDiff(*flag.FlagSet) func(*call) error {
@@ -157,11 +158,10 @@
 			}
 		}
 		changes := config.Diff(documents[0], documents[1])
-		return c.print(diffResult{documents[0].Version, documents[1].Version, changes}, func() {
-			for _, op := range changes {
-				fmt.Fprintln(c.stdout, opLine(op))
-			}
-		})
+		result := diffResult{
+			documents[0].Version, documents[1].Version, changes, config.Describe(documents[0], changes),
+		}
+		return c.print(result, func() { c.lines(result.Summary) })
 	}
 }
 
@@ -174,24 +174,24 @@
 		if err != nil {
 			return err
 		}
-		var accepted []operatorclient.Decision
-		for _, d := range decisions {
-			if d.Outcome == configlog.Accepted {
-				accepted = append(accepted, d)
-			}
+		client, err := c.client()
+		if err != nil {
+			return err
 		}
-		return c.print(accepted, func() { c.replay(accepted, *step) })
+		changes, err := client.Review(c.ctx, decisions)
+		if err != nil {
+			return err
+		}
+		return c.print(changes, func() { c.replay(changes, *step) })
 	}
 }
 
 // replay prints the changes one by one; with step it waits for a line of input after each but the last.
-func (c *call) replay(changes []operatorclient.Decision, step bool) {
+func (c *call) replay(changes []operatorclient.ReviewedChange, step bool) {
 	input := bufio.NewScanner(c.stdin)
-	for i, d := range changes {
-		fmt.Fprintf(c.stdout, "version %d  %s  %s\n  reason: %s\n", d.Version, at(d.At), d.Author, d.Reason)
-		for _, op := range d.Ops {
-			fmt.Fprintln(c.stdout, " ", opLine(op))
-		}
+	for i, change := range changes {
+		fmt.Fprintf(c.stdout, "version %d  %s  %s\n  reason: %s\n", change.Version, at(change.At), change.Author, change.Reason)
+		c.lines(change.Summary)
 		if step && i+1 < len(changes) && !input.Scan() {
 			return
 		}
--- a/cmd/redwingctl/output.go
+++ b/cmd/redwingctl/output.go
@@ -6,7 +6,6 @@
 	"strings"
 	"text/tabwriter"
 
-	"github.com/redwingthread/redwingthread/config"
 	"github.com/redwingthread/redwingthread/operatorclient"
 )
 
@@ -50,10 +49,9 @@
 	})
 }
 
-// opLine returns an op in one line.
-func opLine(op operatorclient.Op) string {
-	if op.Op == config.OpRemove {
-		return "- " + op.Path
+// lines writes lines below a heading.
+func (c *call) lines(lines []string) {
+	for _, line := range lines {
+		fmt.Fprintln(c.stdout, " ", line)
 	}
-	return "+ " + op.Path + " " + string(op.Value)
 }
