Tie the demo's kill to the progress of orders, and repeat a key at the new gateway

A fixed pause let a busy machine kill the gateway before an order had completed, which the check takes for a fault. The kill now follows the third completed order. A key issued before the kill must also stay unknown at the new gateway of the same VM.

--- a/scripts/demo-lib.sh
+++ b/scripts/demo-lib.sh
@@ -180,9 +180,12 @@
   [[ $(grep -c '^active scheduler of .*: .' "$out") == "$1" ]]
 }
 
-work_ms() { echo $(($1 * 150)); }
+work_ms() { echo $(($1 * 250)); }
 
-# send_order N KEY sends an order that takes N * 150 ms and keeps its outcome.
+# orders_done N reports whether N orders have an outcome.
+orders_done() { [[ $(cat "$dir"/order-*.outcome 2> /dev/null | grep -c .) -ge $1 ]]; }
+
+# send_order N KEY sends an order that takes N * 250 ms and keeps its outcome.
 send_order() {
   local reply=$dir/order-$1.out
   caller_code "$victim" request POST "orders/crash/$1?work_ms=$(work_ms "$1")" -key "$2" || true
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -108,7 +108,8 @@
 # crash kills a gateway while orders with keys of its own are under way there.
 crash() {
   step "SIGKILL of the gateway on $victim while requests go on"
-  local i keys=()
+  local i
+  keys=()
   for i in $(seq 1 12); do
     caller "$victim" request-key
     keys+=("$(cat "$out")")
@@ -123,7 +124,7 @@
     send_reads "$vm" &
     bystanders+=($!)
   done
-  sleep 0.9
+  wait_for "the first 3 orders" 10 orders_done 3
   kill -KILL "${pids[$victim-gateway]}"
   forget "$victim-gateway"
   wait "${senders[@]}" "${bystanders[@]}" || true
@@ -163,7 +164,12 @@
   caller "$victim" request POST orders/order/2 -data '{"bags":8}'
   expect "order at the new gateway" "$(field outcome)" completed
   expect "runs of that order" "$(runs POST /order/2)" 1
-  passed "gateway on $victim runs again with keys of its own"
+  local code=0 ran
+  ran=$(runs POST "/crash/12?work_ms=$(work_ms 12)")
+  caller_code "$victim" request POST "orders/crash/12?work_ms=$(work_ms 12)" -key "${keys[11]}" || code=$?
+  expect "exit code of the repeat of order 12 at the new gateway" "$code" 8
+  expect "runs of order 12" "$(runs POST "/crash/12?work_ms=$(work_ms 12)")" "$ran"
+  passed "gateway on $victim runs again with keys of its own; a key of its predecessor stays unknown"
 
   operator vm-a1 job show gang-1 -wait completed -wait-timeout 20s
   expect "attempt of the gang" "$(field attempt)" "$gang_attempt"
