gateway: bound the memory of request bodies that are being served

Queues hold up to 4096 requests, each with a body of up to the service's bound; without a common bound that is several GB. Requests above it are refused as not_run.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -46,6 +46,8 @@
 	// key is the caller's key, or the issued one; its text is empty for repeatable requests.
 	keyText string
 	key     request.Key
+	// reserved is the part of the gateway's memory for bodies that the request holds, in bytes.
+	reserved int64
 	// issued is true if the gateway issued the key for this request, so that no other request can have it.
 	issued bool
 }
@@ -132,6 +134,13 @@
 	if r.ContentLength > bound {
 		return errTooLarge(bound)
 	}
+	c.reserved = bound
+	if r.ContentLength > 0 {
+		c.reserved = r.ContentLength
+	}
+	if g.bodyBytes.Add(c.reserved) > g.options.Listener.BodyBytes {
+		return errkind.New(errkind.Overloaded, "retry later with backoff", "bodies of waiting requests fill the memory")
+	}
 	// Not all response writers have deadlines; a test's recorder needs none.
 	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(g.options.Listener.BodyTime))
 	var err error
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -36,6 +36,7 @@
 		attempts int
 	}{
 		"whole POST":                        {healthy, "POST", "completed", "", 1},
+		"whole HEAD":                        {healthy, "HEAD", "completed", "", 1},
 		"whole GET":                         {healthy, "GET", "completed", "", 1},
 		"truncated POST":                    {truncated, "POST", "unknown", errkind.Unknown, 1},
 		"truncated PUT is retried":          {truncated, "PUT", "completed", "", 2},
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -145,6 +145,7 @@
 	if accepted {
 		defer g.lifecycle.leave()
 	}
+	defer func() { g.bodyBytes.Add(-c.reserved) }()
 	a := g.handle(ctx, w, r, c, accepted)
 	g.write(w, c, a)
 	if span.IsRecording() {
--- a/gateway/options.go
+++ b/gateway/options.go
@@ -111,7 +111,9 @@
 	// idPrefix and idCount make the request ids; a random id per request costs a system call.
 	idPrefix string
 	idCount  atomic.Uint64
-	unsafe   unsafeRules
+	// bodyBytes is the memory reserved for bodies of accepted requests.
+	bodyBytes atomic.Int64
+	unsafe    unsafeRules
 }
 
 // unsafeRules switches rules of a gateway off. Only tests set them, to show that their checks need the rules.
--- a/gateway/server.go
+++ b/gateway/server.go
@@ -14,7 +14,9 @@
 	// Connections bounds the open caller connections.
 	Connections int
 	HeaderBytes int
-	HeaderTime  time.Duration
+	// BodyBytes bounds the bodies of all requests that are being served together.
+	BodyBytes  int64
+	HeaderTime time.Duration
 	// BodyTime bounds the time to receive a request body.
 	BodyTime time.Duration
 	// WriteTime bounds the time to send a response.
@@ -30,6 +32,9 @@
 	if l.HeaderBytes == 0 {
 		l.HeaderBytes = 32 << 10
 	}
+	if l.BodyBytes == 0 {
+		l.BodyBytes = 64 << 20
+	}
 	if l.HeaderTime == 0 {
 		l.HeaderTime = 5 * time.Second
 	}
--- a/gateway/server_test.go
+++ b/gateway/server_test.go
@@ -101,16 +101,17 @@
 
 // TestListenerLimits guards against callers that occupy the gateway with headers, bodies or connections.
 func TestListenerLimits(t *testing.T) {
-	limits := ListenerLimits{Connections: 2, HeaderBytes: 4096, HeaderTime: 200 * time.Millisecond, BodyTime: 200 * time.Millisecond}
+	limits := ListenerLimits{Connections: 2, HeaderBytes: 4096, BodyBytes: 500, HeaderTime: 200 * time.Millisecond, BodyTime: 200 * time.Millisecond}
 	_, url := serveLoopback(t, limits, func(w http.ResponseWriter, r *http.Request) { respondWith(w, r, "x", 1) })
 	address := strings.TrimPrefix(url, "http://")
 	start := "POST /v1/services/scan/x HTTP/1.1\r\nHost: g\r\nAuthorization: Bearer " + tokenOf("orders") + "\r\n"
 	cases := map[string]struct{ sent, want string }{
-		"slow header":             {start, ""},
-		"large header":            {start + "X: " + strings.Repeat("x", 20_000) + "\r\n\r\n", "431"},
-		"slow body":               {start + "Content-Length: 10\r\n\r\nabc", "400"},
-		"slow body without token": {"POST /v1/services/scan/x HTTP/1.1\r\nHost: g\r\nContent-Length: 10\r\n\r\nabc", "401"},
-		"large body":              {start + "Content-Length: 100000\r\n\r\n", "413"},
+		"slow header":                 {start, ""},
+		"large header":                {start + "X: " + strings.Repeat("x", 20_000) + "\r\n\r\n", "431"},
+		"slow body":                   {start + "Content-Length: 10\r\n\r\nabc", "400"},
+		"slow body without token":     {"POST /v1/services/scan/x HTTP/1.1\r\nHost: g\r\nContent-Length: 10\r\n\r\nabc", "401"},
+		"body above the memory bound": {start + "Content-Length: 600\r\n\r\n", "429"},
+		"large body":                  {start + "Content-Length: 100000\r\n\r\n", "413"},
 	}
 	for name, c := range cases {
 		conn, err := net.Dial("tcp", address)
