endpoint, gateway: make tests independent of machine speed; share the loopback fixture with the benchmark

Waits of fixed length are replaced by waits for the state that they stood for. The number of refused attempts at a full endpoint is now exact (16 of 20) instead of at least 10.

--- a/endpoint/pool_test.go
+++ b/endpoint/pool_test.go
@@ -55,7 +55,7 @@
 func attempt(p *Pools, address, id string, bound int) Result {
 	return p.Attempt(context.Background(), address, bound, &Request{
 		ID: id, Method: "POST", Path: "/x?y=1", Body: []byte("b"), Deadline: time.Now().Add(5 * time.Second),
-		Timeout: 300 * time.Millisecond, BufferBytes: 1000, BeforeWrite: func() error { return nil },
+		Timeout: 2 * time.Second, BufferBytes: 1000, BeforeWrite: func() error { return nil },
 	})
 }
 
@@ -70,7 +70,7 @@
 	if r := attempt(pools, l.Addr().String(), "1", 1); r.Failure != NoConnection || r.Written {
 		t.Errorf("refused connection: got %+v", r)
 	}
-	silent := serve(t, func(net.Conn, *http.Request) bool { time.Sleep(time.Second); return false })
+	silent := serve(t, func(net.Conn, *http.Request) bool { time.Sleep(5 * time.Second); return false })
 	if r := attempt(pools, silent, "1", 1); r.Failure != Timeout || !r.Written || pools.Open(silent) != 0 {
 		t.Errorf("silent endpoint: got %+v", r)
 	}
@@ -88,7 +88,6 @@
 		address := serve(t, func(c net.Conn, r *http.Request) bool {
 			exchanges.Add(1)
 			ok := respond(c, r, "b")
-			time.Sleep(20 * time.Millisecond)
 			if extra != "" {
 				io.WriteString(c, extra)
 				return ok
@@ -100,7 +99,15 @@
 			if r := attempt(pools, address, fmt.Sprint(i), 1); r.Failure != NoFailure || string(r.Response.Body) != "b" {
 				t.Errorf("extra %q, attempt %d: got %+v", extra, i, r)
 			}
-			time.Sleep(60 * time.Millisecond)
+			// The connection may have been closed in the exchange already.
+			for _, c := range pools.pools[address].idle {
+				for range 2000 {
+					if !quiet(c.Conn) {
+						break
+					}
+					time.Sleep(time.Millisecond)
+				}
+			}
 		}
 		if n := exchanges.Load(); n != 3 {
 			t.Errorf("extra %q: endpoint saw %d requests", extra, n)
@@ -110,25 +117,25 @@
 
 // TestBound guards against more connections than allowed, also while some are being opened.
 func TestBound(t *testing.T) {
-	var open, most atomic.Int32
+	var open, most, busy atomic.Int32
+	full := make(chan struct{})
 	address := serve(t, func(c net.Conn, r *http.Request) bool {
 		most.Store(max(most.Load(), open.Add(1)))
-		time.Sleep(30 * time.Millisecond)
+		<-full
 		open.Add(-1)
 		return respond(c, r, "b")
 	})
 	pools := NewPools(NetDial)
 	var all sync.WaitGroup
-	var busy atomic.Int32
 	for i := range 20 {
 		all.Go(func() {
-			if r := attempt(pools, address, fmt.Sprint(i), 4); r.Failure == Busy && !r.Written {
-				busy.Add(1)
+			if r := attempt(pools, address, fmt.Sprint(i), 4); r.Failure == Busy && !r.Written && busy.Add(1) == 16 {
+				close(full)
 			}
 		})
 	}
 	all.Wait()
-	if most.Load() > 4 || busy.Load() < 10 || pools.Open(address) > 4 {
+	if most.Load() > 4 || busy.Load() != 16 || pools.Open(address) > 4 {
 		t.Errorf("most %d at once, %d busy, %d open", most.Load(), busy.Load(), pools.Open(address))
 	}
 	pools.Close()
--- a/gateway/bench_test.go
+++ b/gateway/bench_test.go
@@ -2,22 +2,15 @@
 
 import (
 	"bytes"
-	"context"
 	"io"
-	"net"
 	"net/http"
 	"runtime"
 	"slices"
-	"strconv"
 	"sync"
 	"testing"
 	"time"
 
-	"github.com/rs/zerolog"
-
-	"github.com/redwingthread/redwingthread/config"
 	"github.com/redwingthread/redwingthread/endpoint"
-	"github.com/redwingthread/redwingthread/inner"
 )
 
 // measured is the cost of requests on one path.
@@ -79,52 +72,19 @@
 // BenchmarkHop compares requests through the gateway with requests sent to the same endpoint directly, in one run over
 // loopback. Callers, gateway and endpoint share the process; allocations of the gateway are the difference of both.
 func BenchmarkHop(b *testing.B) {
-	listen := func() net.Listener {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			b.Fatal(err)
-		}
-		return l
-	}
-	target := listen()
-	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	g, front := serveLoopback(b, ListenerLimits{}, func(w http.ResponseWriter, r *http.Request) {
 		body, _ := io.ReadAll(r.Body)
 		h := w.Header()
-		h.Set(endpoint.HeaderRequestID, r.Header.Get(endpoint.HeaderRequestID))
-		h.Set(endpoint.HeaderDigest, endpoint.FormatDigest(body))
 		h.Set(endpoint.HeaderInflight, "1")
 		h.Set(endpoint.HeaderIncarnation, "i")
-		h.Set("Content-Length", strconv.Itoa(len(body)))
-		w.Write(body)
-	})}
-	go server.Serve(target)
-	defer server.Close()
-	address := target.Addr().String()
-	doc := &config.Document{
-		Accounts: map[string]config.Account{"orders": {TokenDigest: digestOf(tokenOf("orders")), Weight: 1}},
-		Services: map[string]config.Service{"scan": {Endpoints: map[string]config.Endpoint{
-			"e": {FailureDomain: "fd-0", Address: address, Slots: 32, MaxConnections: 32 * 8}}}},
-	}
-	g, err := New(Options{
-		Self:   inner.Member{FailureDomain: "fd-0", VM: "vm-0", Incarnation: "i"},
-		Config: func() *config.Document { return doc },
-		Caller: &node{},
-		Log:    zerolog.New(io.Discard),
+		respondWith(w, r, string(body), len(body))
 	})
-	if err != nil {
-		b.Fatal(err)
-	}
-	front := listen()
-	go g.Serve(front)
-	defer g.server.Close()
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	go g.Run(ctx)
+	address := g.snapshot.Load().doc.Services["scan"].Endpoints["e"].Address
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 32}}
 	const n = 4000
 	for b.Loop() {
 		direct := measure(b, client, "http://"+address+"/work", n)
-		hop := measure(b, client, "http://"+front.Addr().String()+"/v1/services/scan/work", n)
+		hop := measure(b, client, front+"/v1/services/scan/work", n)
 		b.ReportMetric(float64(direct.p50.Microseconds()), "direct-p50-µs")
 		b.ReportMetric(float64(hop.p50.Microseconds()), "gateway-p50-µs")
 		b.ReportMetric(float64(hop.p50)/float64(direct.p50), "p50-ratio")
--- a/gateway/server_test.go
+++ b/gateway/server_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
 	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/sdk/trace"
 	"go.opentelemetry.io/otel/sdk/trace/tracetest"
@@ -20,7 +21,7 @@
 )
 
 // serveLoopback starts a gateway and an endpoint on loopback.
-func serveLoopback(t *testing.T, limits ListenerLimits, answer http.HandlerFunc) (g *Gateway, url string) {
+func serveLoopback(t testing.TB, limits ListenerLimits, answer http.HandlerFunc) (g *Gateway, url string) {
 	listen := func() net.Listener {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
@@ -35,7 +36,7 @@
 	doc := &config.Document{
 		Accounts: map[string]config.Account{"orders": {TokenDigest: digestOf(tokenOf("orders")), Weight: 1}},
 		Services: map[string]config.Service{"scan": {MaxBodyBytes: 1000, Endpoints: map[string]config.Endpoint{
-			"e": {FailureDomain: "fd-0", Address: target.Addr().String(), Slots: 8, MaxConnections: 64}}}},
+			"e": {FailureDomain: "fd-0", Address: target.Addr().String(), Slots: 32, MaxConnections: 256}}}},
 	}
 	g, err := New(Options{
 		Self:         inner.Member{FailureDomain: "fd-0", VM: "vm-0", Incarnation: "i"},
@@ -43,12 +44,15 @@
 		Caller:       &node{},
 		ReactionTime: 200 * time.Millisecond,
 		Listener:     limits,
+		Log:          zerolog.New(io.Discard),
 	})
 	if err != nil {
 		t.Fatal(err)
 	}
 	go g.Serve(front)
-	t.Cleanup(func() { g.server.Close() })
+	ctx, cancel := context.WithCancel(context.Background())
+	go g.Run(ctx)
+	t.Cleanup(func() { cancel(); g.server.Close() })
 	return g, "http://" + front.Addr().String()
 }
 
@@ -172,7 +176,12 @@
 			outcomes <- fmt.Sprint(response.Header.Get(headerOutcome), string(body), err)
 		}()
 	}
-	time.Sleep(100 * time.Millisecond)
+	for range 1000 {
+		if _, active := g.lifecycle.state(); active == cap(outcomes) {
+			break
+		}
+		time.Sleep(time.Millisecond)
+	}
 	if err := g.Shutdown(context.Background()); err != nil {
 		t.Error(err)
 	}
