--- a/admission/queue.go
+++ b/admission/queue.go
@@ -15,14 +15,17 @@
 	Queued int
 	// QueuedPerAccount bounds the waiting requests of one account.
 	QueuedPerAccount int
-	// WaitPercent is the share of the time to a request's deadline that it is expected to wait at most. The rest is kept
-	// for its service time and for errors of the estimate.
+	// WaitPercent is the share of the time to a request's deadline that it is expected to wait at most, if its account has
+	// the longest queue for its weight. The rest is kept for errors of the estimate.
 	WaitPercent int
+	// ShortWaitPercent is the same share for the other accounts. Their queues are short and drain by themselves, so that
+	// refusing them early gains little.
+	ShortWaitPercent int
 }
 
 // DefaultLimits returns the limits of a gateway's queue for one service.
 func DefaultLimits() Limits {
-	return Limits{Queued: 4096, QueuedPerAccount: 2048, WaitPercent: 50}
+	return Limits{Queued: 4096, QueuedPerAccount: 2048, WaitPercent: 50, ShortWaitPercent: 90}
 }
 
 // Item is one waiting request.
@@ -89,7 +92,7 @@
 	if a.live >= q.limits.QueuedPerAccount {
 		return nil, errkind.New(errkind.Overloaded, overloadRemedy, "account %s has %d requests queued", a.name, a.live)
 	}
-	if wait, bound := q.expectedWait(a, now), q.waitBound(item, now); wait > bound {
+	if wait, bound := q.expectedWait(a, now), q.waitBound(a, item, now); wait > bound {
 		return nil, errkind.New(errkind.Overloaded, overloadRemedy,
 			"expected wait of %s is above the %s that the deadline leaves", wait.Round(time.Millisecond),
 			bound.Round(time.Millisecond))
@@ -251,9 +254,13 @@
 }
 
 // waitBound returns how long the request may be expected to wait.
-func (q *Queue[T]) waitBound(item *Item[T], now time.Time) time.Duration {
+func (q *Queue[T]) waitBound(a *account[T], item *Item[T], now time.Time) time.Duration {
+	percent := q.limits.ShortWaitPercent
+	if longest := q.longest(); longest == nil || longest == a {
+		percent = q.limits.WaitPercent
+	}
 	left := item.Deadline.Sub(now) - q.service.mean()
-	return left * time.Duration(q.limits.WaitPercent) / 100
+	return left * time.Duration(percent) / 100
 }
 
 // ServiceTime returns the mean service time, 0 if none was reported.
--- a/admission/queue_test.go
+++ b/admission/queue_test.go
@@ -43,7 +43,7 @@
 
 // TestBounds guards against queues that grow without bound, and against a flood that fills the queue for others.
 func TestBounds(t *testing.T) {
-	q := NewQueue[int](Limits{Queued: 10, QueuedPerAccount: 8, WaitPercent: 50}, func(string) int { return 1 })
+	q := NewQueue[int](Limits{Queued: 10, QueuedPerAccount: 8, WaitPercent: 50, ShortWaitPercent: 90}, func(string) int { return 1 })
 	refused, pushedOut := 0, 0
 	for _, account := range []string{"flood", "a"} {
 		for range 12 {
--- a/gateway/handler.go
+++ b/gateway/handler.go
@@ -14,6 +14,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"github.com/redwingthread/redwingthread/errkind"
+	"github.com/redwingthread/redwingthread/inner"
 	"github.com/redwingthread/redwingthread/invariant"
 	"github.com/redwingthread/redwingthread/request"
 )
@@ -33,6 +34,8 @@
 // traceContext is the W3C format of trace context.
 var traceContext = propagation.TraceContext{}
 
+var _ inner.Handler = (*Gateway)(nil)
+
 // ServeHTTP serves the caller API.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.ContentLength != 0 {
