--- a/control/fakes_test.go
+++ b/control/fakes_test.go
@@ -243,6 +243,14 @@
 	return inventory
 }
 
+// set changes the worker and its revision.
+func (w *fakeWorker) set(change func()) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	change()
+	w.revision++
+}
+
 // kill loses all tasks and leases; revive starts a new incarnation.
 func (w *fakeWorker) kill() {
 	w.mu.Lock()
--- a/control/mechanism_test.go
+++ b/control/mechanism_test.go
@@ -18,6 +18,7 @@
 		"intent of run-once jobs":    {option(func(o *Options) { o.withoutIntentCheck = true }), "run-once member"},
 		"wait for leases to lapse":   {option(func(o *Options) { o.withoutLapseWait = true }), "at once"},
 		"stop of gangs after a loss": {option(func(o *Options) { o.withoutLossReports = true }), "differ since"},
+		"snapshots":                  {retain(1_000_000), "is not known any more"},
 		"lease and fencing": {func(s *scenario) {
 			s.options = func(o *Options) { o.withoutLeaseCheck = true }
 			for _, w := range s.workers {
--- a/control/options.go
+++ b/control/options.go
@@ -66,6 +66,9 @@
 	Logger     zerolog.Logger
 	// Metrics receives the counters; nil for metrics.DefaultRegistry.
 	Metrics metrics.Registry
+	// SnapshotRecords is the number of records after which the active scheduler appends a snapshot; 0 for 1000. It must
+	// be well below the number of records that the log retains.
+	SnapshotRecords uint64
 	// Random returns numbers in 0..1; nil for a random source.
 	Random func() float64
 
@@ -74,7 +77,6 @@
 	withoutLapseWait   bool
 	withoutLeaseCheck  bool
 	withoutLossReports bool
-	withoutTailCheck   bool
 }
 
 // withDefaults fills in what is optional and refuses what is missing.
@@ -89,6 +91,9 @@
 	if o.Metrics == nil {
 		o.Metrics = metrics.DefaultRegistry
 	}
+	if o.SnapshotRecords == 0 {
+		o.SnapshotRecords = snapshotRecords
+	}
 	if o.Random == nil {
 		o.Random = rand.Float64
 	}
--- /dev/null
+++ b/control/prove_test.go
@@ -0,0 +1,61 @@
+package control
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+)
+
+// TestProve runs as many seeds from PROVE_SEED on as 12 s of real time allow. It guards against the same faults as
+// TestScenario.
+func TestProve(t *testing.T) {
+	base, err := strconv.ParseUint(os.Getenv("PROVE_SEED"), 10, 64)
+	if err != nil {
+		t.Skip("PROVE_SEED is not set")
+	}
+	total, runs := 0, uint64(0)
+	for start := time.Now(); time.Since(start) < 10*time.Second; runs++ {
+		seed := base*1_000_000 + runs
+		changes := []func(*scenario){withScheduler}[:runs%2]
+		violations, events := runScenario(t, seed, changes...)
+		if total == 0 && len(violations) > 0 {
+			writeTrace(t, seed, events)
+			t.Errorf("seed %d: %s", seed, violations[0])
+			for _, event := range events[max(0, firstViolation(events)-40) : firstViolation(events)+1] {
+				fmt.Println(event)
+			}
+		}
+		total += len(violations)
+	}
+	fmt.Printf("control: runs: %d\n", runs)
+	fmt.Printf("control: violations: %d\n", total)
+}
+
+// firstViolation returns the index of the first violation in a trace, that of the last event if there is none.
+func firstViolation(events []string) int {
+	for i, event := range events {
+		if strings.Contains(event, "VIOLATION") {
+			return i
+		}
+	}
+	return len(events) - 1
+}
+
+// writeTrace writes the trace of a seed to the file named by CONTROL_TRACE.
+func writeTrace(t *testing.T, seed uint64, events []string) {
+	path := os.Getenv("CONTROL_TRACE")
+	if path == "" {
+		return
+	}
+	var text []byte
+	for _, event := range events {
+		text = append(append(text, event...), '\n')
+	}
+	if err := os.WriteFile(path, text, 0o600); err != nil {
+		t.Log(err)
+	}
+	t.Logf("trace of seed %d is in %s", seed, path)
+}
--- a/control/scenario_test.go
+++ b/control/scenario_test.go
@@ -3,10 +3,9 @@
 import (
 	"context"
 	"fmt"
-	"os"
-	"strconv"
-	"strings"
+	"maps"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -15,8 +14,6 @@
 	"github.com/rs/zerolog"
 
 	"github.com/redwingthread/redwingthread/config"
-	"github.com/redwingthread/redwingthread/gang"
-	"github.com/redwingthread/redwingthread/inner"
 	"github.com/redwingthread/redwingthread/invariant"
 	"github.com/redwingthread/redwingthread/jobs"
 	"github.com/redwingthread/redwingthread/platform"
@@ -36,12 +33,14 @@
 // scenario is one failure domain in virtual time with two schedulers.
 type scenario struct {
 	random  *random
-	doc     *config.Document
+	doc     atomic.Pointer[config.Document]
 	workers map[string]*fakeWorker
 	log     *fakeLog
 	procs   [2]*proc
 	options func(*Options)
-	planner func(failureDomain string) scheduler.Planner
+	// submitted lists the ids of all accepted jobs.
+	submitted []string
+	planner   func(failureDomain string) scheduler.Planner
 
 	mu         sync.Mutex
 	events     []string
@@ -88,15 +87,16 @@
 	s := &scenario{random: newRandom(seed), workers: map[string]*fakeWorker{}, start: time.Now(),
 		epochs: map[uint64]string{}, onceRuns: map[string]int{}, ran: map[taskKey]bool{}, done: map[taskKey]bool{}, differ: map[platform.AttemptID]time.Time{}}
 	capacity := resource.Resources{Accelerators: 8, MilliCPU: 32000, MemoryMB: 64000}
-	s.doc = &config.Document{Workers: map[string]resource.Worker{},
+	doc := &config.Document{Workers: map[string]resource.Worker{},
 		FailureDomains: map[string]config.FailureDomain{"fd": {Name: "fd"}},
 		Accounts:       map[string]config.Account{"a": {Name: "a", Weight: 1}},
 		Policy: config.Policy{ReclaimBoundMS: 30_000, MaxWaitMS: 20_000, QuarantinePercent: 20,
 			StandardLargeShape: resource.Shape{Members: 1, PerMember: capacity, Adjacency: resource.AdjacencyWorker}}}
+	s.doc.Store(doc)
 	s.planner = newFakePlanner
 	for i := range scenarioWorkers {
 		id := fmt.Sprintf("w-%d", i)
-		s.doc.Workers[id] = resource.Worker{ID: id, FailureDomain: "fd", Capacity: capacity, Address: id}
+		doc.Workers[id] = resource.Worker{ID: id, FailureDomain: "fd", Capacity: capacity, Address: id}
 		s.workers[id] = newFakeWorker(id, capacity, s.random)
 		s.workers[id].onRun = s.onRun
 		s.workers[id].onEffect = s.onEffect
@@ -106,51 +106,6 @@
 	return s
 }
 
-func (s *scenario) onDone(key taskKey) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.done[key] = true
-	s.done[taskKey{platform.AttemptID{Job: key.attempt.Job}, key.member}] = true
-}
-
-// complete reports whether a member has completed: in this attempt, or in an earlier one whose checkpointed stop this
-// attempt continues, in which case it is not released again.
-func (s *scenario) complete(attempt platform.AttemptID, member int) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	key := taskKey{attempt, member}
-	return s.done[key] || !s.ran[key] && s.done[taskKey{platform.AttemptID{Job: attempt.Job}, member}]
-}
-
-// onRun checks that a run-once job is not started twice.
-func (s *scenario) onRun(_ *fakeWorker, task *fakeTask) {
-	s.mu.Lock()
-	s.ran[taskKey{task.Attempt, task.Member}] = true
-	s.mu.Unlock()
-	if !task.fresh || task.Attempt.Job[0] != 'o' {
-		return
-	}
-	key := fmt.Sprintf("%s/%d", task.Attempt.Job, task.Member)
-	s.mu.Lock()
-	s.onceRuns[key]++
-	runs := s.onceRuns[key]
-	s.mu.Unlock()
-	if runs > 1 {
-		s.violate("run-once member %s started %d times", key, runs)
-	}
-}
-
-// onEffect checks that each epoch belongs to one holder.
-func (s *scenario) onEffect(w *fakeWorker, epoch uint64, holder string) {
-	s.mu.Lock()
-	known, ok := s.epochs[epoch]
-	s.epochs[epoch] = holder
-	s.mu.Unlock()
-	if ok && known != holder {
-		s.violate("epoch %d had effect for %s and %s", epoch, known, holder)
-	}
-}
-
 // launch starts process i with a new incarnation.
 func (s *scenario) launch(t *testing.T, i int) {
 	p := s.procs[i]
@@ -166,7 +121,7 @@
 	g := p.gate
 	name := fmt.Sprintf("s%d.%d", i, p.serial)
 	options := Options{FailureDomain: "fd", VM: name, Holder: name, Log: s.log, Workers: p.net,
-		Config: func() *config.Document { return s.doc }, NewPlanner: s.planner, Metrics: metrics.NewRegistry(),
+		Config: s.doc.Load, NewPlanner: s.planner, Metrics: metrics.NewRegistry(),
 		Logger: zerolog.New(s).With().Str("proc", name).Logger(),
 		Random: func() float64 { g.pass(context.Background()); return s.random.float() }}
 	if s.options != nil {
@@ -193,63 +148,6 @@
 	p.stopped = true
 }
 
-// check looks at the truth on the workers.
-func (s *scenario) check() {
-	now := time.Now()
-	type view struct {
-		runs    int
-		running map[int]bool
-	}
-	attempts := map[platform.AttemptID]*view{}
-	running := map[string]platform.AttemptID{}
-	for _, w := range s.workers {
-		w.mu.Lock()
-		w.advance(now)
-		for key, task := range w.tasks {
-			v := attempts[key.attempt]
-			if v == nil {
-				v = &view{running: map[int]bool{}}
-				attempts[key.attempt] = v
-			}
-			switch task.State {
-			case platform.TaskRunning, platform.TaskCheckpointing:
-				v.runs++
-				v.running[key.member] = true
-				if other, ok := running[key.attempt.Job]; ok && other != key.attempt {
-					s.violate("job %s runs as attempts %d and %d at once", key.attempt.Job, other.Attempt, key.attempt.Attempt)
-				}
-				running[key.attempt.Job] = key.attempt
-			}
-		}
-		w.mu.Unlock()
-	}
-	for id, v := range attempts {
-		whole := true
-		for m := range membersOf(id.Job) {
-			whole = whole && (v.runs == 0 || v.running[m] || s.complete(id, m))
-		}
-		if since, ok := s.differ[id]; whole {
-			delete(s.differ, id)
-		} else if !ok {
-			s.differ[id] = now
-		} else if now.Sub(since) > gang.DifferBound {
-			s.violate("members of %v differ since %s: %+v", id, since.Sub(s.start), *v)
-			s.differ[id] = now
-		}
-	}
-	for id := range s.differ {
-		if attempts[id] == nil {
-			delete(s.differ, id)
-		}
-	}
-}
-
-// membersOf returns the number of members that is part of each job id of the scenario.
-func membersOf(id string) int {
-	n, _ := strconv.Atoi(id[1:2])
-	return n
-}
-
 // submit appends a random job; its id tells the class (o run-once, p plain) and the number of members.
 func (s *scenario) submit(n int) {
 	job := jobs.Job{Account: "a", FailureDomain: "fd", Run: []string{"run"}, Submitted: time.Now()}
@@ -264,6 +162,7 @@
 	}
 	job.ID = fmt.Sprintf("%s%d-%03d", class, job.Shape.Members, n)
 	s.append(jobs.Record{Kind: jobs.RecordSubmit, Submit: &job})
+	s.submitted = append(s.submitted, job.ID)
 	if s.random.chance(0.1) {
 		go func() {
 			time.Sleep(s.random.between(0, 20*time.Second))
@@ -292,7 +191,7 @@
 		defer net.mu.Unlock()
 		change(net)
 	}
-	kind := s.random.intn(10)
+	kind := s.random.intn(13)
 	s.note("fault %d on scheduler %d or %s", kind, i, w.id)
 	switch kind {
 	case 0, 1:
@@ -321,10 +220,36 @@
 		setNet(func(n *fakeNet) { n.lossy = 0.2 })
 		return func() { setNet(func(n *fakeNet) { n.lossy = 0 }) }
 	}
+	switch kind {
+	case 9:
+		s.drain(w.id, true)
+		return func() { s.drain(w.id, false) }
+	case 10:
+		w.set(func() { w.bad = true })
+		return func() { w.set(func() { w.bad = false }) }
+	case 11:
+		w.set(func() { w.leaving = true })
+		return func() { w.set(func() { w.leaving = false }) }
+	}
 	s.setLog(s.random.chance(0.5), 0.3)
 	return func() { s.setLog(false, 0) }
 }
 
+// drain puts another document in force.
+func (s *scenario) drain(worker string, on bool) {
+	next := *s.doc.Load()
+	next.Version++
+	next.Drains = maps.Clone(next.Drains)
+	if next.Drains == nil {
+		next.Drains = map[string]config.Drain{}
+	}
+	delete(next.Drains, worker)
+	if on {
+		next.Drains[worker] = config.Drain{VM: worker}
+	}
+	s.doc.Store(&next)
+}
+
 func (s *scenario) setLog(down bool, lossy float64) {
 	s.log.mu.Lock()
 	defer s.log.mu.Unlock()
@@ -377,45 +302,6 @@
 	s.stop(1, false)
 }
 
-// open folds the log and returns the jobs that have not ended.
-func (s *scenario) open() []*jobs.Entry {
-	fold := jobs.NewFold()
-	s.log.mu.Lock()
-	for _, r := range s.log.records {
-		fold.Skip(r.Offset)
-		_, _, _ = fold.Apply(r)
-	}
-	s.log.mu.Unlock()
-	return fold.Open()
-}
-
-// checkEnds checks that every accepted job has ended, and that one which has not is reported with its reason.
-func (s *scenario) checkEnds() {
-	for _, e := range s.open() {
-		for _, w := range s.workers {
-			for key, task := range w.tasks {
-				if key.attempt.Job == e.Job.ID {
-					s.note("%s has %+v", w.id, task.Task)
-				}
-			}
-		}
-		s.violate("job %s has not ended %s after the faults: %s", e.Job.ID, settleTime, s.ask(e.Job.ID))
-	}
-}
-
-func (s *scenario) ask(id string) string {
-	for _, p := range s.procs {
-		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-		response, err := p.control.Handle(ctx, inner.Member{}, &inner.Request{JobQuery: &inner.JobQuery{ID: id}})
-		cancel()
-		if err == nil && response.JobQuery.Active && len(response.JobQuery.Jobs) == 1 {
-			status := response.JobQuery.Jobs[0]
-			return string(status.State) + " " + status.Reason
-		}
-	}
-	return "no active scheduler"
-}
-
 // runScenario runs one seed in virtual time and returns the violations and the trace.
 func runScenario(t *testing.T, seed uint64, change ...func(*scenario)) (violations, events []string) {
 	t.Helper()
@@ -466,53 +352,21 @@
 	}
 }
 
-// TestProve runs as many seeds from PROVE_SEED on as 12 s of real time allow. It guards against the same faults as
-// TestScenario.
-func TestProve(t *testing.T) {
-	base, err := strconv.ParseUint(os.Getenv("PROVE_SEED"), 10, 64)
-	if err != nil {
-		t.Skip("PROVE_SEED is not set")
-	}
-	total, runs := 0, uint64(0)
-	for start := time.Now(); time.Since(start) < 10*time.Second; runs++ {
-		seed := base*1_000_000 + runs
-		changes := []func(*scenario){withScheduler}[:runs%2]
-		violations, events := runScenario(t, seed, changes...)
-		if total == 0 && len(violations) > 0 {
-			writeTrace(t, seed, events)
-			t.Errorf("seed %d: %s", seed, violations[0])
-			for _, event := range events[max(0, firstViolation(events)-40) : firstViolation(events)+1] {
-				fmt.Println(event)
-			}
-		}
-		total += len(violations)
+// retain makes the log keep 80 records, and the scheduler append a snapshot after a number of records.
+func retain(snapshotRecords uint64) func(*scenario) {
+	return func(s *scenario) {
+		s.log.retain = 80
+		s.options = func(o *Options) { o.SnapshotRecords = snapshotRecords }
 	}
-	fmt.Printf("control: runs: %d\n", runs)
-	fmt.Printf("control: violations: %d\n", total)
 }
 
-// firstViolation returns the index of the first violation in a trace, that of the last event if there is none.
-func firstViolation(events []string) int {
-	for i, event := range events {
-		if strings.Contains(event, "VIOLATION") {
-			return i
+// TestScenarioWithRetention guards against jobs that are lost when the log drops old records.
+func TestScenarioWithRetention(t *testing.T) {
+	for seed := uint64(1); seed <= 8; seed++ {
+		violations, events := runScenario(t, seed, retain(20))
+		writeTrace(t, seed, events)
+		if len(violations) > 0 {
+			t.Fatalf("seed %d: %d violations, first: %s", seed, len(violations), violations[0])
 		}
 	}
-	return len(events) - 1
-}
-
-// writeTrace writes the trace of a seed to the file named by CONTROL_TRACE.
-func writeTrace(t *testing.T, seed uint64, events []string) {
-	path := os.Getenv("CONTROL_TRACE")
-	if path == "" {
-		return
-	}
-	var text []byte
-	for _, event := range events {
-		text = append(append(text, event...), '\n')
-	}
-	if err := os.WriteFile(path, text, 0o600); err != nil {
-		t.Log(err)
-	}
-	t.Logf("trace of seed %d is in %s", seed, path)
 }
--- a/control/tenure.go
+++ b/control/tenure.go
@@ -15,7 +15,7 @@
 	"github.com/redwingthread/redwingthread/scheduler"
 )
 
-// Snapshot rules: a snapshot is appended after snapshotRecords records or snapshotInterval, whichever comes first, so
+// Snapshot rules: a snapshot is appended after Options.SnapshotRecords records or snapshotInterval, whichever comes first, so
 // that it is renewed well before the oldest record that it covers expires.
 const (
 	snapshotRecords  = 1000
@@ -79,7 +79,7 @@
 func (c *Control) readyToAdopt(now time.Time) bool {
 	waited := now.Sub(c.tenure.since)
 	readWorkers := c.unread() == 0 || waited >= readGrace
-	readLog := c.withoutTailCheck || !c.tailAt.Before(c.tenure.since) || (c.readFailed && waited >= readGrace) || waited >= catchUpGrace
+	readLog := !c.tailAt.Before(c.tenure.since) || (c.readFailed && waited >= readGrace) || waited >= catchUpGrace
 	return readWorkers && readLog
 }
 
@@ -378,7 +378,7 @@
 
 // snapshot queues a snapshot when one is due.
 func (c *Control) snapshot(now time.Time) {
-	due := c.fold.SinceSnapshot() >= snapshotRecords || (!c.fold.Anchored() && !c.tenure.snapshots)
+	due := c.fold.SinceSnapshot() >= c.SnapshotRecords || (!c.fold.Anchored() && !c.tenure.snapshots)
 	if c.fold.Next() > 0 && now.Sub(c.snapshotAt) >= snapshotInterval {
 		due = true
 	}
