--- a/control/control.go
+++ b/control/control.go
@@ -193,6 +193,7 @@
 
 // settle does all that is due and returns the time until the next step without an event.
 func (c *Control) settle(ctx context.Context, now time.Time) time.Duration {
+	c.cost.updateCPU(now)
 	c.applyConfig(now)
 	c.stepLease(now)
 	if c.tenure != nil {
@@ -248,6 +249,11 @@
 		}
 		w.address = configured.Address
 	}
+	for id, w := range c.workers {
+		if c.tenure == nil && !w.outstanding && !c.configured(id) {
+			delete(c.workers, id)
+		}
+	}
 	c.lease.SetWorkers(ids, now)
 	c.leaseDue = now
 	if t := c.tenure; t != nil {
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -69,6 +69,9 @@
 			if n := s.running(id); n != 9 {
 				t.Errorf("%d of 9 members of %s run after 1.8 s", n, id)
 			}
+			if state := s.ask(id); state != "running " {
+				t.Errorf("the active scheduler reports %q", state)
+			}
 			s.end()
 		})
 	}
--- a/control/cost.go
+++ b/control/cost.go
@@ -1,6 +1,9 @@
 package control
 
 import (
+	"syscall"
+	"time"
+
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/redwingthread/redwingthread/platform"
@@ -16,6 +19,9 @@
 	tenures  metrics.Counter
 	// starts holds the time from the decision to start until all members run, in milliseconds.
 	starts metrics.Histogram
+	// cpu holds the processor time of the whole process in milliseconds.
+	cpu   metrics.Gauge
+	cpuAt time.Time
 }
 
 func newCost(registry metrics.Registry) *cost {
@@ -27,6 +33,7 @@
 		appends:  metrics.GetOrRegisterCounter("control.log.appends", registry),
 		tenures:  metrics.GetOrRegisterCounter("control.tenures", registry),
 		starts:   metrics.GetOrRegisterHistogram("control.start_ms", registry, metrics.NewUniformSample(1028)),
+		cpu:      metrics.GetOrRegisterGauge("control.cpu_ms", registry),
 	}
 }
 
@@ -41,3 +48,17 @@
 		c.failures.Inc(1)
 	}
 }
+
+// cpuInterval is the time between updates of the processor time.
+const cpuInterval = 5 * time.Second
+
+func (c *cost) updateCPU(now time.Time) {
+	if now.Sub(c.cpuAt) < cpuInterval {
+		return
+	}
+	c.cpuAt = now
+	var usage syscall.Rusage
+	if syscall.Getrusage(syscall.RUSAGE_SELF, &usage) == nil {
+		c.cpu.Update((usage.Utime.Nano() + usage.Stime.Nano()) / int64(time.Millisecond))
+	}
+}
--- a/control/tenure.go
+++ b/control/tenure.go
@@ -63,8 +63,11 @@
 	}
 	if !now.Before(t.healthAt) {
 		t.healthAt = now.Add(healthInterval)
-		for _, w := range c.workers {
+		for id, w := range c.workers {
 			c.updateHealth(w, now)
+			if w.health == scheduler.HealthGone && !w.outstanding && !c.configured(id) && len(t.gangsOn(id)) == 0 {
+				delete(c.workers, id)
+			}
 		}
 	}
 	c.resolveUnread(now)
--- a/gang/step.go
+++ b/gang/step.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/redwingthread/redwingthread/invariant"
 	"github.com/redwingthread/redwingthread/jobs"
 	"github.com/redwingthread/redwingthread/platform"
 	"github.com/redwingthread/redwingthread/scheduler"
@@ -344,6 +345,8 @@
 			continue
 		}
 		if command.Op == platform.OpRelease {
+			invariant.Check(!g.job.RunOnce || g.intentWon, invariant.AtMostOnce,
+				"run-once job %s is released in attempt %d without its intent", g.job.ID, g.attempt)
 			g.released = true
 		}
 		commands = append(commands, command)
