--- a/control/tenure.go
+++ b/control/tenure.go
@@ -15,7 +15,7 @@
 	"github.com/redwingthread/redwingthread/scheduler"
 )
 
-// Snapshot rules: a snapshot is appended after snapshotRecords records or snapshotInterval, whichever comes first, so
+// Snapshot rules: a snapshot is appended after Options.SnapshotRecords records or snapshotInterval, whichever comes first, so
 // that it is renewed well before the oldest record that it covers expires.
 const (
 	snapshotRecords  = 1000
@@ -63,8 +63,11 @@
 	}
 	if !now.Before(t.healthAt) {
 		t.healthAt = now.Add(healthInterval)
-		for _, w := range c.workers {
+		for id, w := range c.workers {
 			c.updateHealth(w, now)
+			if w.health == scheduler.HealthGone && !w.outstanding && !c.configured(id) && len(t.gangsOn(id)) == 0 {
+				delete(c.workers, id)
+			}
 		}
 	}
 	c.resolveUnread(now)
@@ -79,7 +82,7 @@
 func (c *Control) readyToAdopt(now time.Time) bool {
 	waited := now.Sub(c.tenure.since)
 	readWorkers := c.unread() == 0 || waited >= readGrace
-	readLog := c.withoutTailCheck || !c.tailAt.Before(c.tenure.since) || (c.readFailed && waited >= readGrace) || waited >= catchUpGrace
+	readLog := !c.tailAt.Before(c.tenure.since) || (c.readFailed && waited >= readGrace) || waited >= catchUpGrace
 	return readWorkers && readLog
 }
 
@@ -378,7 +381,7 @@
 
 // snapshot queues a snapshot when one is due.
 func (c *Control) snapshot(now time.Time) {
-	due := c.fold.SinceSnapshot() >= snapshotRecords || (!c.fold.Anchored() && !c.tenure.snapshots)
+	due := c.fold.SinceSnapshot() >= c.SnapshotRecords || (!c.fold.Anchored() && !c.tenure.snapshots)
 	if c.fold.Next() > 0 && now.Sub(c.snapshotAt) >= snapshotInterval {
 		due = true
 	}
