--- a/scripts/demo-lib.sh
+++ b/scripts/demo-lib.sh
@@ -206,6 +206,16 @@
   done > "$dir/reads-$1.out"
 }
 
+# send_last VM sends one idempotent request of 1.5 s, longer than the drain time of a gateway, and keeps its outcome.
+send_last() {
+  local reply=$dir/last-$1.reply
+  caller_code "$1" request GET "orders/stock/last-$1?work_ms=1500" || true
+  sed -n 's/^outcome: //p' "$reply" > "$dir/last-$1.out"
+}
+
+# last_under_way N reports whether endpoints have started N of these requests.
+last_under_way() { [[ $(control /v1/runs.txt | grep -c "^request GET /stock/last-") -ge $1 ]]; }
+
 # start NAME COMMAND... starts a process of the system.
 start() {
   local name=$1
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -206,9 +206,17 @@
 }
 
 shut_down() {
-  step "planned stop"
+  step "planned stop while requests are under way"
+  local vm last=()
+  for vm in "${vms[@]}"; do
+    send_last "$vm" &
+    last+=($!)
+  done
+  wait_for "6 requests under way" 10 last_under_way 6
   stop_all
-  passed "every process ended by itself, none is left"
+  wait "${last[@]}"
+  expect "outcomes of requests under way" "$(cat "$dir"/last-*.out | sort | uniq -c | xargs)" "6 completed"
+  passed "6 requests under way were finished; every process ended by itself, none is left"
 }
 
 begin
