--- a/cmd/redwingctl/config_read.go
+++ b/cmd/redwingctl/config_read.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/redwingthread/redwingthread/config"
+	"github.com/redwingthread/redwingthread/configlog"
 	"github.com/redwingthread/redwingthread/errkind"
 	"github.com/redwingthread/redwingthread/operatorclient"
 )
@@ -67,8 +68,8 @@
 	return &version, nil
 }
 
-// decisions reads the decisions of the range.
-func (r *versionRange) decisions(c *call) ([]operatorclient.Decision, error) {
+// entries reads the log of changes of the range.
+func (r *versionRange) entries(c *call) ([]operatorclient.LogEntry, error) {
 	if err := c.want(); err != nil {
 		return nil, err
 	}
@@ -89,13 +90,13 @@
 	var r versionRange
 	r.declare(f)
 	return func(c *call) error {
-		decisions, err := r.decisions(c)
+		entries, err := r.entries(c)
 		if err != nil {
 			return err
 		}
-		return c.print(decisions, func() {
+		return c.print(entries, func() {
 			var rows [][]string
-			for _, d := range decisions {
+			for _, d := range entries {
 				rows = append(rows, []string{fmt.Sprint(d.Version), string(d.Outcome), at(d.At), d.Author, d.ID, d.Reason})
 			}
 			c.columns([]string{"VERSION", "OUTCOME", "TIME", "AUTHOR", "PATCH", "REASON"}, rows)
@@ -170,28 +171,29 @@
 	r.declare(f)
 	step := f.Bool("step", false, "wait for Enter after each change")
 	return func(c *call) error {
-		decisions, err := r.decisions(c)
+		entries, err := r.entries(c)
 		if err != nil {
 			return err
 		}
-		client, err := c.client()
-		if err != nil {
-			return err
-		}
-		changes, err := client.Review(c.ctx, decisions)
-		if err != nil {
-			return err
+		changes := []operatorclient.LogEntry{}
+		for _, entry := range entries {
+			if entry.Outcome == configlog.Accepted {
+				changes = append(changes, entry)
+			}
 		}
 		return c.print(changes, func() { c.replay(changes, *step) })
 	}
 }
 
 // replay prints the changes one by one; with step it waits for a line of input after each but the last.
-func (c *call) replay(changes []operatorclient.ReviewedChange, step bool) {
+func (c *call) replay(changes []operatorclient.LogEntry, step bool) {
 	input := bufio.NewScanner(c.stdin)
 	for i, change := range changes {
 		fmt.Fprintf(c.stdout, "version %d  %s  %s\n  reason: %s\n", change.Version, at(change.At), change.Author, change.Reason)
 		c.lines(change.Summary)
+		if len(change.Summary) == 0 && len(change.Ops) > 0 {
+			c.lines([]string{fmt.Sprintf("%d ops; the version before is not kept", len(change.Ops))})
+		}
 		if step && i+1 < len(changes) && !input.Scan() {
 			return
 		}
--- a/operatorclient/client.go
+++ b/operatorclient/client.go
@@ -201,10 +201,10 @@
 
 // Log returns the decisions that made the versions from and to and those between; a nil to stands for the version in
 // force.
-func (c *Client) Log(ctx context.Context, from uint64, to *uint64) ([]Decision, error) {
-	var decisions []Decision
-	err := c.call(ctx, http.MethodGet, "/v1/config/log", logQuery{from, versionText(to)}, nil, &decisions, "")
-	return decisions, err
+func (c *Client) Log(ctx context.Context, from uint64, to *uint64) ([]LogEntry, error) {
+	var entries []LogEntry
+	err := c.call(ctx, http.MethodGet, "/v1/config/log", logQuery{from, versionText(to)}, nil, &entries, "")
+	return entries, err
 }
 
 // Status returns the version in force per entry VM.
--- a/operatorclient/types.go
+++ b/operatorclient/types.go
@@ -16,6 +16,8 @@
 	Document = config.Document
 	// Decision is what became of a patch, withdrawal or initialise record.
 	Decision = configlog.Decision
+	// LogEntry is a decision with one line for each field that it changed.
+	LogEntry = operatorapi.LogEntry
 	// FollowerStatus is what a gateway knows about its own copy of the configuration.
 	FollowerStatus = configlog.Status
 	// PlanResult is what a patch would change.
