--- a/gateway/scenario_test.go
+++ b/gateway/scenario_test.go
@@ -315,7 +315,7 @@
 		}
 		end := time.Now().Add(scenarioTime)
 		var callers sync.WaitGroup
-		for id := range 16 {
+		for id := range 32 {
 			callers.Go(func() { w.caller(id, rand.New(rand.NewPCG(seed, 300+uint64(id))), end) })
 		}
 		callers.Go(func() { w.disturb(r, end) })
