Make the mechanism tests hit their mechanism

The cases of the intent check and of losses name the faults that they need, and a deterministic test shows both sides of the intent check.

--- a/control/mechanism_test.go
+++ b/control/mechanism_test.go
@@ -3,6 +3,11 @@
 import (
 	"strings"
 	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/redwingthread/redwingthread/gang"
+	"github.com/redwingthread/redwingthread/jobs"
 )
 
 // TestChecksNoticeMissingMechanisms guards against vacuous checks: without each mechanism some seed must give the
@@ -15,10 +20,21 @@
 		change    func(*scenario)
 		violation string
 	}{
-		"intent of run-once jobs":    {option(func(o *Options) { o.withoutIntentCheck = true }), "run-once member"},
-		"wait for leases to lapse":   {option(func(o *Options) { o.withoutLapseWait = true }), "at once"},
-		"stop of gangs after a loss": {option(func(o *Options) { o.withoutLossReports = true }), "differ since"},
-		"snapshots":                  {retain(1_000_000), "is not known any more"},
+		"intent of run-once jobs": {func(s *scenario) {
+			// Deaths of schedulers and workers together leave jobs without a trace.
+			s.kinds = []int{0, 4, 4}
+			s.options = func(o *Options) { o.withoutIntentCheck = true }
+		}, "run-once member"},
+		"wait for leases to lapse": {option(func(o *Options) { o.withoutLapseWait = true }), "at once"},
+		"stop of gangs after a loss": {func(s *scenario) {
+			// Tasks must outlast the bound within which members may differ.
+			s.kinds = []int{4}
+			for _, w := range s.workers {
+				w.longer = 2 * gang.DifferBound
+			}
+			s.options = func(o *Options) { o.withoutLossReports = true }
+		}, "differ since"},
+		"snapshots": {retain(1_000_000), "is not known any more"},
 		"lease and fencing": {func(s *scenario) {
 			s.options = func(o *Options) { o.withoutLeaseCheck = true }
 			for _, w := range s.workers {
@@ -41,3 +57,33 @@
 		})
 	}
 }
+
+// TestRunOnceWithoutTraceIsUnknown guards against a second run of a run-once job whose workers restarted while no
+// scheduler was there to see it. Without the intent check the job must run twice, else the test shows nothing.
+func TestRunOnceWithoutTraceIsUnknown(t *testing.T) {
+	for name, without := range map[string]bool{"with intent check": false, "without intent check": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := steady(t)
+				s.options = func(o *Options) { o.withoutIntentCheck = without }
+				s.submitJob("o5-job", 5, true)
+				time.Sleep(2 * time.Second)
+				s.stop(0, true)
+				s.stop(1, true)
+				for _, w := range s.workers {
+					w.kill()
+					w.revive()
+				}
+				s.launch(t, 0)
+				s.launch(t, 1)
+				time.Sleep(60 * time.Second)
+				e, _ := s.folded().Get("o5-job")
+				runs := s.onceRuns["o5-job/0"]
+				if without != (runs == 2) || without != (e.State() != jobs.StateUnknown) {
+					t.Errorf("member 0 ran %d times, state %s", runs, e.State())
+				}
+				s.end()
+			})
+		})
+	}
+}
--- a/control/scenario_test.go
+++ b/control/scenario_test.go
@@ -38,6 +38,8 @@
 	log     *fakeLog
 	procs   [2]*proc
 	options func(*Options)
+	// kinds restricts the faults; empty for all.
+	kinds []int
 	// submitted lists the ids of all accepted jobs.
 	submitted []string
 	planner   func(failureDomain string) scheduler.Planner
@@ -192,6 +194,9 @@
 		change(net)
 	}
 	kind := s.random.intn(13)
+	if len(s.kinds) > 0 {
+		kind = s.kinds[s.random.intn(len(s.kinds))]
+	}
 	s.note("fault %d on scheduler %d or %s", kind, i, w.id)
 	switch kind {
 	case 0, 1:
