--- a/control/cost_test.go
+++ b/control/cost_test.go
@@ -23,6 +23,7 @@
 	"github.com/redwingthread/redwingthread/jobs"
 	"github.com/redwingthread/redwingthread/platform"
 	"github.com/redwingthread/redwingthread/resource"
+	"github.com/redwingthread/redwingthread/scheduler"
 )
 
 const serveVariable = "CONTROL_COST_SERVE"
@@ -92,10 +93,13 @@
 }
 
 func measure(b *testing.B, count int) {
-	doc := &config.Document{Workers: map[string]resource.Worker{}}
+	doc := &config.Document{Workers: map[string]resource.Worker{},
+		FailureDomains: map[string]config.FailureDomain{"fd": {Name: "fd"}},
+		Accounts:       map[string]config.Account{"orders": {Name: "orders", Weight: 1}},
+		Policy:         config.Policy{ReclaimBoundMS: 30_000, MaxWaitMS: 20_000, QuarantinePercent: 20}}
 	for i, address := range serveWorkers(b, count) {
 		id := fmt.Sprintf("w-%d", i)
-		doc.Workers[id] = resource.Worker{ID: id, FailureDomain: "fd", Address: address,
+		doc.Workers[id] = resource.Worker{ID: id, FailureDomain: "fd", Address: address, Rack: fmt.Sprint("r-", i/8),
 			Capacity: resource.Resources{Accelerators: 8, MilliCPU: 32000, MemoryMB: 64000}}
 	}
 	log := newFakeLog(newRandom(1))
@@ -109,7 +113,8 @@
 	}
 	registry := metrics.NewRegistry()
 	control, err := New(Options{FailureDomain: "fd", VM: "vm-1", Log: log, Workers: platform.NewHTTPWorkers(registry),
-		Config: func() *config.Document { return doc }, NewPlanner: newFakePlanner, Metrics: registry, Logger: zerolog.Nop()})
+		Config: func() *config.Document { return doc }, Metrics: registry, Logger: zerolog.Nop(),
+		NewPlanner: func(fd string) scheduler.Planner { return scheduler.New(fd) }})
 	if err != nil {
 		b.Fatal(err)
 	}
@@ -145,6 +150,9 @@
 	var memory runtime.MemStats
 	runtime.ReadMemStats(&memory)
 	b.ReportMetric(float64(memory.Sys)/1e6, "MB")
+	if renewals := (counter("task_renewals") - before["task_renewals"]) / seconds; renewals < 0.9*float64(tasks)/taskRenewInterval.Seconds() {
+		b.Errorf("%.1f task renewals per second for %d tasks: not all tasks run", renewals, tasks)
+	}
 	b.ReportMetric(float64(tasks), "tasks")
 	b.ReportMetric(0, "ns/op")
 	cancel()
