--- a/control/cost_test.go
+++ b/control/cost_test.go
@@ -23,7 +23,6 @@
 	"github.com/redwingthread/redwingthread/jobs"
 	"github.com/redwingthread/redwingthread/platform"
 	"github.com/redwingthread/redwingthread/resource"
-	"github.com/redwingthread/redwingthread/scheduler"
 )
 
 const serveVariable = "CONTROL_COST_SERVE"
@@ -114,7 +113,7 @@
 	registry := metrics.NewRegistry()
 	control, err := New(Options{FailureDomain: "fd", VM: "vm-1", Log: log, Workers: platform.NewHTTPWorkers(registry),
 		Config: func() *config.Document { return doc }, Metrics: registry, Logger: zerolog.Nop(),
-		NewPlanner: func(fd string) scheduler.Planner { return scheduler.New(fd) }})
+		NewPlanner: newPlanner})
 	if err != nil {
 		b.Fatal(err)
 	}
--- a/control/prove_test.go
+++ b/control/prove_test.go
@@ -19,7 +19,7 @@
 	total, runs := 0, uint64(0)
 	for start := time.Now(); time.Since(start) < 10*time.Second; runs++ {
 		seed := base*1_000_000 + runs
-		changes := []func(*scenario){withScheduler}[:runs%2]
+		changes := []func(*scenario){retain(20)}[:runs%2]
 		violations, events := runScenario(t, seed, changes...)
 		if total == 0 && len(violations) > 0 {
 			writeTrace(t, seed, events)
--- a/control/scenario_test.go
+++ b/control/scenario_test.go
@@ -42,7 +42,6 @@
 	kinds []int
 	// submitted lists the ids of all accepted jobs.
 	submitted []string
-	planner   func(failureDomain string) scheduler.Planner
 
 	mu         sync.Mutex
 	events     []string
@@ -95,7 +94,6 @@
 		Policy: config.Policy{ReclaimBoundMS: 30_000, MaxWaitMS: 20_000, QuarantinePercent: 20,
 			StandardLargeShape: resource.Shape{Members: 1, PerMember: capacity, Adjacency: resource.AdjacencyWorker}}}
 	s.doc.Store(doc)
-	s.planner = newFakePlanner
 	for i := range scenarioWorkers {
 		id := fmt.Sprintf("w-%d", i)
 		doc.Workers[id] = resource.Worker{ID: id, FailureDomain: "fd", Capacity: capacity, Address: id}
@@ -123,7 +121,7 @@
 	g := p.gate
 	name := fmt.Sprintf("s%d.%d", i, p.serial)
 	options := Options{FailureDomain: "fd", VM: name, Holder: name, Log: s.log, Workers: p.net,
-		Config: s.doc.Load, NewPlanner: s.planner, Metrics: metrics.NewRegistry(),
+		Config: s.doc.Load, NewPlanner: newPlanner, Metrics: metrics.NewRegistry(),
 		Logger: zerolog.New(s).With().Str("proc", name).Logger(),
 		Random: func() float64 { g.pass(context.Background()); return s.random.float() }}
 	if s.options != nil {
@@ -328,28 +326,12 @@
 	return s.violations, s.events
 }
 
-// TestScenario guards against gangs that run partially, run-once jobs that start twice, two schedulers that act at once
-// and work that stays stuck, over a few seeds.
+// TestScenario guards against gangs that run partially, run-once jobs that start twice, two schedulers that act at once,
+// work that stays stuck, and jobs that are lost when the log drops old records, over a few seeds.
 func TestScenario(t *testing.T) {
-	for seed := uint64(1); seed <= 12; seed++ {
-		violations, events := runScenario(t, seed)
-		writeTrace(t, seed, events)
-		if len(violations) == 0 {
-			continue
-		}
-		t.Fatalf("seed %d: %d violations, first: %s", seed, len(violations), violations[0])
-	}
-}
-
-// withScheduler makes a scenario use the real scheduler core.
-func withScheduler(s *scenario) {
-	s.planner = func(failureDomain string) scheduler.Planner { return scheduler.New(failureDomain) }
-}
-
-// TestScenarioWithScheduler guards against faults between the shell and the scheduler core.
-func TestScenarioWithScheduler(t *testing.T) {
-	for seed := uint64(1); seed <= 8; seed++ {
-		violations, events := runScenario(t, seed, withScheduler)
+	for seed := uint64(1); seed <= 20; seed++ {
+		changes := []func(*scenario){retain(20)}[:seed%2]
+		violations, events := runScenario(t, seed, changes...)
 		writeTrace(t, seed, events)
 		if len(violations) > 0 {
 			t.Fatalf("seed %d: %d violations, first: %s", seed, len(violations), violations[0])
@@ -357,6 +339,8 @@
 	}
 }
 
+func newPlanner(failureDomain string) scheduler.Planner { return scheduler.New(failureDomain) }
+
 // retain makes the log keep 80 records, and the scheduler append a snapshot after a number of records.
 func retain(snapshotRecords uint64) func(*scenario) {
 	return func(s *scenario) {
@@ -364,14 +348,3 @@
 		s.options = func(o *Options) { o.SnapshotRecords = snapshotRecords }
 	}
 }
-
-// TestScenarioWithRetention guards against jobs that are lost when the log drops old records.
-func TestScenarioWithRetention(t *testing.T) {
-	for seed := uint64(1); seed <= 8; seed++ {
-		violations, events := runScenario(t, seed, retain(20))
-		writeTrace(t, seed, events)
-		if len(violations) > 0 {
-			t.Fatalf("seed %d: %d violations, first: %s", seed, len(violations), violations[0])
-		}
-	}
-}
