--- a/scheduler/reserve.go
+++ b/scheduler/reserve.go
@@ -22,8 +22,9 @@
 	// closeAfter is the number of policy.max_wait_ms after which a reservation is emptied whatever is lost.
 	closeAfter = 4
 	// singleWaits is the number of policy.max_wait_ms after which a job of one member with several accelerators gets a
-	// reservation. It needs one worker only, so the order of the queue serves it; sooner, it would stop many smaller jobs.
-	singleWaits = 12
+	// reservation. It needs one worker only, so the order of the queue serves it; at 12, most single jobs started through
+	// reservations in an overloaded run and those of one accelerator waited longest.
+	singleWaits = 48
 	// overdueWaits is the number of policy.max_wait_ms after which gangs get reservations in the order of their waits, and
 	// overdueRank a weight above that of any gang.
 	overdueWaits = 8
