--- a/scheduler/core.go
+++ b/scheduler/core.go
@@ -126,8 +126,13 @@
 	}
 }
 
+// minMaxWait bounds policy.max_wait_ms from below. With less, reviews of reservations would be due in every plan.
+const minMaxWait = time.Second
+
 // maxWait is the wait after which a blocked gang gets a reservation.
-func (c *Core) maxWait() time.Duration { return time.Duration(c.policy.MaxWaitMS) * time.Millisecond }
+func (c *Core) maxWait() time.Duration {
+	return max(time.Duration(c.policy.MaxWaitMS)*time.Millisecond, minMaxWait)
+}
 
 // account returns the record of an account, made if there is none.
 func (c *Core) account(name string) *account {
