--- a/scripts/demo-lib.sh
+++ b/scripts/demo-lib.sh
@@ -234,7 +234,8 @@
 stop_all() {
   local name code
   for name in "${!pids[@]}"; do
-    if [[ $name != standin ]]; then kill -TERM "${pids[$name]}"; fi
+    if [[ $name == standin ]]; then continue; fi
+    kill -TERM "${pids[$name]}" 2> /dev/null || fail "$name had ended before the planned stop; see $dir/$name.log"
   done
   for name in "${!pids[@]}"; do
     if [[ $name != standin ]]; then ended "$name"; fi
