Keep running gangs through a takeover

A test that crashes the holder at each second of the renewal interval found that gangs were stopped and started again after a takeover (18 releases for 9 members). Causes and changes: - answers to the claim that came before the majority did not count as read, so most workers were read one renewal later; they count now; - workers whose old lease had not lapsed at the claim were asked again after 2 to 4 s, now when it lapses; - guessed places of members that were not found overcommitted a worker, and the planner stopped the gang; guesses now fit; - adopted tasks are renewed at once, and no answer of an older claim counts. Task leases are renewed every 12 s, and spare workers beyond the bare majority every 4 s.

--- a/control/adopt.go
+++ b/control/adopt.go
@@ -2,11 +2,13 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/redwingthread/redwingthread/gang"
 	"github.com/redwingthread/redwingthread/jobs"
 	"github.com/redwingthread/redwingthread/platform"
+	"github.com/redwingthread/redwingthread/resource"
 	"github.com/redwingthread/redwingthread/scheduler"
 )
 
@@ -69,6 +71,7 @@
 		_, known := c.fold.Get(id)
 		if !known && !c.readTail {
 			w.kept = append(w.kept, task.Attempt)
+			w.wanted = true
 			continue
 		}
 		op := platform.OpStop
@@ -177,6 +180,9 @@
 		for _, task := range w.tasks {
 			if w.read && task.Attempt == g.ID() {
 				g.Observe(task.Member, w.id, task)
+				// The previous holder's last renewal may be long ago.
+				w.renewedAt = time.Time{}
+				w.wanted = true
 			}
 		}
 	}
@@ -191,23 +197,72 @@
 	return true
 }
 
-// plannerPlacement fills in members that were not found with a worker that was not read: one of those must have them.
+// plannerPlacement fills in members that were not found, preferably with workers that were not read: one of those must
+// have them. It overcommits no worker if it can, since the planner stops work on a worker that is overcommitted.
 func (c *Control) plannerPlacement(g *gang.Gang) scheduler.Placement {
 	placement := g.Placement()
-	fallback := ""
-	for id, w := range c.workers {
-		if c.configured(id) && (fallback == "" || !w.read && (id < fallback || c.workers[fallback].read)) {
-			fallback = id
-		}
+	if !slices.Contains(placement, "") {
+		return placement
+	}
+	used := c.plannedUse(g)
+	perMember := g.Job().Shape.PerMember
+	for _, worker := range placement {
+		used[worker] = used[worker].Add(perMember)
 	}
+	candidates := c.unreadFirst()
 	for i := range placement {
-		if placement[i] == "" {
-			placement[i] = fallback
+		if placement[i] != "" || len(candidates) == 0 {
+			continue
 		}
+		placement[i] = candidates[0]
+		for _, id := range candidates {
+			if used[id].Add(perMember).Fits(c.doc.Workers[id].Capacity) {
+				placement[i] = id
+				break
+			}
+		}
+		used[placement[i]] = used[placement[i]].Add(perMember)
 	}
 	return placement
 }
 
+// plannedUse returns what the planner believes to be used on each worker by other gangs than except.
+func (c *Control) plannedUse(except *gang.Gang) map[string]resource.Resources {
+	used := map[string]resource.Resources{}
+	for id, g := range c.tenure.gangs {
+		placement, guessed := c.tenure.guessed[id]
+		if !guessed {
+			placement = g.Placement()
+		}
+		for _, worker := range placement {
+			if g != except {
+				used[worker] = used[worker].Add(g.Job().Shape.PerMember)
+			}
+		}
+	}
+	return used
+}
+
+// unreadFirst returns the configured workers, those that were not read first.
+func (c *Control) unreadFirst() []string {
+	var ids []string
+	for id := range c.workers {
+		if c.configured(id) {
+			ids = append(ids, id)
+		}
+	}
+	slices.SortFunc(ids, func(a, b string) int {
+		if c.workers[a].read != c.workers[b].read {
+			if c.workers[b].read {
+				return -1
+			}
+			return 1
+		}
+		return strings.Compare(a, b)
+	})
+	return ids
+}
+
 // correctPlacement tells the planner where the members of an adopted gang really are, once all were found.
 func (c *Control) correctPlacement(g *gang.Gang, now time.Time) {
 	t := c.tenure
--- a/control/control.go
+++ b/control/control.go
@@ -68,6 +68,8 @@
 	incarnation   string
 	tasks         []platform.Task
 	leaving       bool
+	// claimEpoch is that of the claim whose answer brought the inventory; 0 for none.
+	claimEpoch uint64
 	// read is set once the inventory was read in this tenure.
 	read bool
 	// health is what the planner was told.
@@ -314,6 +316,10 @@
 		unsettled:      map[string]*gang.Gang{},
 		spans:          map[string]startSpan{},
 	}
+	for _, w := range c.workers {
+		// The answers that completed the majority came after the worker had refused all older epochs.
+		w.read = w.claimEpoch == c.tenure.epoch
+	}
 	c.state.Store(c.tenure.epoch)
 	c.cost.tenures.Inc(1)
 	c.tenure.planner.SetConfig(c.doc, now)
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -111,6 +112,27 @@
 	})
 }
 
+// TestCrashKeepsTasks guards against task leases that lapse because the new holder renews them too late, wherever in the
+// renewal interval the previous one crashed.
+func TestCrashKeepsTasks(t *testing.T) {
+	for after := taskRenewInterval; after < 2*taskRenewInterval; after += time.Second {
+		synctest.Test(t, func(t *testing.T) {
+			s := steady(t)
+			for _, w := range s.workers {
+				w.longer = 10 * time.Minute
+			}
+			s.submitJob("p9-running", 9, false)
+			time.Sleep(after)
+			s.stop(s.activeProc(), true)
+			time.Sleep(40 * time.Second)
+			if n := len(s.ran); n != 9 {
+				t.Errorf("crash after %s: %d members were released, want 9\n%s", after, n, strings.Join(s.events, "\n"))
+			}
+			s.end()
+		})
+	}
+}
+
 // TestEndedRecordSurvivesOutageAndCrash guards against the end of a job that is lost because the log was down when the
 // job ended and the scheduler crashed before the log was up again.
 func TestEndedRecordSurvivesOutageAndCrash(t *testing.T) {
--- a/control/options.go
+++ b/control/options.go
@@ -27,16 +27,18 @@
 	requestTimeout = time.Second
 	// retryInterval is the wait after a failed request to a worker.
 	retryInterval = 250 * time.Millisecond
-	// taskRenewInterval is the time between renewals of task leases, a third of their length. Renewing 757 tasks of a
-	// failure domain every 2 s would use the whole budget of 25 KB/s.
-	taskRenewInterval = 10 * time.Second
+	// taskRenewInterval is the time between renewals of task leases. A task survives if its worker is cut off for less
+	// than the rest of its lease of 30 s. Renewing 757 tasks of a failure domain every 2 s would use the whole budget of
+	// 25 KB/s.
+	taskRenewInterval = 12 * time.Second
 	// unreachableAfter is the silence after which nothing is placed on a worker and its task leases are not renewed.
 	unreachableAfter = 6 * time.Second
 	// lapseMargin is added to a task lease before its tasks count as gone: a request may be delivered after its sender
 	// has given it up, and clocks differ in rate.
 	lapseMargin = 5 * time.Second
-	// readGrace is the time that workers have to answer the claim before planning starts without them.
-	readGrace = time.Second
+	// readGrace is the time that workers have to answer the claim before planning starts without them. The leases of a
+	// crashed holder lapse over 2 s, since it renewed some workers every 2 s and the others every 4 s.
+	readGrace = 2*time.Second + 200*time.Millisecond
 	// catchUpGrace is the time that the log has to give the job stream's tail before planning starts without it.
 	catchUpGrace = 2 * time.Second
 	// minLeaseStep bounds how often the active scheduler looks for due renewals, so that they are sent in batches.
--- a/control/send.go
+++ b/control/send.go
@@ -143,20 +143,31 @@
 	}
 	c.stepLease(now)
 	t := c.tenure
-	if !r.answer.Granted || t == nil || (r.epoch != t.epoch && r.kind != lease.KindClaim) {
+	if !r.answer.Granted {
+		return
+	}
+	if t == nil {
 		c.holdClaimInventory(w, r)
 		return
 	}
+	sentIn := r.epoch
+	if r.kind == lease.KindClaim {
+		sentIn = r.request.Epoch
+	}
+	if sentIn != t.epoch {
+		return
+	}
 	c.applyGranted(w, r, now)
 }
 
 // holdClaimInventory keeps the inventory that came with a grant before the majority was complete.
 func (c *Control) holdClaimInventory(w *worker, r response) {
-	if !r.answer.Granted || r.kind != lease.KindClaim || r.request.Epoch != c.lease.Epoch() {
+	if r.kind != lease.KindClaim || r.request.Epoch != c.lease.Epoch() {
 		return
 	}
-	w.answeredAt = r.sent
 	if inventory := r.answer.Inventory; inventory != nil {
+		w.answeredAt = r.sent
+		w.claimEpoch = r.request.Epoch
 		w.takeInventory(inventory)
 	}
 }
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -19,12 +19,9 @@
 	Length = 6 * time.Second
 	// RenewInterval is the time between renewals of the workers on which the majority rests.
 	RenewInterval = 2 * time.Second
-	// SpareRenewInterval is the time between renewals of the other workers. At 120 workers a renewal of all of them
-	// every 2 s would use nearly the whole budget of 25 KB/s.
+	// SpareRenewInterval is the time between renewals of the other workers, whose grants count for the majority as well.
+	// At 120 workers a renewal of all of them every 2 s would use nearly the whole budget of 25 KB/s.
 	SpareRenewInterval = 4 * time.Second
-	// SpareQuorumPercent is the share of workers beyond the majority that are renewed at RenewInterval, so that the
-	// loss of a few workers does not end the majority.
-	SpareQuorumPercent = 10
 	// ProbeInterval is the time between a standby's samples of one worker.
 	ProbeInterval = 2 * time.Second
 	// SetChangeOverlap is the time for which a replaced worker set counts beside the new one: the bound of 8 s within
@@ -90,7 +87,7 @@
 	// asked and answered belong to the current survey or claim.
 	asked    bool
 	answered bool
-	// freeAt is the time at which another holder's lease lapses; valid if answered in a survey.
+	// freeAt is the time at which another holder's lease lapses, as far as the last refusal or probe told.
 	freeAt time.Time
 }
 
@@ -186,7 +183,7 @@
 		sort.SliceStable(ids, func(i, k int) bool {
 			return c.workers[ids[i]].until.After(c.workers[ids[k]].until.Add(RenewInterval))
 		})
-		need := len(ids)/2 + 1 + len(ids)*SpareQuorumPercent/100
+		need := len(ids)/2 + 1
 		for i := 0; i < need && i < len(ids); i++ {
 			c.quorum[ids[i]] = true
 		}
--- a/lease/step.go
+++ b/lease/step.go
@@ -28,7 +28,7 @@
 	}
 	next := now.Add(RenewInterval)
 	for id, g := range c.workers {
-		due := g.lastSent.Add(c.interval(id))
+		due := c.due(id, g)
 		if due.Before(next) {
 			next = due
 		}
@@ -46,6 +46,16 @@
 	return SpareRenewInterval
 }
 
+// due returns the time of the next renewal. A worker that was held by a previous holder at the claim is asked again as
+// soon as that lease lapses, since its inventory is needed before planning.
+func (c *Core) due(worker string, g *grant) time.Time {
+	due := g.lastSent.Add(c.interval(worker))
+	if g.until.IsZero() && g.freeAt.After(g.lastSent) && g.freeAt.Before(due) {
+		return g.freeAt
+	}
+	return due
+}
+
 // stepStandby samples one worker in turn; the first one that is free, and every start, leads to a survey.
 func (c *Core) stepStandby(now time.Time) []Send {
 	if now.Before(c.nextProbe) || len(c.workers) == 0 {
@@ -188,7 +198,7 @@
 	var sends []Send
 	for _, id := range c.sorted() {
 		g := c.workers[id]
-		if now.Sub(g.lastSent) < c.interval(id) {
+		if now.Before(c.due(id, g)) {
 			continue
 		}
 		sends = append(sends, Send{Worker: id, Kind: KindRenew, Epoch: c.epoch, Length: Length})
