Give reservations to the job that waited longest in its class; close them in the end

The head of their class had been stopped lately, so its short wait counted for the class.

Changed: a class counts the wait of the job that waited longest, and that job gets the reservation; after 8 max_wait_ms a reservation closes even if unstoppable work remains on it.

--- a/scheduler/reserve.go
+++ b/scheduler/reserve.go
@@ -21,6 +21,9 @@
 	reviewShare = 0.5
 	// closeAfter is the number of policy.max_wait_ms after which a reservation is emptied whatever is lost.
 	closeAfter = 4
+	// closeAnyway is the number after which it is closed even if work remains there that may not be stopped. Until then
+	// backfill uses the capacity; without an end, backfill that may not be stopped would follow on itself for ever.
+	closeAnyway = 8
 	// singleWaits is the number of policy.max_wait_ms after which a job of one member with several accelerators gets a
 	// reservation. It needs one worker only, so the order of the queue serves it; at 12, most single jobs started through
 	// reservations in an overloaded run and those of one accelerator waited longest.
@@ -137,7 +140,7 @@
 
 // overdue reports whether a closed reservation has waited so long that another place may be better.
 func (c *Core) overdue(h *hold) bool {
-	return !h.claim && h.closed && c.now.Sub(h.since) > c.waits(2*closeAfter)
+	return !h.claim && h.closed && c.now.Sub(h.since) > c.waits(2*closeAnyway)
 }
 
 // giveUpHold lets the job wait in its queue again.
@@ -263,7 +266,7 @@
 	var first *job
 	var most float64
 	for _, cl := range c.active {
-		j := cl.head
+		j := cl.longest()
 		if !gang(j) || c.now.Before(c.reservationDue(cl)) || c.now.Before(j.notBefore) || !c.withinQuota(j) {
 			continue
 		}
@@ -285,11 +288,27 @@
 	return rank
 }
 
-// reservationDue returns when the first job of a class may get a reservation.
+// longest returns the job of a class that has waited longest since its submission or its last stop. Jobs that were
+// stopped come first in the queue with a new wait; the first one that never ran has waited longest among those.
+func (cl *class) longest() *job {
+	oldest := cl.head
+	for j := cl.head; j != nil; j = j.next {
+		if j.waitingSince.Before(oldest.waitingSince) {
+			oldest = j
+		}
+		if j.attempt == 0 {
+			break
+		}
+	}
+	return oldest
+}
+
+// reservationDue returns when a job of a class may get a reservation.
 func (c *Core) reservationDue(cl *class) time.Time {
-	due := cl.head.waitingSince.Add(c.maxWait())
-	if cl.head.Shape.Members == 1 {
-		due = cl.head.waitingSince.Add(c.waits(singleWaits))
+	j := cl.longest()
+	due := j.waitingSince.Add(c.maxWait())
+	if j.Shape.Members == 1 {
+		due = j.waitingSince.Add(c.waits(singleWaits))
 	}
 	if due.Before(cl.retryReserve) {
 		return cl.retryReserve
@@ -328,7 +347,8 @@
 func (c *Core) settleReservation(j *job, cost float64, strict bool) {
 	h := j.hold
 	allowance := lossShare * c.weightOf(j) * c.now.Sub(j.waitingSince).Seconds()
-	if strict && (cost <= allowance || !c.now.Before(h.deadline)) {
+	last := h.since.Add(c.waits(closeAnyway))
+	if strict && (cost <= allowance || !c.now.Before(h.deadline)) || !c.now.Before(last) {
 		c.closeReservation(j)
 		return
 	}
