--- a/scheduler/conduct.go
+++ b/scheduler/conduct.go
@@ -71,6 +71,7 @@
 	worker *worker
 	// refused marks a worker that did not start the job; it is avoided only while others are free.
 	refused bool
+	at      time.Time
 }
 
 // acceptsTrial reports whether a worker on trial may get j: one restartable job without earlier failures, on this
@@ -129,7 +130,7 @@
 		if j.failedOn(w) {
 			continue
 		}
-		j.failures = append(j.failures, failure{worker: w})
+		j.failures = append(j.failures, failure{worker: w, at: c.now})
 		c.suspect(w, j)
 	}
 	c.doubt(j)
@@ -181,7 +182,7 @@
 func (c *Core) refused(j *job, placement []*worker, result Result) {
 	for _, w := range placement {
 		if slices.Contains(result.Workers, w.id) && !j.failedOn(w) {
-			j.failures = append(j.failures, failure{worker: w, refused: true})
+			j.failures = append(j.failures, failure{worker: w, refused: true, at: c.now})
 			c.suspect(w, j)
 		}
 	}
@@ -211,7 +212,9 @@
 			vouched++
 		}
 	}
-	return vouched >= vouchedFailures || different >= anyFailures || j.failureCount >= allAttempts ||
+	// Several workers that turn bad at once look like a bad job until other jobs have failed there too.
+	settled := len(j.failures) > 0 && c.now.Sub(j.failures[0].at) >= confirmTime
+	return settled && (vouched >= vouchedFailures || different >= anyFailures) || j.failureCount >= allAttempts ||
 		different > 1 && !c.holdsElsewhere(j)
 }
 
