--- a/control/control.go
+++ b/control/control.go
@@ -48,6 +48,8 @@
 	appendFailed bool
 	// snapshotAt is the time of the last own snapshot, or of the start.
 	snapshotAt time.Time
+	// conditions are those last logged.
+	conditions conditions
 }
 
 // worker is what is known about one configured worker.
--- a/control/tenure.go
+++ b/control/tenure.go
@@ -336,6 +336,7 @@
 	for _, start := range plan.Starts {
 		c.startAttempt(ctx, start, now)
 	}
+	c.reportConditions(t.planner.Conditions())
 }
 
 func (c *Control) stopAttempt(stop scheduler.Stop, now time.Time) {
--- a/scheduler/api.go
+++ b/scheduler/api.go
@@ -40,6 +40,8 @@
 	Status(job string) (jobs.Status, bool)
 	// List returns the state of all jobs that have not been removed, in order of submission.
 	List() []jobs.Status
+	// Conditions returns what operators should know of the failure domain.
+	Conditions() Conditions
 }
 
 // Health is what the shell knows about a worker.
--- /dev/null
+++ b/scheduler/conditions_test.go
@@ -0,0 +1,22 @@
+package scheduler
+
+import "testing"
+
+// TestConditionsNameQuarantinedWorkers guards against a worker that is out of use without an operator seeing it.
+func TestConditionsNameQuarantinedWorkers(t *testing.T) {
+	f := newFixture(t, 2, nil)
+	if c := f.core.Conditions(); len(c.Quarantined) != 0 {
+		t.Fatalf("quarantined before any failure: %+v", c)
+	}
+	f.core.quarantine(f.core.workers["w-01"])
+	f.run()
+	c := f.core.Conditions()
+	if len(c.Quarantined) != 1 || c.Quarantined[0].Worker != "w-01" || !c.Quarantined[0].Until.Equal(f.now.Add(quarantineTime)) {
+		t.Fatalf("got %+v", c)
+	}
+	f.after(quarantineTime)
+	f.run()
+	if c := f.core.Conditions(); len(c.Quarantined) != 0 {
+		t.Fatalf("still quarantined: %+v", c)
+	}
+}
