--- /dev/null
+++ b/telemetry/telemetry_test.go
@@ -0,0 +1,82 @@
+package telemetry
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/rcrowley/go-metrics"
+	"go.opentelemetry.io/otel"
+
+	"github.com/redwingthread/redwingthread/errkind"
+	"github.com/redwingthread/redwingthread/inner"
+	"github.com/redwingthread/redwingthread/invariant"
+)
+
+var self = inner.Member{FailureDomain: "fd-a", VM: "vm-1", Role: "gateway", Incarnation: "i1"}
+
+// TestViolationsAreErrorLines guards against a violated invariant that the logs do not show.
+func TestViolationsAreErrorLines(t *testing.T) {
+	var out bytes.Buffer
+	log, err := NewLogger(&out, "info", self)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer LogViolations(log)()
+	invariant.Check(false, invariant.AtMostOnce, "key %d ran twice", 7)
+	var line map[string]any
+	if err := json.Unmarshal(out.Bytes(), &line); err != nil {
+		t.Fatalf("%q: %v", out.String(), err)
+	}
+	if line["level"] != "error" || line["invariant"] != "P5" || line["detail"] != "key 7 ran twice" || line["vm"] != "vm-1" {
+		t.Fatalf("got line %v", line)
+	}
+}
+
+// TestBadSettingsAreTypedErrors guards against settings that start a daemon without logs or spans.
+func TestBadSettingsAreTypedErrors(t *testing.T) {
+	if _, err := NewLogger(&bytes.Buffer{}, "loud", self); !errkind.Is(err, errkind.BadInput) {
+		t.Errorf("log level: got %v", err)
+	}
+	missing := filepath.Join(t.TempDir(), "missing", "spans.json")
+	if _, err := SetupTracing(TraceOptions{Exporter: ExporterFile, Path: missing}, self); !errkind.Is(err, errkind.BadInput) {
+		t.Errorf("trace file: got %v", err)
+	}
+}
+
+// TestSpansReachTheFile guards against spans that are lost at the end of the process, or lack the process they are from.
+func TestSpansReachTheFile(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "spans.json")
+	shutdown, err := SetupTracing(TraceOptions{Exporter: ExporterFile, Path: path, SampleRatio: 1}, self)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, span := otel.Tracer("test").Start(context.Background(), "hop")
+	span.End()
+	if err := shutdown(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	text, err := os.ReadFile(path)
+	if err != nil || !strings.Contains(string(text), `"Name":"hop"`) || !strings.Contains(string(text), "redwing-gateway") {
+		t.Fatalf("got %q, error %v", text, err)
+	}
+}
+
+// TestMetricsShowTheProcess guards the figures that the control budget is measured with.
+func TestMetricsShowTheProcess(t *testing.T) {
+	metrics.GetOrRegisterCounter("telemetry.test", nil).Inc(3)
+	recorder := httptest.NewRecorder()
+	MetricsHandler().ServeHTTP(recorder, httptest.NewRequest("GET", "/metrics", nil))
+	var all map[string]map[string]float64
+	if err := json.Unmarshal(recorder.Body.Bytes(), &all); err != nil {
+		t.Fatal(err)
+	}
+	if all["telemetry.test"]["count"] != 3 || all[gaugeMaxRSSBytes]["value"] <= 0 || all[gaugeGoroutines]["value"] < 1 {
+		t.Fatalf("got %v", all)
+	}
+}
