--- a/control/cost_test.go
+++ b/control/cost_test.go
@@ -133,7 +133,7 @@
 		before[name] = counter(name)
 	}
 	cpu, start := cpuSeconds(), time.Now()
-	time.Sleep(20 * time.Second)
+	time.Sleep(2 * taskRenewInterval)
 	seconds := time.Since(start).Seconds()
 	b.ReportMetric((cpuSeconds()-cpu)/seconds*100, "%core")
 	bytes := 0.0
--- a/control/send.go
+++ b/control/send.go
@@ -225,7 +225,7 @@
 	if c.tenure != nil {
 		c.endTenure("the daemon stops")
 	}
-	c.requestsDone(now)
+	c.requestsDone()
 	epoch := c.lease.Epoch()
 	sends := c.lease.GiveUp(now)
 	ctx, cancel := context.WithTimeout(ctx, giveUpTimeout)
@@ -243,11 +243,11 @@
 			c.responses <- response{worker: w.id, kind: lease.KindGiveUp, err: err}
 		})
 	}
-	c.requestsDone(now)
+	c.requestsDone()
 }
 
 // requestsDone waits for the requests under way, which end by their timeouts.
-func (c *Control) requestsDone(time.Time) {
+func (c *Control) requestsDone() {
 	done := make(chan struct{})
 	go func() {
 		c.requests.Wait()
