--- /dev/null
+++ b/invariant/example_test.go
@@ -0,0 +1,25 @@
+package invariant_test
+
+import (
+	"fmt"
+
+	"github.com/redwingthread/redwingthread/invariant"
+)
+
+// A recorder sees each violation; the program goes on.
+func ExampleSetRecorder() {
+	log := &invariant.Log{}
+	restore := invariant.SetRecorder(log.Record)
+	defer restore()
+
+	invariant.Check(true, invariant.GangWhole, "not recorded")
+	if !invariant.Check(false, invariant.AtMostOnce, "request %d ran twice", 7) {
+		fmt.Println("the caller handles the violation")
+	}
+	for _, violation := range log.Violations() {
+		fmt.Println(violation)
+	}
+	// Output:
+	// the caller handles the violation
+	// P5: request 7 ran twice
+}
