--- a/control/scenario_test.go
+++ b/control/scenario_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"maps"
+	"os"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -348,3 +349,19 @@
 		s.options = func(o *Options) { o.SnapshotRecords = snapshotRecords }
 	}
 }
+
+// writeTrace writes the trace of a seed to the file named by CONTROL_TRACE.
+func writeTrace(t *testing.T, seed uint64, events []string) {
+	path := os.Getenv("CONTROL_TRACE")
+	if path == "" {
+		return
+	}
+	var text []byte
+	for _, event := range events {
+		text = append(append(text, event...), '\n')
+	}
+	if err := os.WriteFile(path, text, 0o600); err != nil {
+		t.Log(err)
+	}
+	t.Logf("trace of seed %d is in %s", seed, path)
+}
--- a/scheduler/baseline_test.go
+++ b/scheduler/baseline_test.go
@@ -1,3 +1,5 @@
+//go:build bench
+
 package scheduler
 
 import (
--- a/scripts/prove.sh
+++ b/scripts/prove.sh
@@ -9,7 +9,7 @@
 
 output="$(mktemp)"
 trap 'rm -f "$output"' EXIT
-PROVE_SEED="$seed" go test -count=1 -timeout 45s -run '^TestProve$' -v "${packages[@]/#/./}" >"$output" 2>&1
+PROVE_SEED="$seed" go test -tags prove -count=1 -timeout 45s -run '^TestProve$' -v "${packages[@]/#/./}" >"$output" 2>&1
 status=$?
 
 total=0
