--- a/inner/inner_test.go
+++ b/inner/inner_test.go
@@ -2,77 +2,31 @@
 
 import (
 	"context"
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
-	"crypto/x509"
-	"crypto/x509/pkix"
-	"encoding/pem"
-	"math/big"
 	"os"
 	"path/filepath"
 	"testing"
 	"time"
 
+	"github.com/redwingthread/redwingthread/devcerts"
 	"github.com/redwingthread/redwingthread/errkind"
 )
 
-// authority issues certificates for one test.
-type authority struct {
-	certificate *x509.Certificate
-	key         *ecdsa.PrivateKey
-}
+// authority is a CA that has issued keys for the names of the tests.
+type authority struct{ dir string }
 
 func newAuthority(t *testing.T) *authority {
 	t.Helper()
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	if err != nil {
-		t.Fatal(err)
-	}
-	template := &x509.Certificate{SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "test CA"}, IsCA: true,
-		NotAfter: time.Now().Add(time.Hour), BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign}
-	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
-	if err != nil {
-		t.Fatal(err)
-	}
-	certificate, err := x509.ParseCertificate(der)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return &authority{certificate: certificate, key: key}
-}
-
-// issue writes a key pair of the authority for name into dir and returns the files.
-func (a *authority) issue(t *testing.T, dir, name string) KeyFiles {
-	t.Helper()
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	if err != nil {
-		t.Fatal(err)
-	}
-	template := &x509.Certificate{SerialNumber: big.NewInt(2), Subject: pkix.Name{CommonName: name},
-		NotAfter:    time.Now().Add(time.Hour),
-		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth}}
-	der, err := x509.CreateCertificate(rand.Reader, template, a.certificate, &key.PublicKey, a.key)
-	if err != nil {
-		t.Fatal(err)
-	}
-	keyDER, err := x509.MarshalPKCS8PrivateKey(key)
-	if err != nil {
+	dir := t.TempDir()
+	if _, err := devcerts.Write(dir, []string{"server", "vm-1", "own", "foreign"}, nil, time.Now()); err != nil {
 		t.Fatal(err)
 	}
-	files := KeyFiles{Certificate: filepath.Join(dir, name+".pem"), Key: filepath.Join(dir, name+".key"),
-		CA: filepath.Join(dir, name+"-ca.pem")}
-	writePEM(t, files.Certificate, "CERTIFICATE", der)
-	writePEM(t, files.Key, "PRIVATE KEY", keyDER)
-	writePEM(t, files.CA, "CERTIFICATE", a.certificate.Raw)
-	return files
+	return &authority{dir: dir}
 }
 
-func writePEM(t *testing.T, path, kind string, der []byte) {
-	t.Helper()
-	if err := os.WriteFile(path, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der}), 0o600); err != nil {
-		t.Fatal(err)
-	}
+// files returns the key files issued for name.
+func (a *authority) files(name string) KeyFiles {
+	return KeyFiles{Certificate: filepath.Join(a.dir, name+".pem"), Key: filepath.Join(a.dir, name+".key"),
+		CA: filepath.Join(a.dir, "ca.pem")}
 }
 
 func mustKeys(t *testing.T, files KeyFiles) *KeyStore {
@@ -114,9 +68,9 @@
 
 // TestCallCarriesMessageAndTypedError guards against lost fields and against errors that lose their kind on the way.
 func TestCallCarriesMessageAndTypedError(t *testing.T) {
-	ca, dir := newAuthority(t), t.TempDir()
-	server := startServer(t, mustKeys(t, ca.issue(t, dir, "server")), handlerFunc(echoQuery))
-	client := NewClient(mustKeys(t, ca.issue(t, dir, "vm-1")))
+	ca := newAuthority(t)
+	server := startServer(t, mustKeys(t, ca.files("server")), handlerFunc(echoQuery))
+	client := NewClient(mustKeys(t, ca.files("vm-1")))
 	defer client.Close()
 	resp, err := client.Call(t.Context(), server.Address(), &Request{JobQuery: &JobQuery{ID: "-j1"}})
 	if err != nil || string(resp.FetchState.State) != "vm-1-j1" {
@@ -130,9 +84,8 @@
 
 // TestForeignCertificatesAreRefused guards both ends against processes of another CA.
 func TestForeignCertificatesAreRefused(t *testing.T) {
-	ca, other, dir := newAuthority(t), newAuthority(t), t.TempDir()
-	own := ca.issue(t, dir, "own")
-	foreign := other.issue(t, dir, "foreign")
+	own := newAuthority(t).files("own")
+	foreign := newAuthority(t).files("foreign")
 	trusting := foreign
 	trusting.CA = own.CA
 	cases := map[string]struct{ server, client KeyFiles }{
@@ -153,17 +106,19 @@
 
 // TestReloadReplacesKeys guards against a process that needs a restart for new keys.
 func TestReloadReplacesKeys(t *testing.T) {
-	first, second, dir := newAuthority(t), newAuthority(t), t.TempDir()
-	serverFiles, clientFiles := first.issue(t, dir, "server"), first.issue(t, dir, "client")
-	serverKeys := mustKeys(t, serverFiles)
+	first, second := newAuthority(t), newAuthority(t)
+	serverKeys := mustKeys(t, first.files("server"))
+	client := NewClient(mustKeys(t, second.files("vm-1")))
+	defer client.Close()
 	server := startServer(t, serverKeys, handlerFunc(echoQuery))
-	second.issue(t, dir, "server")
-	second.issue(t, dir, "client")
+	for _, name := range []string{"server.pem", "server.key", "ca.pem"} {
+		if err := os.Rename(filepath.Join(second.dir, name), filepath.Join(first.dir, name)); err != nil {
+			t.Fatal(err)
+		}
+	}
 	if err := serverKeys.Reload(); err != nil {
 		t.Fatal(err)
 	}
-	client := NewClient(mustKeys(t, clientFiles))
-	defer client.Close()
 	if _, err := client.Call(t.Context(), server.Address(), &Request{JobQuery: &JobQuery{ID: "x"}}); err != nil {
 		t.Fatal(err)
 	}
@@ -171,11 +126,11 @@
 
 // TestRestartedPeerIsReachedAgain guards against a connection to a dead process that outlives its replacement.
 func TestRestartedPeerIsReachedAgain(t *testing.T) {
-	ca, dir := newAuthority(t), t.TempDir()
-	keys := mustKeys(t, ca.issue(t, dir, "server"))
+	ca := newAuthority(t)
+	keys := mustKeys(t, ca.files("server"))
 	server := startServer(t, keys, handlerFunc(echoQuery))
 	address := server.Address()
-	client := NewClient(mustKeys(t, ca.issue(t, dir, "client")))
+	client := NewClient(mustKeys(t, ca.files("vm-1")))
 	defer client.Close()
 	query := &Request{JobQuery: &JobQuery{ID: "x"}}
 	if _, err := client.Call(t.Context(), address, query); err != nil {
@@ -205,9 +160,9 @@
 
 // TestOversizeFrameIsRefused guards against a peer that makes the receiver allocate without bound.
 func TestOversizeFrameIsRefused(t *testing.T) {
-	ca, dir := newAuthority(t), t.TempDir()
-	server := startServer(t, mustKeys(t, ca.issue(t, dir, "server")), handlerFunc(echoQuery))
-	client := NewClient(mustKeys(t, ca.issue(t, dir, "client")))
+	ca := newAuthority(t)
+	server := startServer(t, mustKeys(t, ca.files("server")), handlerFunc(echoQuery))
+	client := NewClient(mustKeys(t, ca.files("vm-1")))
 	defer client.Close()
 	_, err := client.Call(t.Context(), server.Address(), &Request{Forward: &Forward{Body: make([]byte, MaxFrameBytes+1)}})
 	if err == nil {
