--- a/scripts/capacity.sh
+++ b/scripts/capacity.sh
@@ -30,7 +30,7 @@
 
 # Ports: 10 for each entry VM, then the stand-ins with one for each worker. Workers of other failure domains are few.
 standin_ports=200
-choose_ports() { base_port=${CAPACITY_PORT:-21000}; }
+choose_ports() { base_port=${CAPACITY_PORT:-31000}; }
 port() {
   local i
   if [[ $1 == standin ]]; then
