Mend what a read-through of the packages found

A withdrawn request that was offered again broke the queue of its account with a panic; Offer refuses it now.

--- a/admission/queue.go
+++ b/admission/queue.go
@@ -28,7 +28,7 @@
 	return Limits{Queued: 4096, QueuedPerAccount: 2048, WaitPercent: 50, ShortWaitPercent: 90}
 }
 
-// Item is one waiting request.
+// Item is one waiting request. It can be offered once.
 type Item[T any] struct {
 	Account  string
 	Deadline time.Time
@@ -51,7 +51,8 @@
 }
 
 // Queue is a bounded queue that is fair between client accounts by weight (start-time fair queueing with equal cost per
-// request).
+// request). There is one for each service. Its owner must answer every request that Offer refuses or pushes out and that
+// Next drops.
 type Queue[T any] struct {
 	limits   Limits
 	weights  func(account string) int
@@ -84,6 +85,9 @@
 		return nil, errkind.New(errkind.DeadlineExceeded, "send the request with a longer Request-Timeout-Ms",
 			"deadline passed before the request was queued")
 	}
+	if item.queued || item.removed || item.account != nil {
+		return nil, errkind.New(errkind.Internal, "offer a new Item", "request of account %s was offered before", item.Account)
+	}
 	a := q.account(item.Account)
 	if q.unbounded {
 		q.push(a, item)
@@ -162,7 +166,7 @@
 }
 
 // Next takes out the request to be dispatched now, nil if none waits or if accept refuses the one that is due, which
-// then stays. Requests that can no longer meet their deadline are taken out on the way and returned in dropped.
+// then stays. accept is called at most once for each request that is taken out. Requests that can no longer meet their deadline are taken out on the way and returned in dropped.
 func (q *Queue[T]) Next(now time.Time, accept func(*Item[T]) bool) (next *Item[T], dropped []*Item[T]) {
 	for q.live > 0 {
 		a := q.pick()
--- a/admission/queue_test.go
+++ b/admission/queue_test.go
@@ -131,3 +131,19 @@
 		t.Error("new account cannot retry")
 	}
 }
+
+// TestItemIsOfferedOnce guards against a withdrawn request that is queued again, which broke the queue of its account.
+func TestItemIsOfferedOnce(t *testing.T) {
+	q := NewQueue[int](DefaultLimits(), func(string) int { return 1 })
+	withdrawn := item("a", time.Minute)
+	if _, err := q.Offer(withdrawn, start); err != nil {
+		t.Fatal(err)
+	}
+	q.Remove(withdrawn)
+	if _, err := q.Offer(withdrawn, start); !errkind.Is(err, errkind.Internal) {
+		t.Fatalf("second offer gave %v", err)
+	}
+	if next, _ := q.Next(start, accept); next != nil {
+		t.Fatalf("got %+v", next)
+	}
+}
--- a/config/validate.go
+++ b/config/validate.go
@@ -229,6 +229,10 @@
 			checkAddress(faults, where, e.Address)
 			if e.Slots < 1 || e.MaxConnections < 1 {
 				faults.add(where, "use 1 or more of each", "endpoint has %d slots and %d connections", e.Slots, e.MaxConnections)
+			} else if e.MaxConnections < doc.Policy.GatewaySeats {
+				// Each gateway may open max_connections / gateway_seats connections, rounded down.
+				faults.add(where, "allow a connection for each seat, or lower policy.gateway_seats",
+					"endpoint has %d connections for %d gateway seats", e.MaxConnections, doc.Policy.GatewaySeats)
 			}
 		}
 	}
--- a/configlog/record.go
+++ b/configlog/record.go
@@ -49,7 +49,7 @@
 	Document *config.Document `cbor:"document"`
 	// Decisions are the bounded history, in log order.
 	Decisions []Decision `cbor:"decisions"`
-	// Skipped is set if the writer skipped expired records and that is not known to all yet.
+	// Skipped is set if the writer skipped expired records and no patch was accepted after them yet.
 	Skipped *SkippedRange `cbor:"skipped,omitempty"`
 }
 
--- a/configlog/state.go
+++ b/configlog/state.go
@@ -47,7 +47,7 @@
 	Decisions []Decision
 	// Stopped is set if the fold goes no further.
 	Stopped *Stop
-	// Skipped is set if the state skipped expired records, until confirmSkip.
+	// Skipped is set if the state skipped expired records, until a patch was accepted after them.
 	Skipped *SkippedRange
 	// Malformed counts records that hold nothing this program can read; they are skipped.
 	Malformed uint64
--- a/configlog/submit.go
+++ b/configlog/submit.go
@@ -70,7 +70,7 @@
 	return f.state.Doc, f.state.Stopped
 }
 
-// Plan returns the ops that a patch would make of the document in force, or its refusal.
+// Plan returns the document in force and the one that the patch would make of it, or its refusal.
 func (f *Follower) Plan(patch config.Patch) (before, after *config.Document, err error) {
 	doc := f.Document()
 	if doc == nil {
--- a/daemon/base.go
+++ b/daemon/base.go
@@ -83,7 +83,13 @@
 		Observe:    func(beat inner.Heartbeat) { b.observe(beat, h.observe) },
 		ObserveVMs: h.observeVMs,
 	}, b.mux)
-	b.follower = configlog.NewFollower(configlog.Settings{Log: b.logs, Peers: b.node.configPeers, Logger: log})
+	b.follower = configlog.NewFollower(configlog.Settings{
+		Log:         b.logs,
+		Peers:       b.node.configPeers,
+		Logger:      log,
+		Retention:   configlog.Retention{Period: milliseconds(common.Platform.RetentionMS)},
+		CallTimeout: milliseconds(common.Platform.TimeoutMS),
+	})
 	b.serveConfig()
 	if b.innerServer, err = inner.Listen(self.Address, b.keys, b.mux); err != nil {
 		return nil, err
--- a/invariant/invariant.go
+++ b/invariant/invariant.go
@@ -1,7 +1,7 @@
 // Package invariant holds the assertions of redwingthread.
 //
 // An assertion states one promise of the system at the place where the program relies on it. In production a violation
-// is counted and logged and the program goes on; a test installs a Recorder that fails the run.
+// is counted, the daemons install a Recorder that logs it, and the program goes on; a test installs one that fails the run.
 package invariant
 
 import (
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -231,8 +231,8 @@
 	return c.phase == PhaseActive && c.majority(func(g *grant) bool { return now.Before(g.until) })
 }
 
-// Confirmed reports whether a majority was granted at the present epoch. Commands must wait for it: after the epoch was
-// raised, a candidate may have claimed the same one, and only one of the two can have a majority for it.
+// Confirmed reports whether a majority was granted at the present epoch. Commands must wait for it: another candidate may
+// claim with the epoch to which this holder has just raised its own, and only one of the two gets a majority for it.
 func (c *Core) Confirmed(now time.Time) bool {
 	return c.phase == PhaseActive && c.majority(func(g *grant) bool { return now.Before(g.until) && g.epoch == c.epoch })
 }
@@ -285,7 +285,8 @@
 	}
 }
 
-// Failed reports that no answer came. The lease counts until it lapses.
+// Failed must be called for every request without an answer. A candidate then stops waiting for that worker; a lease that
+// was granted before counts until it lapses.
 func (c *Core) Failed(worker string) {
 	if g := c.workers[worker]; g != nil && c.phase != PhaseActive {
 		g.asked = true
--- a/request/table.go
+++ b/request/table.go
@@ -53,7 +53,8 @@
 	Run Action = iota + 1
 	// Join means that the same request is running and this one gets its result.
 	Join
-	// Replay means that the request ended and Decision.Result is its result.
+	// Replay means that the request ended and Decision.Result is its result. Its Response is nil if the request was not
+	// completed or the stored response was evicted.
 	Replay
 )
 
@@ -151,7 +152,8 @@
 func (t *Table) Owns(key Key) bool { return key.Owner == t.owner }
 
 // Begin decides what happens to a request with the key. A key of another incarnation, a wrong MAC and a key used with
-// another content give an error and change nothing; outcomeOnError is what the caller may be told then.
+// another content give an error and change nothing; outcomeOnError, empty without an error, is what the caller may be told
+// then.
 func (t *Table) Begin(account string, key Key, content Fingerprint) (d Decision, outcomeOnError Outcome, err error) {
 	if !t.Owns(key) {
 		return Decision{}, Unknown, errkind.New(errkind.Unknown, "ask the service whether the request ran",
@@ -264,7 +266,8 @@
 	return len(t.entries), t.stored, t.used.Len()
 }
 
-// Attempts follows the dispatches of one request. The zero value is a request that was not dispatched.
+// Attempts follows the dispatches of one request. The zero value is a request that was not dispatched. It is not safe for
+// concurrent use and needs no lock of the Table.
 type Attempts struct {
 	// Repeatable is set for idempotent requests, which may be dispatched again after an attempt without a response.
 	Repeatable bool
--- a/routing/health.go
+++ b/routing/health.go
@@ -90,7 +90,7 @@
 	Abandoned
 )
 
-// Report is what came of an exchange.
+// Report is what came of an exchange. Set every field: the zero Kind is Answered and the zero Inflight a reported load.
 type Report struct {
 	Kind ResultKind
 	Took time.Duration
--- a/scheduler/api.go
+++ b/scheduler/api.go
@@ -1,10 +1,3 @@
-// Package scheduler decides which job of a failure domain runs where.
-//
-// The package is a pure core: it has no I/O, clock or goroutines. Its owner reports events (configuration, worker
-// health, submissions, ends of jobs) with the time at which they happened and asks for a Plan; it carries the plan out
-// and reports what came of it. The same calls in the same order give the same plans.
-//
-// A Core is not safe for concurrent use.
 package scheduler
 
 import (
@@ -21,8 +14,9 @@
 	SetConfig(doc *config.Document, now time.Time)
 	// SetWorkerHealth reports the health of a worker; a worker without a report counts as HealthUnreachable.
 	SetWorkerHealth(worker string, health Health, now time.Time)
-	// Submit adds a waiting job. A job that no configuration of the failure domain's workers could hold gives an
-	// Infeasible error; an id that is already known changes nothing.
+	// Submit adds a waiting job. A malformed job gives a BadInput error, one of an unknown account NotFound, and one that
+	// no configuration of the failure domain's workers could hold Infeasible. Before SetConfig only the shape is checked.
+	// An id that is already known changes nothing. The failure domain of the job is the caller's business.
 	Submit(job jobs.Job, now time.Time) error
 	// Adopt adds a job that a previous holder of the failure domain placed.
 	Adopt(job jobs.Job, attempt uint64, placement Placement, state jobs.State, now time.Time)
@@ -102,7 +96,8 @@
 
 // Start asks the shell to run a job on a placement.
 type Start struct {
-	Job       jobs.Job
+	Job jobs.Job
+	// Attempt counts from 1 in each Core, so the shell must tell the attempts of different holders apart.
 	Attempt   uint64
 	Placement Placement
 	// Borrowed reports whether any member runs on capacity bound to another account's guarantee.
@@ -144,6 +139,6 @@
 type Usage struct {
 	Account string
 	Used    resource.Resources
-	// Borrowed is the part of Used outside the account's own guarantees.
+	// Borrowed is the part of Used outside the account's own guarantees, on unbound capacity or another account's.
 	Borrowed resource.Resources
 }
--- a/scheduler/doc.go
+++ b/scheduler/doc.go
@@ -1,5 +1,11 @@
-package scheduler
-
+// Package scheduler decides which job of a failure domain runs where.
+//
+// The package is a pure core: it has no I/O, clock or goroutines. Its owner reports events (configuration, worker
+// health, submissions, ends of jobs) with the time at which they happened and asks for a Plan; it carries the plan out
+// and reports what came of it. The same calls in the same order give the same plans.
+//
+// A Core is not safe for concurrent use.
+//
 // The core keeps these records and rules; each has its own file.
 //
 //   - state.go: workers, racks, jobs and accounts with what they use. A worker has five sums: used (placed members),
@@ -19,3 +25,4 @@
 //   - learn.go: quantiles of run times per account and size, in place of declared ones.
 //   - conduct.go: failures, condemned jobs, quarantined workers and their trials.
 //   - plan.go: the order of all this in one plan. events.go, core.go: reports and configuration. why.go: explanations.
+package scheduler
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -63,8 +63,10 @@
 	// LogURL and VMListURL are base URLs such as http://10.0.0.5:8100.
 	LogURL    string `toml:"log_url"`
 	VMListURL string `toml:"vm_list_url"`
-	// TimeoutMS bounds one call to the platform or to a worker.
+	// TimeoutMS bounds one append to the log and one question to a peer.
 	TimeoutMS int64 `toml:"timeout_ms"`
+	// RetentionMS is the least time for which the log keeps a record. State is appended again well before that.
+	RetentionMS int64 `toml:"retention_ms"`
 }
 
 // Roles of peers.
@@ -158,7 +160,7 @@
 func defaultCommon() Common {
 	return Common{
 		Region:   "default",
-		Platform: Platform{TimeoutMS: 2_000},
+		Platform: Platform{TimeoutMS: 2_000, RetentionMS: 86_400_000},
 		TLS:      TLS{ReloadMS: 30_000},
 		Log:      Log{Level: "info"},
 		Trace:    Trace{Exporter: TraceOff, SampleRatio: 0.01},
--- a/settings/validate.go
+++ b/settings/validate.go
@@ -91,10 +91,14 @@
 
 // Bounds of settings. Times are in milliseconds.
 const (
-	minTimeMS = 1
-	maxTimeMS = 24 * 60 * 60 * 1000
-	maxBytes  = 1 << 30
-	maxCount  = 1 << 20
+	// minRetentionMS is three times the interval of the snapshots of a job stream, so that two may fail.
+	minRetentionMS = 30 * 60 * 1_000
+	// maxRetentionMS is a year.
+	maxRetentionMS = 365 * 24 * 3_600 * 1_000
+	minTimeMS      = 1
+	maxTimeMS      = 24 * 60 * 60 * 1000
+	maxBytes       = 1 << 30
+	maxCount       = 1 << 20
 	// minHeaderBytes leaves room for a token, a request key and a trace context.
 	minHeaderBytes = 4 << 10
 )
@@ -106,6 +110,7 @@
 	c.baseURL("platform.log_url", s.Platform.LogURL)
 	c.baseURL("platform.vm_list_url", s.Platform.VMListURL)
 	c.between("platform.timeout_ms", s.Platform.TimeoutMS, minTimeMS, 60_000)
+	c.between("platform.retention_ms", s.Platform.RetentionMS, minRetentionMS, maxRetentionMS)
 	s.checkPeers(c)
 	c.required("tls.certificate", s.TLS.Certificate)
 	c.required("tls.key", s.TLS.Key)
