--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -132,6 +132,7 @@
 func (d *gatewayDaemon) start(ctx context.Context) {
 	d.base.start(ctx, milliseconds(d.settings.TLS.ReloadMS))
 	go d.gateway.Run(ctx)
+	go d.announceLeaving(ctx)
 	go d.operators.Serve(d.log)
 	go func() {
 		if err := d.gateway.Serve(d.callers); err != nil {
@@ -154,6 +155,31 @@
 	return err
 }
 
+// announceLeaving sends a heartbeat at once when an endpoint is found to be leaving, until ctx ends. Gateways that have
+// not asked the endpoint since then learn it without waiting for the interval.
+func (d *gatewayDaemon) announceLeaving(ctx context.Context) {
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	announced := make(map[inner.EndpointIncarnation]bool)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		leaving := make(map[inner.EndpointIncarnation]bool)
+		fresh := false
+		for _, endpoint := range d.gateway.LeavingEndpoints() {
+			leaving[endpoint] = true
+			fresh = fresh || !announced[endpoint]
+		}
+		announced = leaving
+		if fresh {
+			d.base.node.ExpediteGateways()
+		}
+	}
+}
+
 func (d *gatewayDaemon) ready() bool {
 	if d.gateway == nil {
 		return false
