--- a/processtest/faults_test.go
+++ b/processtest/faults_test.go
@@ -16,11 +16,12 @@
 	"github.com/redwingthread/redwingthread/standin"
 )
 
-// leavingBound is the bound from the first sign that an endpoint is leaving until it gets no new work.
-const leavingBound = 3 * time.Second
-
-// callersPerGateway is the number of callers that send to each gateway at once.
-const callersPerGateway = 2
+const (
+	// leavingBound is the bound from the first sign that an endpoint is leaving until it gets no new work.
+	leavingBound = 3 * time.Second
+	// callersPerGateway is the number of callers that send to each gateway at once.
+	callersPerGateway = 2
+)
 
 func (s *system) checkViolations() {
 	for _, line := range s.violations() {
@@ -232,15 +233,19 @@
 		if err := e.check(runs[e.path]); err != nil {
 			t.Errorf("%s %s: %v", e.method, e.path, err)
 		}
-		outcome := "completed"
-		if e.err != nil {
-			outcome = string(errkind.As(e.err).Kind)
-		}
-		told[outcome]++
+		told[kindOf(e.err)]++
 	}
-	if told["completed"] < 100 || told[string(errkind.Unknown)] == 0 {
+	if told["done"] < 100 || told[string(errkind.Unknown)] == 0 {
 		t.Errorf("the faults did not do their work: outcomes %v", told)
 	}
 	t.Logf("%d requests, outcomes %v", len(exchanges), told)
 	s.checkViolations()
 }
+
+// kindOf names the outcome of a call.
+func kindOf(err error) string {
+	if err == nil {
+		return "done"
+	}
+	return string(errkind.As(err).Kind)
+}
--- a/standin/endpoint.go
+++ b/standin/endpoint.go
@@ -52,7 +52,7 @@
 	// Late is the number of responses sent LateMS milliseconds after the work.
 	Late   int   `json:"late,omitempty"`
 	LateMS int64 `json:"late_ms,omitempty"`
-	// WrongID is the number of responses that carry the id of the request before.
+	// WrongID is the number of responses that carry the id and the body of the response before.
 	WrongID int `json:"wrong_id,omitempty"`
 	// Lose is the number of requests that run and whose response is lost with the connection.
 	Lose int `json:"lose,omitempty"`
@@ -93,6 +93,7 @@
 	inflight    int
 	requests    int
 	previousID  string
+	previous    EndpointReply
 	runs        map[RequestRun]int
 	connections map[net.Conn]bool
 	stats       EndpointStats
@@ -199,7 +200,7 @@
 	fail        bool
 	responseID  string
 	incarnation string
-	run         int
+	reply       EndpointReply
 }
 
 func (e *Endpoint) serve(w http.ResponseWriter, r *http.Request) {
@@ -214,7 +215,7 @@
 	if !faults.apply(w, r) {
 		return
 	}
-	p := e.admit(r)
+	p := e.admit(r, body)
 	header := w.Header()
 	header.Set(headerRequestID, p.responseID)
 	header.Set(headerIncarnation, p.incarnation)
@@ -231,11 +232,11 @@
 	inflight := e.inflight
 	e.mu.Unlock()
 	header.Set(headerInflight, strconv.Itoa(inflight))
-	e.respond(w, r, p, body)
+	e.respond(w, p)
 }
 
 // admit takes a slot, counts the run and takes the faults of this request.
-func (e *Endpoint) admit(r *http.Request) plan {
+func (e *Endpoint) admit(r *http.Request, body []byte) plan {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	id := r.Header.Get(headerRequestID)
@@ -255,7 +256,10 @@
 		e.stats.LastWorkAfterLeavingMS = time.Since(e.leavingSince).Milliseconds()
 	}
 	e.requests++
-	p.run = e.count(r)
+	reply := EndpointReply{
+		Endpoint: e.options.ID, Method: r.Method, Path: r.URL.RequestURI(), Run: e.count(r), Body: string(body),
+	}
+	p.reply = reply
 	p.fail = e.faults.FailEvery > 0 && e.requests%e.faults.FailEvery == 0
 	switch {
 	case take(&e.faults.Lose):
@@ -265,9 +269,9 @@
 	case take(&e.faults.Late):
 		p.LateMS = e.faults.LateMS
 	case take(&e.faults.WrongID):
-		p.responseID = e.previousID
+		p.responseID, p.reply = e.previousID, e.previous
 	}
-	e.previousID = id
+	e.previousID, e.previous = id, reply
 	return p
 }
 
@@ -307,7 +311,7 @@
 	time.Sleep(length)
 }
 
-func (e *Endpoint) respond(w http.ResponseWriter, r *http.Request, p plan, requestBody []byte) {
+func (e *Endpoint) respond(w http.ResponseWriter, p plan) {
 	if p.Lose > 0 {
 		dropConnection()
 	}
@@ -316,10 +320,7 @@
 		writeWhole(w, http.StatusInternalServerError, []byte(`{"error":"endpoint fails as asked"}`))
 		return
 	}
-	reply := EndpointReply{
-		Endpoint: e.options.ID, Method: r.Method, Path: r.URL.RequestURI(), Run: p.run, Body: string(requestBody),
-	}
-	body, _ := json.Marshal(reply)
+	body, _ := json.Marshal(p.reply)
 	if p.Truncate > 0 {
 		writeHead(w, http.StatusOK, body)
 		_, _ = w.Write(body[:len(body)/2])
