Run the process tests three systems at a time

Ten tests in turn took over 210 s. They start three systems at once now; ports come from one cursor, so that no two systems get the same.

--- a/processtest/system_test.go
+++ b/processtest/system_test.go
@@ -12,6 +12,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -84,11 +85,17 @@
 	lastPort  = 30_000
 )
 
+// portCursor is the next port to try; systems of parallel tests must not be given the same one.
+var portCursor atomic.Int64
+
+func init() { portCursor.Store(int64(firstPort + rand.IntN((lastPort-firstPort)/2))) }
+
 // freeAddresses returns n loopback addresses whose ports are free for TCP and UDP.
 func freeAddresses(t *testing.T, n int) []string {
 	t.Helper()
 	var addresses []string
-	for port := firstPort + rand.IntN(lastPort-firstPort)/2; len(addresses) < n; port++ {
+	for len(addresses) < n {
+		port := portCursor.Add(1)
 		if port > lastPort {
 			t.Fatalf("found %d of %d free ports", len(addresses), n)
 		}
@@ -114,10 +121,16 @@
 	return true
 }
 
+// systems bounds the systems that run at once. A system has 12 processes, and the tests check times.
+var systems = make(chan struct{}, 3)
+
 // startSystem starts 3 failure domains of 2 entry VMs and initialises the configuration. Failure domain fd-c reaches the
 // log through a gate named "cut".
 func startSystem(t *testing.T) *system {
 	t.Helper()
+	t.Parallel()
+	systems <- struct{}{}
+	t.Cleanup(func() { <-systems })
 	s := &system{t: t, dir: t.TempDir()}
 	s.placeVMs()
 	s.startStandins()
