--- a/cmd/redwingctl/account.go
+++ b/cmd/redwingctl/account.go
@@ -106,10 +106,7 @@
 
 func accountList(*flag.FlagSet) func(*call) error {
 	return func(c *call) error {
-		if err := c.want(); err != nil {
-			return err
-		}
-		client, err := c.client()
+		client, err := c.clientFor()
 		if err != nil {
 			return err
 		}
--- a/cmd/redwingctl/command.go
+++ b/cmd/redwingctl/command.go
@@ -172,6 +172,14 @@
 	return errkind.New(errkind.BadInput, "give exactly: "+strings.Join(names, " "), "%d arguments", len(c.args))
 }
 
+// clientFor checks the number of positional arguments and returns a client of the operator API.
+func (c *call) clientFor(names ...string) (*operatorclient.Client, error) {
+	if err := c.want(names...); err != nil {
+		return nil, err
+	}
+	return c.client()
+}
+
 // client returns a client of the operator API.
 func (c *call) client() (*operatorclient.Client, error) {
 	token, err := c.token()
--- a/cmd/redwingctl/config.go
+++ b/cmd/redwingctl/config.go
@@ -128,18 +128,24 @@
 	return patch, by.check()
 }
 
+// prepare reads the patch file that the command names and returns a client to send the patch with.
+func (p *patchFlags) prepare(c *call) (*operatorclient.Client, operatorclient.Patch, error) {
+	if err := c.want("FILE"); err != nil {
+		return nil, operatorclient.Patch{}, err
+	}
+	patch, err := p.readPatch(c, c.args[0])
+	if err != nil {
+		return nil, operatorclient.Patch{}, err
+	}
+	client, err := c.client()
+	return client, patch, err
+}
+
 func configPlan(f *flag.FlagSet) func(*call) error {
 	var flags patchFlags
 	flags.declare(f)
 	return func(c *call) error {
-		if err := c.want("FILE"); err != nil {
-			return err
-		}
-		patch, err := flags.readPatch(c, c.args[0])
-		if err != nil {
-			return err
-		}
-		client, err := c.client()
+		client, patch, err := flags.prepare(c)
 		if err != nil {
 			return err
 		}
@@ -158,14 +164,7 @@
 	var flags patchFlags
 	flags.declare(f)
 	return func(c *call) error {
-		if err := c.want("FILE"); err != nil {
-			return err
-		}
-		patch, err := flags.readPatch(c, c.args[0])
-		if err != nil {
-			return err
-		}
-		client, err := c.client()
+		client, patch, err := flags.prepare(c)
 		if err != nil {
 			return err
 		}
@@ -179,10 +178,7 @@
 
 func configSettle(*flag.FlagSet) func(*call) error {
 	return func(c *call) error {
-		if err := c.want("PATCH-ID"); err != nil {
-			return err
-		}
-		client, err := c.client()
+		client, err := c.clientFor("PATCH-ID")
 		if err != nil {
 			return err
 		}
--- a/cmd/redwingctl/config_read.go
+++ b/cmd/redwingctl/config_read.go
@@ -141,10 +141,7 @@
 
 func configDiff(*flag.FlagSet) func(*call) error {
 	return func(c *call) error {
-		if err := c.want("FROM", "TO"); err != nil {
-			return err
-		}
-		client, err := c.client()
+		client, err := c.clientFor("FROM", "TO")
 		if err != nil {
 			return err
 		}
@@ -202,10 +199,7 @@
 
 func configStatus(*flag.FlagSet) func(*call) error {
 	return func(c *call) error {
-		if err := c.want(); err != nil {
-			return err
-		}
-		client, err := c.client()
+		client, err := c.clientFor()
 		if err != nil {
 			return err
 		}
--- a/cmd/redwingctl/health.go
+++ b/cmd/redwingctl/health.go
@@ -20,10 +20,7 @@
 
 func health(*flag.FlagSet) func(*call) error {
 	return func(c *call) error {
-		if err := c.want(); err != nil {
-			return err
-		}
-		client, err := c.client()
+		client, err := c.clientFor()
 		if err != nil {
 			return err
 		}
--- a/cmd/redwingctl/job.go
+++ b/cmd/redwingctl/job.go
@@ -105,10 +105,7 @@
 	account := f.String("account", "", "only jobs of this account")
 	state := f.String("state", "", "only jobs in this state")
 	return func(c *call) error {
-		if err := c.want(); err != nil {
-			return err
-		}
-		client, err := c.client()
+		client, err := c.clientFor()
 		if err != nil {
 			return err
 		}
@@ -134,10 +131,7 @@
 	wait := f.String("wait", "", "wait until the job is in this `state`; the command fails if it ends in another")
 	bound := f.Duration("wait-timeout", time.Minute, "bound of -wait")
 	return func(c *call) error {
-		if err := c.want("ID"); err != nil {
-			return err
-		}
-		client, err := c.client()
+		client, err := c.clientFor("ID")
 		if err != nil {
 			return err
 		}
@@ -181,10 +175,7 @@
 
 func jobCancel(*flag.FlagSet) func(*call) error {
 	return func(c *call) error {
-		if err := c.want("ID"); err != nil {
-			return err
-		}
-		client, err := c.client()
+		client, err := c.clientFor("ID")
 		if err != nil {
 			return err
 		}
@@ -198,10 +189,7 @@
 
 func jobWhy(*flag.FlagSet) func(*call) error {
 	return func(c *call) error {
-		if err := c.want("ID"); err != nil {
-			return err
-		}
-		client, err := c.client()
+		client, err := c.clientFor("ID")
 		if err != nil {
 			return err
 		}
