--- a/scheduler/reserve.go
+++ b/scheduler/reserve.go
@@ -347,7 +347,7 @@
 func (c *Core) settleReservation(j *job, cost float64, strict bool) {
 	h := j.hold
 	allowance := lossShare * c.weightOf(j) * c.now.Sub(j.waitingSince).Seconds()
-	last := c.lastOpen(j)
+	last := h.since.Add(c.waits(closeAnyway))
 	if strict && (cost <= allowance || !c.now.Before(h.deadline)) || !c.now.Before(last) {
 		c.closeReservation(j)
 		return
@@ -355,16 +355,6 @@
 	h.review = c.now.Add(c.waits(reviewShare))
 }
 
-// lastOpen returns the time until which the reservation of a gang stays open at the longest. A gang whose first
-// reservation did not serve it has waited out that time already, so its next ones are closed at once.
-func (c *Core) lastOpen(j *job) time.Time {
-	first := j.waitingSince.Add(c.waits(patientAfter + closeAnyway))
-	if last := j.hold.since.Add(c.waits(closeAnyway)); last.Before(first) {
-		return last
-	}
-	return first
-}
-
 // reviewOnce reviews at most one reservation per plan; the others follow soon.
 func (c *Core) reviewOnce(j *job) {
 	if c.reviewedIn == c.plans {
