scheduler: price work that may not be stopped in patient reservations

The trace of its reservations showed the same cost at every review: a patient search counted the loss of stops only, so racks full of work that may not be stopped, where nothing is stopped, were the cheapest, and the gang waited for the end of that work, which has no bound. Such work now costs its accelerators for the longest opening of a reservation.

TestPatientReservationAvoidsUnstoppableWork fails without it.

--- a/cmd/redwingctl/local.go
+++ b/cmd/redwingctl/local.go
@@ -98,7 +98,7 @@
 func devCertsCommand() command {
 	return command{
 		name: "dev-certs", arguments: "DIR", summary: "Makes keys and certificates for trials on one machine",
-		examples: []string{"dev-certs /tmp/keys -vms vm-a1,vm-a2"},
+		examples: []string{"dev-certs keys -vms vm-a1,vm-a2"},
 		setup:    devCerts,
 	}
 }
--- a/scheduler/reclaim.go
+++ b/scheduler/reclaim.go
@@ -153,13 +153,30 @@
 // cost returns the loss of making room for n members on w.
 func (e *eviction) cost(w *worker, n int) float64 {
 	need := e.job.Shape.PerMember.Times(n)
+	room := e.available(w)
 	cost := 0.0
 	for _, v := range e.victimsOn(w, need) {
 		cost += e.core.loss(v)
+		room = room.Add(v.Shape.PerMember.Times(w.members(v)))
+	}
+	if e.patient && !need.Fits(room) {
+		cost += e.patienceCost(w)
 	}
 	return cost
 }
 
+// patienceCost prices the work on w that may not be stopped: the job would wait for its end, which has no bound. Without
+// a price a patient search would prefer workers full of such work, where nothing is lost by stops.
+func (e *eviction) patienceCost(w *worker) float64 {
+	accelerators := 0
+	for _, o := range w.occupants {
+		if !o.job.stopPlanned && !e.mayStop(o.job) {
+			accelerators += max(1, o.members*o.job.Shape.PerMember.Accelerators)
+		}
+	}
+	return float64(accelerators) * e.core.waits(closeAnyway).Seconds()
+}
+
 // victimsOn returns the jobs to stop on w for the need, those with the least loss first. The slice is valid until the
 // next call.
 func (e *eviction) victimsOn(w *worker, need resource.Resources) []*job {
--- a/scheduler/rules_test.go
+++ b/scheduler/rules_test.go
@@ -256,3 +256,29 @@
 		t.Errorf("learned %v (%v), want 1h", d, ok)
 	}
 }
+
+// TestPatientReservationAvoidsUnstoppableWork guards against a gang that reserves the rack with the most work that may
+// not be stopped, because nothing is lost by stops there, and waits for its end.
+func TestPatientReservationAvoidsUnstoppableWork(t *testing.T) {
+	f := newFixture(t, 8, nil)
+	unstoppable := map[string]bool{"w-00": true, "w-01": true, "w-02": true, "w-03": true, "w-07": true}
+	for i := range 8 {
+		worker := fmt.Sprintf("w-%02d", i)
+		j := jobs.Job{ID: "busy-" + worker, Account: "b", Shape: shape(1, 8, resource.AdjacencyNone),
+			RunOnce: unstoppable[worker]}
+		f.core.Adopt(j, 1, Placement{worker}, jobs.StateRunning, f.now)
+	}
+	f.submit("gang", "a", shape(4, 8, resource.AdjacencyRack))
+	f.run()
+	f.after(patientAfter * time.Minute)
+	f.run()
+	held := f.core.jobs["gang"].hold
+	if held == nil || held.claim {
+		t.Fatalf("no reservation: %s", f.core.Why("gang", f.now))
+	}
+	for _, w := range held.placement {
+		if w.id < "w-04" {
+			t.Fatalf("reserved worker %s among four with unstoppable work, not the rack with one", w.id)
+		}
+	}
+}
