--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -55,6 +55,8 @@
     -adjacency rack -author ana -reason "batch fittings"
   passed "accounts orders and scan, one guarantee: version $(field version)"
 
+  # The stale patch goes to another VM, which may follow a moment later on a busy machine.
+  wait_for "version 3 on all entry VMs" 15 in_force_everywhere 3
   write_patch 3
   operator vm-a1 config plan "$dir/patch.json"
   operator vm-a1 config submit "$dir/patch.json"
