--- a/daemon/base.go
+++ b/daemon/base.go
@@ -9,7 +9,6 @@
 
 	"github.com/redwingthread/redwingthread/config"
 	"github.com/redwingthread/redwingthread/configlog"
-	"github.com/redwingthread/redwingthread/errkind"
 	"github.com/redwingthread/redwingthread/inner"
 	"github.com/redwingthread/redwingthread/platform"
 	"github.com/redwingthread/redwingthread/settings"
@@ -19,12 +18,6 @@
 // traceFlushTimeout bounds the write of the remaining spans at the end of the process.
 const traceFlushTimeout = 2 * time.Second
 
-// errNoContent reports a peer whose response does not match the request.
-func errNoContent(address string) error {
-	return errkind.New(errkind.Internal, "check that both ends run compatible versions",
-		"peer %s sent a response of another kind", address)
-}
-
 // base holds the parts that both daemons start in the same way.
 type base struct {
 	self     inner.Member
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -10,46 +10,13 @@
 	"github.com/redwingthread/redwingthread/operatorapi"
 )
 
-// configPeer asks one member for the configuration. It implements configlog.Peer.
-type configPeer struct {
-	member inner.Member
-	caller inner.Caller
-}
-
-// ID implements configlog.Peer.
-func (p configPeer) ID() string { return p.member.Address }
-
-// FetchRecords implements configlog.Peer.
-func (p configPeer) FetchRecords(ctx context.Context, req inner.FetchRecords) (inner.FetchRecordsResponse, error) {
-	resp, err := p.caller.Call(ctx, p.member.Address, &inner.Request{FetchRecords: &req})
-	if err != nil {
-		return inner.FetchRecordsResponse{}, err
-	}
-	if resp.FetchRecords == nil {
-		return inner.FetchRecordsResponse{}, errNoContent(p.member.Address)
-	}
-	return *resp.FetchRecords, nil
-}
-
-// FetchState implements configlog.Peer.
-func (p configPeer) FetchState(ctx context.Context) (inner.FetchStateResponse, error) {
-	resp, err := p.caller.Call(ctx, p.member.Address, &inner.Request{FetchState: &inner.FetchState{}})
-	if err != nil {
-		return inner.FetchStateResponse{}, err
-	}
-	if resp.FetchState == nil {
-		return inner.FetchStateResponse{}, errNoContent(p.member.Address)
-	}
-	return *resp.FetchState, nil
-}
-
 // configPeers returns the members to ask for the configuration: the live ones, or all known ones while no gateway is
 // live, such as at the start of the process. Only gateways have news from other failure domains.
 func (n *Node) configPeers() []configlog.Peer {
 	var live, known []configlog.Peer
 	gateways := 0
 	for _, state := range n.Peers() {
-		peer := configPeer{member: state.Peer.Member, caller: n.client}
+		peer := configlog.NewPeer(state.Peer.Member.Address, state.Peer.Member.Address, n.client)
 		known = append(known, peer)
 		if !state.Live {
 			continue
