--- a/Makefile
+++ b/Makefile
@@ -14,7 +14,7 @@
 # The packages in which several goroutines share state; the process tests and the long runs of the others take too long
 # with the race detector.
 RACE_PACKAGES := ./admission ./control ./daemon ./endpoint ./gang ./gateway ./inner ./jobs ./lease ./membership \
-	./operatorapi ./platform ./request ./routing ./settings ./standin ./telemetry
+	./operatorapi ./infra ./request ./routing ./settings ./standin ./telemetry
 
 race:
 	go test -race $(RACE_PACKAGES)
--- a/cmd/redwingctl/api_test.go
+++ b/cmd/redwingctl/api_test.go
@@ -13,9 +13,9 @@
 	"github.com/redwingthread/redwingthread/config"
 	"github.com/redwingthread/redwingthread/configlog"
 	"github.com/redwingthread/redwingthread/errkind"
+	"github.com/redwingthread/redwingthread/infra"
 	"github.com/redwingthread/redwingthread/jobs"
 	"github.com/redwingthread/redwingthread/operatorapi"
-	"github.com/redwingthread/redwingthread/platform"
 	"github.com/redwingthread/redwingthread/standin"
 )
 
@@ -53,7 +53,7 @@
 	t.Helper()
 	log := standin.NewLog(standin.LogOptions{})
 	logServer := httptest.NewServer(log.Handler())
-	client, err := platform.NewLogClient(logServer.URL)
+	client, err := infra.NewLogClient(logServer.URL)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/configlog/append.go
+++ b/configlog/append.go
@@ -4,12 +4,12 @@
 	"context"
 	"time"
 
-	"github.com/redwingthread/redwingthread/platform"
+	"github.com/redwingthread/redwingthread/infra"
 )
 
 // planSnapshot appends a snapshot when one is due, the log has been read to its end, and the jitter has passed. Another
 // process's snapshot seen meanwhile makes it undue again.
-func (f *Follower) planSnapshot(ctx context.Context, resp platform.ReadResponse) {
+func (f *Follower) planSnapshot(ctx context.Context, resp infra.ReadResponse) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := time.Now()
@@ -50,7 +50,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	_, err = f.settings.Log.Append(ctx, platform.ConfigStream, [][]byte{raw})
+	_, err = f.settings.Log.Append(ctx, infra.ConfigStream, [][]byte{raw})
 	if err != nil {
 		metricAppendErrors.Inc(1)
 	} else if record.Snapshot != nil {
--- a/configlog/catchup.go
+++ b/configlog/catchup.go
@@ -6,9 +6,9 @@
 
 	"github.com/redwingthread/redwingthread/config"
 	"github.com/redwingthread/redwingthread/errkind"
+	"github.com/redwingthread/redwingthread/infra"
 	"github.com/redwingthread/redwingthread/inner"
 	"github.com/redwingthread/redwingthread/invariant"
-	"github.com/redwingthread/redwingthread/platform"
 )
 
 // peersPerRound bounds the peers asked at once, to keep the cost of an outage independent of the number of processes.
@@ -28,7 +28,7 @@
 
 // start finds the first state. A complete log needs no help; with an empty or truncated one the peers are asked before
 // the process concludes that there is no configuration.
-func (f *Follower) start(ctx context.Context, resp platform.ReadResponse) error {
+func (f *Follower) start(ctx context.Context, resp infra.ReadResponse) error {
 	if resp.Oldest == 0 && resp.Next > 0 {
 		f.begin(NewState(), resp.Next)
 		return nil
@@ -306,11 +306,11 @@
 
 // relay keeps the newest records, which are contiguous.
 type relay struct {
-	records []platform.Record
+	records []infra.Record
 	bytes   int
 }
 
-func (r *relay) add(record platform.Record, limit int) {
+func (r *relay) add(record infra.Record, limit int) {
 	r.records = append(r.records, record)
 	r.bytes += len(record.Data)
 	for r.bytes > limit && len(r.records) > 0 {
--- a/configlog/fake_test.go
+++ b/configlog/fake_test.go
@@ -8,8 +8,8 @@
 	"time"
 
 	"github.com/redwingthread/redwingthread/errkind"
+	"github.com/redwingthread/redwingthread/infra"
 	"github.com/redwingthread/redwingthread/inner"
-	"github.com/redwingthread/redwingthread/platform"
 )
 
 var errDown = errkind.Wrap(errors.New("fault of the test"), errkind.Unavailable, "try again", "not reachable")
@@ -21,7 +21,7 @@
 	// rng and everything below is guarded by mu.
 	rng       *rand.Rand
 	retention time.Duration
-	records   []platform.Record
+	records   []infra.Record
 	times     []time.Time
 	oldest    uint64
 	// silent lets reads hang while the log is down.
@@ -52,7 +52,7 @@
 		if r, err := decode(data); err == nil && l.swallow != nil && l.swallow(r) {
 			continue
 		}
-		l.records = append(l.records, platform.Record{Offset: uint64(len(l.records)), Data: data})
+		l.records = append(l.records, infra.Record{Offset: uint64(len(l.records)), Data: data})
 		l.times = append(l.times, time.Now())
 	}
 	close(l.appended)
@@ -73,7 +73,7 @@
 	// reach reports whether the network lets the follower through.
 	reach func() bool
 	// mangle changes what this follower reads; nil for nothing. It is a switch of the broken runs.
-	mangle func(platform.Record) platform.Record
+	mangle func(infra.Record) infra.Record
 	// hung is set while the last read got no response; guarded by log.mu.
 	hung bool
 }
@@ -105,7 +105,7 @@
 	return first, nil
 }
 
-func (p *port) Read(ctx context.Context, _ string, from uint64, limit, waitMS int) (platform.ReadResponse, error) {
+func (p *port) Read(ctx context.Context, _ string, from uint64, limit, waitMS int) (infra.ReadResponse, error) {
 	deadline := time.Now().Add(time.Duration(waitMS) * time.Millisecond)
 	p.delay(ctx)
 	for {
@@ -117,14 +117,14 @@
 			if silent {
 				<-ctx.Done()
 			}
-			return platform.ReadResponse{}, errDown
+			return infra.ReadResponse{}, errDown
 		}
 		// A connection that goes silent is followed by one that works.
 		if !p.hung && l.rng.IntN(100) < l.hangPercent {
 			p.hung = true
 			l.mu.Unlock()
 			<-ctx.Done()
-			return platform.ReadResponse{}, ctx.Err()
+			return infra.ReadResponse{}, ctx.Err()
 		}
 		p.hung = false
 		resp, appended := p.readNow(from, limit), l.appended
@@ -141,17 +141,17 @@
 		}
 		timer.Stop()
 		if ctx.Err() != nil {
-			return platform.ReadResponse{}, ctx.Err()
+			return infra.ReadResponse{}, ctx.Err()
 		}
 	}
 }
 
 // readNow returns what is there; the caller holds log.mu.
-func (p *port) readNow(from uint64, limit int) platform.ReadResponse {
+func (p *port) readNow(from uint64, limit int) infra.ReadResponse {
 	l := p.log
 	l.expire()
 	next := uint64(len(l.records))
-	resp := platform.ReadResponse{Oldest: l.oldest, Next: next}
+	resp := infra.ReadResponse{Oldest: l.oldest, Next: next}
 	for o := max(from, l.oldest); o < next && len(resp.Records) < limit; o++ {
 		r := l.records[o]
 		if p.mangle != nil {
--- a/configlog/follower.go
+++ b/configlog/follower.go
@@ -11,8 +11,8 @@
 
 	"github.com/redwingthread/redwingthread/config"
 	"github.com/redwingthread/redwingthread/errkind"
+	"github.com/redwingthread/redwingthread/infra"
 	"github.com/redwingthread/redwingthread/inner"
-	"github.com/redwingthread/redwingthread/platform"
 )
 
 // Peer is another process that follows the configuration stream.
@@ -25,7 +25,7 @@
 
 // Settings are the collaborators and bounds of a Follower. Zero durations and bounds get defaults.
 type Settings struct {
-	Log platform.Log
+	Log infra.Log
 	// Peers returns the peers to ask now; nil if there are none.
 	Peers     func() []Peer
 	Logger    zerolog.Logger
@@ -267,14 +267,14 @@
 	return err
 }
 
-func (f *Follower) read(ctx context.Context, from uint64, wait, margin time.Duration) (platform.ReadResponse, error) {
+func (f *Follower) read(ctx context.Context, from uint64, wait, margin time.Duration) (infra.ReadResponse, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+margin)
 	defer cancel()
-	return f.settings.Log.Read(ctx, platform.ConfigStream, from, readLimit, int(wait.Milliseconds()))
+	return f.settings.Log.Read(ctx, infra.ConfigStream, from, readLimit, int(wait.Milliseconds()))
 }
 
 // handle takes over the records of a response, or closes the gap if the next ones have expired.
-func (f *Follower) handle(ctx context.Context, from uint64, resp platform.ReadResponse) error {
+func (f *Follower) handle(ctx context.Context, from uint64, resp infra.ReadResponse) error {
 	f.mu.Lock()
 	f.logTail = resp.Next
 	f.mu.Unlock()
@@ -336,7 +336,7 @@
 }
 
 // fold applies the records that follow the state; others are left out.
-func (f *Follower) fold(records []platform.Record) {
+func (f *Follower) fold(records []infra.Record) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.state == nil {
@@ -362,7 +362,7 @@
 }
 
 // foldOne folds one record; the caller holds mu.
-func (f *Follower) foldOne(r platform.Record) {
+func (f *Follower) foldOne(r infra.Record) {
 	if f.state.Stopped != nil {
 		return
 	}
--- a/configlog/scenario_test.go
+++ b/configlog/scenario_test.go
@@ -11,8 +11,8 @@
 
 	"github.com/redwingthread/redwingthread/config"
 	"github.com/redwingthread/redwingthread/errkind"
+	"github.com/redwingthread/redwingthread/infra"
 	"github.com/redwingthread/redwingthread/invariant"
-	"github.com/redwingthread/redwingthread/platform"
 )
 
 const (
@@ -47,8 +47,8 @@
 	delays, burstDelays []time.Duration
 }
 
-func mangler(change func(Record) Record) func(platform.Record) platform.Record {
-	return func(r platform.Record) platform.Record {
+func mangler(change func(Record) Record) func(infra.Record) infra.Record {
+	return func(r infra.Record) infra.Record {
 		record, err := decode(r.Data)
 		if err != nil {
 			return r
--- a/configlog/snapshot.go
+++ b/configlog/snapshot.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/redwingthread/redwingthread/config"
-	"github.com/redwingthread/redwingthread/platform"
+	"github.com/redwingthread/redwingthread/infra"
 )
 
 func (s *State) stop(reason StopReason, offset uint64, format string, args ...any) {
@@ -124,7 +124,7 @@
 // FromRecords starts a state from the retained records of a stream, of which oldest is the first. It returns nil if they
 // begin neither at the first record nor hold a snapshot that reaches back to no expired record. Records behind the start
 // must be folded by the caller.
-func FromRecords(oldest uint64, records []platform.Record) *State {
+func FromRecords(oldest uint64, records []infra.Record) *State {
 	if oldest == 0 {
 		return NewState()
 	}
@@ -137,7 +137,7 @@
 }
 
 // fromRecord returns the state of the snapshot in a record, nil if it holds none that can be started from.
-func fromRecord(oldest uint64, record platform.Record) *State {
+func fromRecord(oldest uint64, record infra.Record) *State {
 	number, err := ruleSetOf(record.Data)
 	if err != nil || number > config.RuleSet {
 		return nil
--- a/configlog/state_test.go
+++ b/configlog/state_test.go
@@ -8,8 +8,8 @@
 
 	"github.com/redwingthread/redwingthread/config"
 	"github.com/redwingthread/redwingthread/errkind"
+	"github.com/redwingthread/redwingthread/infra"
 	"github.com/redwingthread/redwingthread/invariant"
-	"github.com/redwingthread/redwingthread/platform"
 )
 
 // stream builds the records of a test.
@@ -109,7 +109,7 @@
 	}
 	st.fold(full)
 	for i, raw := range st.records {
-		started := FromRecords(1, []platform.Record{{Offset: uint64(i), Data: raw}})
+		started := FromRecords(1, []infra.Record{{Offset: uint64(i), Data: raw}})
 		if started == nil {
 			continue
 		}
--- a/configlog/submit.go
+++ b/configlog/submit.go
@@ -9,7 +9,7 @@
 
 	"github.com/redwingthread/redwingthread/config"
 	"github.com/redwingthread/redwingthread/errkind"
-	"github.com/redwingthread/redwingthread/platform"
+	"github.com/redwingthread/redwingthread/infra"
 )
 
 // retryPause is the pause between two appends of the same record after errors. A second copy is harmless.
@@ -141,7 +141,7 @@
 func (f *Follower) CatchUp(ctx context.Context) error {
 	callCtx, cancel := context.WithTimeout(ctx, f.settings.CallTimeout)
 	defer cancel()
-	resp, err := f.settings.Log.Read(callCtx, platform.ConfigStream, f.nextOffset(), 1, 0)
+	resp, err := f.settings.Log.Read(callCtx, infra.ConfigStream, f.nextOffset(), 1, 0)
 	if err != nil {
 		return err
 	}
--- a/control/adopt.go
+++ b/control/adopt.go
@@ -6,8 +6,8 @@
 	"time"
 
 	"github.com/redwingthread/redwingthread/gang"
+	"github.com/redwingthread/redwingthread/infra"
 	"github.com/redwingthread/redwingthread/jobs"
-	"github.com/redwingthread/redwingthread/platform"
 	"github.com/redwingthread/redwingthread/resource"
 	"github.com/redwingthread/redwingthread/scheduler"
 )
@@ -74,11 +74,11 @@
 			w.wanted = true
 			continue
 		}
-		op := platform.OpStop
+		op := infra.OpStop
 		if task.State.Ended() {
-			op = platform.OpForget
+			op = infra.OpForget
 		}
-		w.strays = append(w.strays, platform.Command{Op: op, Attempt: task.Attempt, Member: task.Member})
+		w.strays = append(w.strays, infra.Command{Op: op, Attempt: task.Attempt, Member: task.Member})
 	}
 	w.wanted = w.wanted || len(w.strays) > 0
 }
--- a/control/append.go
+++ b/control/append.go
@@ -7,8 +7,8 @@
 
 	"golang.org/x/time/rate"
 
+	"github.com/redwingthread/redwingthread/infra"
 	"github.com/redwingthread/redwingthread/jobs"
-	"github.com/redwingthread/redwingthread/platform"
 )
 
 // Parameters of the appender. The log takes several hundred appends per second from all writers together; each of 7
@@ -24,7 +24,7 @@
 // appender appends records in batches in the order in which they were queued. It repeats a batch until the log confirms
 // it; the fold makes repeats harmless.
 type appender struct {
-	log    platform.Log
+	log    infra.Log
 	stream string
 	kick   chan struct{}
 	// out reports the result of each append.
@@ -36,7 +36,7 @@
 	generation int
 }
 
-func newAppender(log platform.Log, stream string) *appender {
+func newAppender(log infra.Log, stream string) *appender {
 	return &appender{log: log, stream: stream, kick: make(chan struct{}, 1), out: make(chan error)}
 }
 
--- a/control/checks_test.go
+++ b/control/checks_test.go
@@ -7,25 +7,25 @@
 	"time"
 
 	"github.com/redwingthread/redwingthread/gang"
+	"github.com/redwingthread/redwingthread/infra"
 	"github.com/redwingthread/redwingthread/inner"
 	"github.com/redwingthread/redwingthread/jobs"
-	"github.com/redwingthread/redwingthread/platform"
 )
 
 func (s *scenario) onDone(key taskKey) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.done[key] = true
-	s.done[taskKey{platform.AttemptID{Job: key.attempt.Job}, key.member}] = true
+	s.done[taskKey{infra.AttemptID{Job: key.attempt.Job}, key.member}] = true
 }
 
 // complete reports whether a member has completed: in this attempt, or in an earlier one whose checkpointed stop this
 // attempt continues, in which case it is not released again.
-func (s *scenario) complete(attempt platform.AttemptID, member int) bool {
+func (s *scenario) complete(attempt infra.AttemptID, member int) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	key := taskKey{attempt, member}
-	return s.done[key] || !s.ran[key] && s.done[taskKey{platform.AttemptID{Job: attempt.Job}, member}]
+	return s.done[key] || !s.ran[key] && s.done[taskKey{infra.AttemptID{Job: attempt.Job}, member}]
 }
 
 // onRun checks that a run-once job is not started twice.
@@ -64,8 +64,8 @@
 		runs    int
 		running map[int]bool
 	}
-	attempts := map[platform.AttemptID]*view{}
-	running := map[string]platform.AttemptID{}
+	attempts := map[infra.AttemptID]*view{}
+	running := map[string]infra.AttemptID{}
 	for _, w := range s.workers {
 		w.mu.Lock()
 		w.advance(now)
@@ -76,7 +76,7 @@
 				attempts[key.attempt] = v
 			}
 			switch task.State {
-			case platform.TaskRunning, platform.TaskCheckpointing:
+			case infra.TaskRunning, infra.TaskCheckpointing:
 				v.runs++
 				v.running[key.member] = true
 				if other, ok := running[key.attempt.Job]; ok && other != key.attempt {
--- a/control/control.go
+++ b/control/control.go
@@ -10,9 +10,9 @@
 
 	"github.com/redwingthread/redwingthread/config"
 	"github.com/redwingthread/redwingthread/gang"
+	"github.com/redwingthread/redwingthread/infra"
 	"github.com/redwingthread/redwingthread/jobs"
 	"github.com/redwingthread/redwingthread/lease"
-	"github.com/redwingthread/redwingthread/platform"
 	"github.com/redwingthread/redwingthread/scheduler"
 )
 
@@ -68,7 +68,7 @@
 	revision      uint64
 	probeRevision uint64
 	incarnation   string
-	tasks         []platform.Task
+	tasks         []infra.Task
 	leaving       bool
 	// claimEpoch is that of the claim whose answer brought the inventory; 0 for none.
 	claimEpoch uint64
@@ -83,9 +83,9 @@
 	// renewedAt is the time of the last confirmed renewal of task leases.
 	renewedAt time.Time
 	// strays are the commands that remove tasks without a gang.
-	strays []platform.Command
+	strays []infra.Command
 	// kept lists attempts without a gang whose tasks are kept alive because their job is not known yet.
-	kept []platform.AttemptID
+	kept []infra.AttemptID
 }
 
 // tenure is the state of the active scheduler. A new one starts with each takeover.
@@ -134,7 +134,7 @@
 	if err != nil {
 		return nil, err
 	}
-	stream := platform.JobStream(options.FailureDomain)
+	stream := infra.JobStream(options.FailureDomain)
 	return &Control{
 		Options:   options,
 		log:       options.Logger,
--- a/control/cost.go
+++ b/control/cost.go
@@ -6,10 +6,10 @@
 
 	"github.com/rcrowley/go-metrics"
 
-	"github.com/redwingthread/redwingthread/platform"
+	"github.com/redwingthread/redwingthread/infra"
 )
 
-// cost counts what control costs. Bytes on the wire are counted by platform.HTTPWorkers, which sees the connections.
+// cost counts what control costs. Bytes on the wire are counted by infra.HTTPWorkers, which sees the connections.
 type cost struct {
 	requests metrics.Counter
 	failures metrics.Counter
@@ -37,13 +37,13 @@
 	}
 }
 
-func (c *cost) sent(request *platform.CommandsRequest) {
+func (c *cost) sent(request *infra.CommandsRequest) {
 	c.requests.Inc(1)
 	c.commands.Inc(int64(len(request.Commands)))
 	c.renewals.Inc(int64(len(request.Renew)))
 }
 
-func (c *cost) received(_ *platform.CommandsResponse, err error) {
+func (c *cost) received(_ *infra.CommandsResponse, err error) {
 	if err != nil {
 		c.failures.Inc(1)
 	}
--- a/control/fakes_test.go
+++ b/control/fakes_test.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"github.com/redwingthread/redwingthread/errkind"
-	"github.com/redwingthread/redwingthread/platform"
+	"github.com/redwingthread/redwingthread/infra"
 	"github.com/redwingthread/redwingthread/resource"
 )
 
@@ -38,7 +38,7 @@
 
 // fakeTask is a task of a fake worker.
 type fakeTask struct {
-	platform.Task
+	infra.Task
 	expires time.Time // of the reservation or the task lease
 	readyAt time.Time // end of loading
 	endsAt  time.Time // end by itself
@@ -49,7 +49,7 @@
 }
 
 type taskKey struct {
-	attempt platform.AttemptID
+	attempt infra.AttemptID
 	member  int
 }
 
@@ -86,20 +86,20 @@
 		before := task.State
 		switch {
 		case task.State.Ended():
-		case task.State == platform.TaskReserved && !task.loading && now.After(task.expires):
+		case task.State == infra.TaskReserved && !task.loading && now.After(task.expires):
 			delete(w.tasks, key)
 			w.revision++
-		case task.State != platform.TaskReserved && now.After(task.expires):
-			task.State = platform.TaskLapsed
+		case task.State != infra.TaskReserved && now.After(task.expires):
+			task.State = infra.TaskLapsed
 		case task.loading && now.After(task.readyAt):
-			task.State, task.loading = platform.TaskHeld, false
-		case task.State == platform.TaskCheckpointing && now.After(task.stopAt):
-			task.State = platform.TaskStopped
+			task.State, task.loading = infra.TaskHeld, false
+		case task.State == infra.TaskCheckpointing && now.After(task.stopAt):
+			task.State = infra.TaskStopped
 			task.Checkpoint = fmt.Sprintf("cp-%s-%d-%d", key.attempt.Job, key.attempt.Attempt, key.member)
-		case task.State == platform.TaskRunning && now.After(task.endsAt):
-			task.State = platform.TaskDone
+		case task.State == infra.TaskRunning && now.After(task.endsAt):
+			task.State = infra.TaskDone
 			if task.fails {
-				task.State, task.Detail = platform.TaskFailed, "exit status 1"
+				task.State, task.Detail = infra.TaskFailed, "exit status 1"
 			} else if w.onDone != nil {
 				w.onDone(key)
 			}
@@ -110,17 +110,17 @@
 	}
 }
 
-func (w *fakeWorker) commands(req platform.CommandsRequest, now time.Time) (platform.CommandsResponse, error) {
+func (w *fakeWorker) commands(req infra.CommandsRequest, now time.Time) (infra.CommandsResponse, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.dead {
-		return platform.CommandsResponse{}, errors.New("connection refused")
+		return infra.CommandsResponse{}, errors.New("connection refused")
 	}
 	w.advance(now)
 	free := !now.Before(w.leaseUntil)
 	sameHolder := req.Holder == w.holder && req.Epoch >= w.epoch
 	granted := req.Epoch > 0 && (w.unfenced || sameHolder || free && req.Epoch > w.epoch)
-	answer := platform.CommandsResponse{Granted: granted}
+	answer := infra.CommandsResponse{Granted: granted}
 	if granted {
 		w.epoch, w.holder = req.Epoch, req.Holder
 		w.leaseUntil = now.Add(time.Duration(req.LeaseMS) * time.Millisecond)
@@ -135,11 +135,11 @@
 	return answer, nil
 }
 
-func (w *fakeWorker) apply(req platform.CommandsRequest, answer *platform.CommandsResponse, now time.Time) {
+func (w *fakeWorker) apply(req infra.CommandsRequest, answer *infra.CommandsResponse, now time.Time) {
 	taskLease := time.Duration(req.TaskLeaseMS) * time.Millisecond
 	for _, id := range req.Renew {
 		for key, task := range w.tasks {
-			if key.attempt == id && !task.State.Ended() && task.State != platform.TaskReserved {
+			if key.attempt == id && !task.State.Ended() && task.State != infra.TaskReserved {
 				task.expires = now.Add(taskLease)
 			}
 		}
@@ -149,23 +149,23 @@
 			w.onEffect(w, req.Epoch, req.Holder)
 		}
 		reason := w.applyOne(command, req.Epoch, taskLease, now)
-		answer.Results = append(answer.Results, platform.CommandResult{OK: reason == "", Reason: reason})
+		answer.Results = append(answer.Results, infra.CommandResult{OK: reason == "", Reason: reason})
 	}
 }
 
-func (w *fakeWorker) applyOne(c platform.Command, epoch uint64, taskLease time.Duration, now time.Time) string {
+func (w *fakeWorker) applyOne(c infra.Command, epoch uint64, taskLease time.Duration, now time.Time) string {
 	key := taskKey{c.Attempt, c.Member}
 	task := w.tasks[key]
-	if task == nil && c.Op != platform.OpReserve {
+	if task == nil && c.Op != infra.OpReserve {
 		return "no such task"
 	}
 	before := w.revision
 	w.revision++
 	switch c.Op {
-	case platform.OpReserve:
+	case infra.OpReserve:
 		return w.reserve(key, c, epoch, now)
-	case platform.OpStart:
-		if task.State == platform.TaskReserved && !task.loading {
+	case infra.OpStart:
+		if task.State == infra.TaskReserved && !task.loading {
 			task.loading = true
 			task.fresh = c.Checkpoint == ""
 			task.Checkpoint = c.Checkpoint
@@ -173,31 +173,31 @@
 			task.expires = now.Add(taskLease)
 			return ""
 		}
-	case platform.OpRelease:
-		if task.State == platform.TaskHeld {
-			task.State = platform.TaskRunning
+	case infra.OpRelease:
+		if task.State == infra.TaskHeld {
+			task.State = infra.TaskRunning
 			task.endsAt = now.Add(w.random.between(3*time.Second, 40*time.Second) + w.longer)
 			task.fails = w.bad || w.random.chance(0.03)
 			w.onRun(w, task)
 			return ""
 		}
-	case platform.OpStop:
+	case infra.OpStop:
 		w.stop(key, task, c, now)
 		return ""
-	case platform.OpForget:
+	case infra.OpForget:
 		if task.State.Ended() {
 			delete(w.tasks, key)
 			return ""
 		}
 	}
 	w.revision = before
-	if task.State.Ended() || c.Op == platform.OpForget {
+	if task.State.Ended() || c.Op == infra.OpForget {
 		return "task is " + string(task.State)
 	}
 	return ""
 }
 
-func (w *fakeWorker) reserve(key taskKey, c platform.Command, epoch uint64, now time.Time) string {
+func (w *fakeWorker) reserve(key taskKey, c infra.Command, epoch uint64, now time.Time) string {
 	if w.tasks[key] != nil {
 		return ""
 	}
@@ -211,27 +211,27 @@
 		return "no capacity"
 	}
 	w.tasks[key] = &fakeTask{expires: now.Add(time.Duration(c.TTLMS) * time.Millisecond),
-		Task: platform.Task{Attempt: c.Attempt, Member: c.Member, State: platform.TaskReserved, Resources: c.Resources,
+		Task: infra.Task{Attempt: c.Attempt, Member: c.Member, State: infra.TaskReserved, Resources: c.Resources,
 			Epoch: epoch}}
 	return ""
 }
 
-func (w *fakeWorker) stop(key taskKey, task *fakeTask, c platform.Command, now time.Time) {
+func (w *fakeWorker) stop(key taskKey, task *fakeTask, c infra.Command, now time.Time) {
 	switch {
-	case task.State.Ended() || task.State == platform.TaskCheckpointing:
-	case task.State == platform.TaskReserved:
+	case task.State.Ended() || task.State == infra.TaskCheckpointing:
+	case task.State == infra.TaskReserved:
 		delete(w.tasks, key)
-	case c.Checkpoint != "" && task.State == platform.TaskRunning:
-		task.State = platform.TaskCheckpointing
+	case c.Checkpoint != "" && task.State == infra.TaskRunning:
+		task.State = infra.TaskCheckpointing
 		task.stopAt = now.Add(min(w.random.between(100*time.Millisecond, 3*time.Second),
 			time.Duration(c.CheckpointMS)*time.Millisecond))
 	default:
-		task.State = platform.TaskStopped
+		task.State = infra.TaskStopped
 	}
 }
 
-func (w *fakeWorker) inventory() platform.Inventory {
-	inventory := platform.Inventory{Worker: w.id, Incarnation: fmt.Sprint(w.incarnation), Revision: w.revision,
+func (w *fakeWorker) inventory() infra.Inventory {
+	inventory := infra.Inventory{Worker: w.id, Incarnation: fmt.Sprint(w.incarnation), Revision: w.revision,
 		Capacity: w.capacity, Leaving: w.leaving}
 	for _, task := range w.tasks {
 		inventory.Tasks = append(inventory.Tasks, task.Task)
@@ -292,17 +292,17 @@
 }
 
 // Commands delivers the request, possibly late or without the response reaching the caller.
-func (n *fakeNet) Commands(ctx context.Context, address string, req platform.CommandsRequest) (platform.CommandsResponse, error) {
+func (n *fakeNet) Commands(ctx context.Context, address string, req infra.CommandsRequest) (infra.CommandsResponse, error) {
 	if !n.gate.pass(ctx) {
-		return platform.CommandsResponse{}, errors.New("killed")
+		return infra.CommandsResponse{}, errors.New("killed")
 	}
 	cut, noReply, lossy := n.faults(address)
 	if cut || n.random.chance(lossy) {
 		<-ctx.Done()
-		return platform.CommandsResponse{}, ctx.Err()
+		return infra.CommandsResponse{}, ctx.Err()
 	}
 	type result struct {
-		answer platform.CommandsResponse
+		answer infra.CommandsResponse
 		err    error
 	}
 	done := make(chan result, 1)
@@ -319,19 +319,19 @@
 	case r := <-done:
 		if noReply || n.random.chance(lossy) {
 			<-ctx.Done()
-			return platform.CommandsResponse{}, ctx.Err()
+			return infra.CommandsResponse{}, ctx.Err()
 		}
 		if !n.gate.pass(context.WithoutCancel(ctx)) {
-			return platform.CommandsResponse{}, errors.New("killed")
+			return infra.CommandsResponse{}, errors.New("killed")
 		}
 		return r.answer, r.err
 	case <-ctx.Done():
-		return platform.CommandsResponse{}, ctx.Err()
+		return infra.CommandsResponse{}, ctx.Err()
 	}
 }
 
-func (n *fakeNet) Inventory(context.Context, string) (platform.Inventory, error) {
-	return platform.Inventory{}, errors.New("not used")
+func (n *fakeNet) Inventory(context.Context, string) (infra.Inventory, error) {
+	return infra.Inventory{}, errors.New("not used")
 }
 
 // gate freezes or kills one scheduler process.
@@ -381,7 +381,7 @@
 	random *random
 
 	mu       sync.Mutex
-	records  []platform.Record
+	records  []infra.Record
 	oldest   uint64
 	retain   int // number of records; 0 for all
 	down     bool
@@ -397,11 +397,11 @@
 	defer l.mu.Unlock()
 	first := l.oldest + uint64(len(l.records))
 	for i, d := range data {
-		l.records = append(l.records, platform.Record{Offset: first + uint64(i), Data: d})
+		l.records = append(l.records, infra.Record{Offset: first + uint64(i), Data: d})
 	}
 	if l.retain > 0 && len(l.records) > l.retain {
 		drop := len(l.records) - l.retain
-		l.records = append([]platform.Record(nil), l.records[drop:]...)
+		l.records = append([]infra.Record(nil), l.records[drop:]...)
 		l.oldest += uint64(drop)
 	}
 	l.appends++
@@ -435,12 +435,12 @@
 	return l.append(data), nil
 }
 
-func (l *fakeLog) Read(ctx context.Context, _ string, from uint64, limit int, waitMS int) (platform.ReadResponse, error) {
+func (l *fakeLog) Read(ctx context.Context, _ string, from uint64, limit int, waitMS int) (infra.ReadResponse, error) {
 	deadline := time.NewTimer(time.Duration(waitMS) * time.Millisecond)
 	defer deadline.Stop()
 	for {
 		if down, lossy := l.health(); down || l.random.chance(lossy) {
-			return platform.ReadResponse{}, errkind.New(errkind.Unavailable, "retry", "log is down")
+			return infra.ReadResponse{}, errkind.New(errkind.Unavailable, "retry", "log is down")
 		}
 		response, appended := l.read(from, limit)
 		if len(response.Records) > 0 || waitMS == 0 {
@@ -451,16 +451,16 @@
 		case <-deadline.C:
 			return response, nil
 		case <-ctx.Done():
-			return platform.ReadResponse{}, ctx.Err()
+			return infra.ReadResponse{}, ctx.Err()
 		}
 	}
 }
 
-func (l *fakeLog) read(from uint64, limit int) (platform.ReadResponse, chan struct{}) {
+func (l *fakeLog) read(from uint64, limit int) (infra.ReadResponse, chan struct{}) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	from = max(from, l.oldest)
-	response := platform.ReadResponse{Oldest: l.oldest, Next: l.oldest + uint64(len(l.records))}
+	response := infra.ReadResponse{Oldest: l.oldest, Next: l.oldest + uint64(len(l.records))}
 	for i := from - l.oldest; i < uint64(len(l.records)) && len(response.Records) < limit; i++ {
 		response.Records = append(response.Records, l.records[i])
 	}
--- a/control/follow.go
+++ b/control/follow.go
@@ -5,7 +5,7 @@
 	"errors"
 	"time"
 
-	"github.com/redwingthread/redwingthread/platform"
+	"github.com/redwingthread/redwingthread/infra"
 )
 
 // Parameters of the follower of the job stream.
@@ -21,19 +21,19 @@
 
 // batch is what one read of the job stream gave.
 type batch struct {
-	response platform.ReadResponse
+	response infra.ReadResponse
 	err      error
 }
 
 // follower reads the job stream. wake makes it read at once.
 type follower struct {
-	log    platform.Log
+	log    infra.Log
 	stream string
 	wake   chan struct{}
 	out    chan batch
 }
 
-func newFollower(log platform.Log, stream string) *follower {
+func newFollower(log infra.Log, stream string) *follower {
 	return &follower{log: log, stream: stream, wake: make(chan struct{}, 1), out: make(chan batch)}
 }
 
@@ -78,7 +78,7 @@
 }
 
 // after returns the offset to read next.
-func after(r platform.ReadResponse, next uint64) uint64 {
+func after(r infra.ReadResponse, next uint64) uint64 {
 	next = max(next, r.Oldest)
 	if n := len(r.Records); n > 0 {
 		next = max(next, r.Records[n-1].Offset+1)
@@ -90,12 +90,12 @@
 var errWoken = errors.New("woken")
 
 // read waits for records; a wake ends the wait with errWoken.
-func (f *follower) read(ctx context.Context, next uint64, waitMS int) (platform.ReadResponse, error) {
+func (f *follower) read(ctx context.Context, next uint64, waitMS int) (infra.ReadResponse, error) {
 	timeout := time.Duration(waitMS)*time.Millisecond + readSlack
 	readCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	type result struct {
-		response platform.ReadResponse
+		response infra.ReadResponse
 		err      error
 	}
 	done := make(chan result, 1)
@@ -111,9 +111,9 @@
 	case r := <-done:
 		return r.response, r.err
 	case <-wake:
-		return platform.ReadResponse{}, errWoken
+		return infra.ReadResponse{}, errWoken
 	case <-readCtx.Done():
-		return platform.ReadResponse{}, context.DeadlineExceeded
+		return infra.ReadResponse{}, context.DeadlineExceeded
 	}
 }
 
--- a/control/options.go
+++ b/control/options.go
@@ -16,8 +16,8 @@
 
 	"github.com/redwingthread/redwingthread/config"
 	"github.com/redwingthread/redwingthread/errkind"
+	"github.com/redwingthread/redwingthread/infra"
 	"github.com/redwingthread/redwingthread/inner"
-	"github.com/redwingthread/redwingthread/platform"
 	"github.com/redwingthread/redwingthread/scheduler"
 )
 
@@ -57,8 +57,8 @@
 	VM            string
 	// Holder names this incarnation towards workers; empty for a random name.
 	Holder  string
-	Log     platform.Log
-	Workers platform.WorkerClient
+	Log     infra.Log
+	Workers infra.WorkerClient
 	// Config returns the configuration in force, nil while there is none. The document is not changed by either side.
 	Config func() *config.Document
 	// ConfigChanged receives a value after each change; may be nil.
--- a/control/scenario_test.go
+++ b/control/scenario_test.go
@@ -15,9 +15,9 @@
 	"github.com/rs/zerolog"
 
 	"github.com/redwingthread/redwingthread/config"
+	"github.com/redwingthread/redwingthread/infra"
 	"github.com/redwingthread/redwingthread/invariant"
 	"github.com/redwingthread/redwingthread/jobs"
-	"github.com/redwingthread/redwingthread/platform"
 	"github.com/redwingthread/redwingthread/resource"
 	"github.com/redwingthread/redwingthread/scheduler"
 )
@@ -49,7 +49,7 @@
 	violations []string
 	epochs     map[uint64]string
 	onceRuns   map[string]int
-	differ     map[platform.AttemptID]time.Time
+	differ     map[infra.AttemptID]time.Time
 	// ran and done hold the members that an attempt released and that completed.
 	ran, done map[taskKey]bool
 	start     time.Time
@@ -87,7 +87,7 @@
 
 func newScenario(seed uint64) *scenario {
 	s := &scenario{random: newRandom(seed), workers: map[string]*fakeWorker{}, start: time.Now(),
-		epochs: map[uint64]string{}, onceRuns: map[string]int{}, ran: map[taskKey]bool{}, done: map[taskKey]bool{}, differ: map[platform.AttemptID]time.Time{}}
+		epochs: map[uint64]string{}, onceRuns: map[string]int{}, ran: map[taskKey]bool{}, done: map[taskKey]bool{}, differ: map[infra.AttemptID]time.Time{}}
 	capacity := resource.Resources{Accelerators: 8, MilliCPU: 32000, MemoryMB: 64000}
 	doc := &config.Document{Workers: map[string]resource.Worker{},
 		FailureDomains: map[string]config.FailureDomain{"fd": {Name: "fd"}},
--- a/control/send.go
+++ b/control/send.go
@@ -5,8 +5,8 @@
 	"time"
 
 	"github.com/redwingthread/redwingthread/gang"
+	"github.com/redwingthread/redwingthread/infra"
 	"github.com/redwingthread/redwingthread/lease"
-	"github.com/redwingthread/redwingthread/platform"
 	"github.com/redwingthread/redwingthread/scheduler"
 )
 
@@ -14,11 +14,11 @@
 type response struct {
 	worker  string
 	kind    lease.Kind
-	request platform.CommandsRequest
+	request infra.CommandsRequest
 	sent    time.Time
 	// epoch is that of the tenure in which the request was sent, 0 for none.
 	epoch  uint64
-	answer platform.CommandsResponse
+	answer infra.CommandsResponse
 	err    error
 }
 
@@ -47,7 +47,7 @@
 	if kind == lease.KindRenew && c.tenure == nil {
 		return
 	}
-	request := platform.CommandsRequest{
+	request := infra.CommandsRequest{
 		Holder:        c.Holder,
 		Epoch:         epoch,
 		LeaseMS:       max(length.Milliseconds(), 1),
@@ -84,7 +84,7 @@
 }
 
 // fill adds the task renewals and commands that are due to a request of the active scheduler.
-func (c *Control) fill(request *platform.CommandsRequest, w *worker, now time.Time) {
+func (c *Control) fill(request *infra.CommandsRequest, w *worker, now time.Time) {
 	reachable := w.health != scheduler.HealthUnreachable && w.health != scheduler.HealthGone
 	renew := w.read && reachable && now.Sub(w.renewedAt) >= taskRenewInterval
 	extends := false
@@ -96,9 +96,9 @@
 			continue
 		}
 		for _, command := range g.Commands(w.id, now) {
-			extends = extends || command.Op != platform.OpStop
+			extends = extends || command.Op != infra.OpStop
 			request.Commands = append(request.Commands, command)
-			if command.Op == platform.OpRelease {
+			if command.Op == infra.OpRelease {
 				c.tenure.released[command.Attempt.Job] = true
 			}
 		}
@@ -172,7 +172,7 @@
 	}
 }
 
-func (w *worker) takeInventory(inventory *platform.Inventory) (restarted bool) {
+func (w *worker) takeInventory(inventory *infra.Inventory) (restarted bool) {
 	restarted = w.incarnation != "" && w.incarnation != inventory.Incarnation
 	w.incarnation = inventory.Incarnation
 	w.revision = inventory.Revision
@@ -235,7 +235,7 @@
 		if w == nil {
 			continue
 		}
-		request := platform.CommandsRequest{Holder: c.Holder, Epoch: epoch, LeaseMS: s.Length.Milliseconds(),
+		request := infra.CommandsRequest{Holder: c.Holder, Epoch: epoch, LeaseMS: s.Length.Milliseconds(),
 			TaskLeaseMS: gang.TaskLease.Milliseconds(), KnownRevision: w.revision}
 		c.cost.sent(&request)
 		c.requests.Go(func() {
--- a/daemon/base.go
+++ b/daemon/base.go
@@ -9,8 +9,8 @@
 
 	"github.com/redwingthread/redwingthread/config"
 	"github.com/redwingthread/redwingthread/configlog"
+	"github.com/redwingthread/redwingthread/infra"
 	"github.com/redwingthread/redwingthread/inner"
-	"github.com/redwingthread/redwingthread/platform"
 	"github.com/redwingthread/redwingthread/settings"
 	"github.com/redwingthread/redwingthread/telemetry"
 )
@@ -25,7 +25,7 @@
 	keys     *inner.KeyStore
 	mux      *Mux
 	node     *Node
-	logs     platform.Log
+	logs     infra.Log
 	follower *configlog.Follower
 
 	innerServer   *inner.Server
@@ -40,7 +40,7 @@
 	// observe takes received heartbeats and may be nil.
 	observe func(inner.Heartbeat)
 	// observeVMs takes the platform's list of VMs and may be nil.
-	observeVMs func([]platform.VM)
+	observeVMs func([]infra.VM)
 	// ready reports whether the daemon takes work.
 	ready func() bool
 }
@@ -54,10 +54,10 @@
 	if err != nil {
 		return nil, err
 	}
-	if b.logs, err = platform.NewLogClient(common.Platform.LogURL); err != nil {
+	if b.logs, err = infra.NewLogClient(common.Platform.LogURL); err != nil {
 		return nil, err
 	}
-	vms, err := platform.NewVMListClient(common.Platform.VMListURL)
+	vms, err := infra.NewVMListClient(common.Platform.VMListURL)
 	if err != nil {
 		return nil, err
 	}
--- a/daemon/gateway.go
+++ b/daemon/gateway.go
@@ -11,11 +11,11 @@
 	"github.com/redwingthread/redwingthread/admission"
 	"github.com/redwingthread/redwingthread/errkind"
 	"github.com/redwingthread/redwingthread/gateway"
+	"github.com/redwingthread/redwingthread/infra"
 	"github.com/redwingthread/redwingthread/inner"
 	"github.com/redwingthread/redwingthread/jobs"
 	"github.com/redwingthread/redwingthread/jobs/jobquery"
 	"github.com/redwingthread/redwingthread/operatorapi"
-	"github.com/redwingthread/redwingthread/platform"
 	"github.com/redwingthread/redwingthread/request"
 	"github.com/redwingthread/redwingthread/settings"
 )
@@ -61,7 +61,7 @@
 	d.base, err = newBase(d.settings.Common, self, d.settings.Listen.Metrics, d.log, hooks{
 		describe:   d.describe,
 		observe:    d.observe,
-		observeVMs: func(vms []platform.VM) { d.gateway.ObserveVMs(vms) },
+		observeVMs: func(vms []infra.VM) { d.gateway.ObserveVMs(vms) },
 		ready:      d.ready,
 	})
 	if err != nil {
--- a/daemon/node.go
+++ b/daemon/node.go
@@ -12,9 +12,9 @@
 	"github.com/rs/zerolog"
 
 	"github.com/redwingthread/redwingthread/errkind"
+	"github.com/redwingthread/redwingthread/infra"
 	"github.com/redwingthread/redwingthread/inner"
 	"github.com/redwingthread/redwingthread/membership"
-	"github.com/redwingthread/redwingthread/platform"
 )
 
 const (
@@ -33,14 +33,14 @@
 	Seeds []inner.Member
 	Keys  *inner.KeyStore
 	// VMs is the platform's list of VMs.
-	VMs platform.VMList
+	VMs infra.VMList
 	Log zerolog.Logger
 	// Describe fills the state of the daemon into an outgoing heartbeat.
 	Describe func(*inner.Heartbeat)
 	// Observe takes every received heartbeat and may be nil.
 	Observe func(inner.Heartbeat)
 	// ObserveVMs takes every list of VMs read from the platform and may be nil.
-	ObserveVMs func([]platform.VM)
+	ObserveVMs func([]infra.VM)
 }
 
 // NewIncarnation returns a member with a new incarnation id. It must be called once for each start of a process.
--- a/daemon/scheduler.go
+++ b/daemon/scheduler.go
@@ -9,9 +9,9 @@
 
 	"github.com/redwingthread/redwingthread/control"
 	"github.com/redwingthread/redwingthread/errkind"
+	"github.com/redwingthread/redwingthread/infra"
 	"github.com/redwingthread/redwingthread/inner"
 	"github.com/redwingthread/redwingthread/membership"
-	"github.com/redwingthread/redwingthread/platform"
 	"github.com/redwingthread/redwingthread/scheduler"
 	"github.com/redwingthread/redwingthread/settings"
 )
@@ -26,7 +26,7 @@
 // RunScheduler runs the scheduler daemon until ctx ends, then gives its leases up, so that the other VM need not wait
 // for them to lapse. Running tasks go on under their task leases.
 func RunScheduler(ctx context.Context, s settings.Scheduler, log zerolog.Logger, self inner.Member) error {
-	d := &schedulerDaemon{settings: s, log: log, workers: platform.NewHTTPWorkers(nil)}
+	d := &schedulerDaemon{settings: s, log: log, workers: infra.NewHTTPWorkers(nil)}
 	if err := d.open(self); err != nil {
 		return err
 	}
@@ -49,7 +49,7 @@
 	settings settings.Scheduler
 	log      zerolog.Logger
 	base     *base
-	workers  *platform.HTTPWorkers
+	workers  *infra.HTTPWorkers
 	// control is nil while the daemon rests.
 	control atomic.Pointer[control.Control]
 	// changed wakes the control loop after each new configuration.
--- a/gang/gang.go
+++ b/gang/gang.go
@@ -11,9 +11,9 @@
 	"fmt"
 	"time"
 
+	"github.com/redwingthread/redwingthread/infra"
 	"github.com/redwingthread/redwingthread/invariant"
 	"github.com/redwingthread/redwingthread/jobs"
-	"github.com/redwingthread/redwingthread/platform"
 	"github.com/redwingthread/redwingthread/scheduler"
 )
 
@@ -59,23 +59,23 @@
 	PhaseEnded     Phase = "ended"
 )
 
-// Member states beyond those of platform.TaskState.
+// Member states beyond those of infra.TaskState.
 const (
 	// stateNone marks a member of which its worker knows nothing.
-	stateNone platform.TaskState = ""
+	stateNone infra.TaskState = ""
 	// stateGone marks a member whose worker restarted, or whose task lease must have lapsed.
-	stateGone platform.TaskState = "gone"
+	stateGone infra.TaskState = "gone"
 	// stateUnseen marks a member of an adopted gang whose worker was not yet read.
-	stateUnseen platform.TaskState = "unseen"
+	stateUnseen infra.TaskState = "unseen"
 )
 
 type member struct {
 	worker     string
-	state      platform.TaskState
+	state      infra.TaskState
 	checkpoint string
 	detail     string
 	// ackOp and ackAt are the last acknowledged command and its time.
-	ackOp platform.Op
+	ackOp infra.Op
 	ackAt time.Time
 }
 
@@ -83,12 +83,12 @@
 func (m *member) over() bool { return m.state == stateNone || m.state == stateGone || m.state.Ended() }
 
 func (m *member) runs() bool {
-	return m.state == platform.TaskRunning || m.state == platform.TaskCheckpointing
+	return m.state == infra.TaskRunning || m.state == infra.TaskCheckpointing
 }
 
 // resident reports whether the member is loaded, or has even run.
 func (m *member) resident() bool {
-	return m.state == platform.TaskHeld || m.runs() || m.state == platform.TaskDone
+	return m.state == infra.TaskHeld || m.runs() || m.state == infra.TaskDone
 }
 
 // Gang is one attempt.
@@ -127,7 +127,7 @@
 	for i, worker := range placement {
 		m := member{worker: worker}
 		if i < len(from) && from[i] == DoneCheckpoint {
-			m.state = platform.TaskDone
+			m.state = infra.TaskDone
 		}
 		g.members = append(g.members, m)
 	}
@@ -146,7 +146,7 @@
 	for i := range g.members {
 		g.members[i].state = stateUnseen
 		if i < len(from) && from[i] == DoneCheckpoint {
-			g.members[i].state = platform.TaskDone
+			g.members[i].state = infra.TaskDone
 		}
 	}
 	return g
@@ -156,7 +156,7 @@
 func (g *Gang) Job() jobs.Job { return g.job }
 
 // ID returns the attempt's id.
-func (g *Gang) ID() platform.AttemptID { return platform.AttemptID{Job: g.job.ID, Attempt: g.attempt} }
+func (g *Gang) ID() infra.AttemptID { return infra.AttemptID{Job: g.job.ID, Attempt: g.attempt} }
 
 // Phase returns the present phase.
 func (g *Gang) Phase() Phase { return g.phase }
@@ -188,7 +188,7 @@
 func (g *Gang) Checkpoints() []string {
 	names := make([]string, len(g.members))
 	for i := range g.members {
-		if g.members[i].state == platform.TaskDone {
+		if g.members[i].state == infra.TaskDone {
 			names[i] = DoneCheckpoint
 			continue
 		}
@@ -273,7 +273,7 @@
 func (g *Gang) checkWhole(now time.Time) {
 	running := g.any((*member).runs)
 	lost := g.any(func(m *member) bool {
-		return m.state != platform.TaskDone && m.state != stateUnseen && !m.runs()
+		return m.state != infra.TaskDone && m.state != stateUnseen && !m.runs()
 	})
 	if !running || !lost {
 		g.differSince = time.Time{}
--- a/gang/gang_test.go
+++ b/gang/gang_test.go
@@ -5,9 +5,9 @@
 	"testing"
 	"time"
 
+	"github.com/redwingthread/redwingthread/infra"
 	"github.com/redwingthread/redwingthread/invariant"
 	"github.com/redwingthread/redwingthread/jobs"
-	"github.com/redwingthread/redwingthread/platform"
 	"github.com/redwingthread/redwingthread/resource"
 	"github.com/redwingthread/redwingthread/scheduler"
 )
@@ -19,16 +19,16 @@
 	t     *testing.T
 	g     *Gang
 	now   time.Time
-	tasks []platform.Task
+	tasks []infra.Task
 	// dead, refuse and silent name members by index. The commands of silent ones have effect, their answers are lost.
 	dead, silent map[int]bool
-	refuse       map[int]platform.Op
-	sent         map[platform.Op]int
+	refuse       map[int]infra.Op
+	sent         map[infra.Op]int
 }
 
 func newCluster(t *testing.T, job jobs.Job) *cluster {
-	c := &cluster{t: t, now: time.Unix(1000, 0), tasks: make([]platform.Task, members), dead: map[int]bool{},
-		silent: map[int]bool{}, refuse: map[int]platform.Op{}, sent: map[platform.Op]int{}}
+	c := &cluster{t: t, now: time.Unix(1000, 0), tasks: make([]infra.Task, members), dead: map[int]bool{},
+		silent: map[int]bool{}, refuse: map[int]infra.Op{}, sent: map[infra.Op]int{}}
 	job.ID, job.Run = "a", []string{"run"}
 	job.Shape = resource.Shape{Members: members, PerMember: resource.Resources{MilliCPU: 1}}
 	c.g = New(job, 1, scheduler.Placement{"w-0", "w-1", "w-2"}, nil, false, c.now)
@@ -67,23 +67,23 @@
 	c.g.Step(c.now)
 }
 
-func (c *cluster) apply(i int, command platform.Command) {
+func (c *cluster) apply(i int, command infra.Command) {
 	task := &c.tasks[i]
 	switch command.Op {
-	case platform.OpReserve:
-		task.State = platform.TaskReserved
-	case platform.OpStart:
-		task.State = platform.TaskHeld
-	case platform.OpRelease:
-		task.State = platform.TaskRunning
+	case infra.OpReserve:
+		task.State = infra.TaskReserved
+	case infra.OpStart:
+		task.State = infra.TaskHeld
+	case infra.OpRelease:
+		task.State = infra.TaskRunning
 		for k := range c.tasks {
-			if s := c.tasks[k].State; s != platform.TaskHeld && s != platform.TaskRunning && !c.dead[k] &&
-				c.g.members[k].state != platform.TaskDone {
+			if s := c.tasks[k].State; s != infra.TaskHeld && s != infra.TaskRunning && !c.dead[k] &&
+				c.g.members[k].state != infra.TaskDone {
 				c.t.Errorf("member %d released while member %d is %q", i, k, s)
 			}
 		}
-	case platform.OpStop:
-		task.State = platform.TaskStopped
+	case infra.OpStop:
+		task.State = infra.TaskStopped
 		if command.Checkpoint != "" {
 			task.Checkpoint = fmt.Sprint("cp-", i)
 		}
@@ -111,7 +111,7 @@
 
 // kill restarts a member's worker without its tasks.
 func (c *cluster) kill(i int) {
-	c.tasks[i] = platform.Task{}
+	c.tasks[i] = infra.Task{}
 	c.g.Absent(worker(i), true, func(int) bool { return false })
 	c.dead[i] = true
 }
@@ -140,7 +140,7 @@
 				t.Fatalf("result %+v, want %s", c.g.Result(), want)
 			}
 			for i := range members {
-				if s := c.tasks[i].State; s == platform.TaskRunning || s == platform.TaskHeld {
+				if s := c.tasks[i].State; s == infra.TaskRunning || s == infra.TaskHeld {
 					t.Fatalf("member %d is left %s", i, s)
 				}
 			}
@@ -151,7 +151,7 @@
 // TestRefusalAtEachStep guards against a gang that starts without a member which was refused.
 func TestRefusalAtEachStep(t *testing.T) {
 	recordViolations(t)
-	for _, op := range []platform.Op{platform.OpReserve, platform.OpStart, platform.OpRelease} {
+	for _, op := range []infra.Op{infra.OpReserve, infra.OpStart, infra.OpRelease} {
 		t.Run(string(op), func(t *testing.T) {
 			c := newCluster(t, jobs.Job{})
 			c.refuse[2] = op
@@ -186,7 +186,7 @@
 	recordViolations(t)
 	c := newCluster(t, jobs.Job{CanCheckpoint: true})
 	c.until(PhaseReleasing)
-	c.refuse[0] = platform.OpRelease
+	c.refuse[0] = infra.OpRelease
 	start := c.now
 	c.until(PhaseEnded)
 	// The workers of this test stop at once, so only the release bound and two steps may pass.
@@ -229,13 +229,13 @@
 			for range 10 {
 				c.step()
 			}
-			if c.sent[platform.OpRelease] != 0 {
+			if c.sent[infra.OpRelease] != 0 {
 				t.Fatal("released before the intent was read")
 			}
 			test.event(c.g)
 			c.until(test.phase)
-			if c.g.Result().Kind != test.want || test.want != "" && c.sent[platform.OpRelease] != 0 {
-				t.Fatalf("result %+v, %d releases", c.g.Result(), c.sent[platform.OpRelease])
+			if c.g.Result().Kind != test.want || test.want != "" && c.sent[infra.OpRelease] != 0 {
+				t.Fatalf("result %+v, %d releases", c.g.Result(), c.sent[infra.OpRelease])
 			}
 		})
 	}
@@ -273,7 +273,7 @@
 	c := newCluster(t, jobs.Job{RunOnce: true, CanCheckpoint: true})
 	c.g.IntentWon()
 	c.until(PhaseRunning)
-	c.tasks[1].State = platform.TaskDone
+	c.tasks[1].State = infra.TaskDone
 	c.step()
 	c.g.Stop("reclaim", time.Second)
 	c.until(PhaseEnded)
@@ -281,27 +281,27 @@
 	if c.g.Result().Kind != scheduler.ResultStopped || !c.g.Result().Checkpointed || from[1] != DoneCheckpoint {
 		t.Fatalf("result %+v, checkpoints %v", c.g.Result(), from)
 	}
-	c.tasks = make([]platform.Task, members)
+	c.tasks = make([]infra.Task, members)
 	c.g = New(c.g.job, 2, c.g.Placement(), from, false, c.now)
 	c.g.IntentWon()
 	c.until(PhaseRunning)
-	if c.tasks[1].State != "" || c.tasks[0].State != platform.TaskRunning {
+	if c.tasks[1].State != "" || c.tasks[0].State != infra.TaskRunning {
 		t.Fatalf("tasks %+v", c.tasks)
 	}
 }
 
 // TestAdoptedGangIsWholeOrStopped guards against a takeover that leaves a gang partially released.
 func TestAdoptedGangIsWholeOrStopped(t *testing.T) {
-	held, running, done := platform.TaskHeld, platform.TaskRunning, platform.TaskDone
+	held, running, done := infra.TaskHeld, infra.TaskRunning, infra.TaskDone
 	cases := map[string]struct {
-		states []platform.TaskState
+		states []infra.TaskState
 		want   Phase
 	}{
-		"running":            {[]platform.TaskState{running, running, running}, PhaseRunning},
-		"partially released": {[]platform.TaskState{running, held, held}, PhaseRunning},
-		"member missing":     {[]platform.TaskState{running, running, ""}, PhaseEnded},
-		"only reserved":      {[]platform.TaskState{platform.TaskReserved, held, held}, PhaseEnded},
-		"all done":           {[]platform.TaskState{done, done, done}, PhaseEnded},
+		"running":            {[]infra.TaskState{running, running, running}, PhaseRunning},
+		"partially released": {[]infra.TaskState{running, held, held}, PhaseRunning},
+		"member missing":     {[]infra.TaskState{running, running, ""}, PhaseEnded},
+		"only reserved":      {[]infra.TaskState{infra.TaskReserved, held, held}, PhaseEnded},
+		"all done":           {[]infra.TaskState{done, done, done}, PhaseEnded},
 	}
 	for name, test := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -334,7 +334,7 @@
 	defer invariant.SetRecorder(log.Record)()
 	c := newCluster(t, jobs.Job{})
 	c.until(PhaseRunning)
-	c.g.members[0].state = platform.TaskHeld
+	c.g.members[0].state = infra.TaskHeld
 	c.g.phase = PhaseRunning
 	c.g.checkWhole(c.now)
 	c.g.checkWhole(c.now.Add(DifferBound))
--- a/gang/step.go
+++ b/gang/step.go
@@ -3,14 +3,14 @@
 import (
 	"time"
 
+	"github.com/redwingthread/redwingthread/infra"
 	"github.com/redwingthread/redwingthread/invariant"
 	"github.com/redwingthread/redwingthread/jobs"
-	"github.com/redwingthread/redwingthread/platform"
 	"github.com/redwingthread/redwingthread/scheduler"
 )
 
 // Observe reports the state of a member from a worker's inventory.
-func (g *Gang) Observe(index int, worker string, task platform.Task) {
+func (g *Gang) Observe(index int, worker string, task infra.Task) {
 	if index < 0 || index >= len(g.members) {
 		return
 	}
@@ -26,7 +26,7 @@
 	if task.Checkpoint != "" {
 		m.checkpoint = task.Checkpoint
 	}
-	if m.runs() || m.state == platform.TaskDone {
+	if m.runs() || m.state == infra.TaskDone {
 		g.released = true
 	}
 }
@@ -42,9 +42,9 @@
 		switch {
 		case m.state.Ended() && !restarted:
 		case m.state == stateNone && !restarted:
-		case m.state == platform.TaskReserved && !restarted && g.phase == PhaseReserving:
+		case m.state == infra.TaskReserved && !restarted && g.phase == PhaseReserving:
 			m.state = stateNone
-		case m.state == platform.TaskDone:
+		case m.state == infra.TaskDone:
 		default:
 			m.state = stateGone
 		}
@@ -71,7 +71,7 @@
 }
 
 // Acknowledged reports that a worker accepted a command.
-func (g *Gang) Acknowledged(index int, op platform.Op, now time.Time) {
+func (g *Gang) Acknowledged(index int, op infra.Op, now time.Time) {
 	if index < 0 || index >= len(g.members) {
 		return
 	}
@@ -80,14 +80,14 @@
 }
 
 // Refused reports that a worker refused a command. The inventory that came with the refusal must be observed first.
-func (g *Gang) Refused(index int, op platform.Op, reason string, now time.Time) {
+func (g *Gang) Refused(index int, op infra.Op, reason string, now time.Time) {
 	if index < 0 || index >= len(g.members) {
 		return
 	}
 	g.Acknowledged(index, op, now)
 	m := &g.members[index]
-	refusedReserve := op == platform.OpReserve && m.state == stateNone && g.phase == PhaseReserving
-	refusedStart := op == platform.OpStart && !m.resident() && g.phase == PhaseStarting
+	refusedReserve := op == infra.OpReserve && m.state == stateNone && g.phase == PhaseReserving
+	refusedStart := op == infra.OpStart && !m.resident() && g.phase == PhaseStarting
 	if refusedReserve || refusedStart {
 		g.abort(scheduler.Result{Kind: scheduler.ResultNotStarted, Workers: []string{m.worker},
 			Detail: "worker " + m.worker + " refused to " + string(op) + ": " + reason})
@@ -180,12 +180,12 @@
 }
 
 func (g *Gang) advanceReserving(late bool, now time.Time) {
-	reserved := func(m *member) bool { return m.state == platform.TaskReserved || m.resident() }
+	reserved := func(m *member) bool { return m.state == infra.TaskReserved || m.resident() }
 	if g.all(reserved) {
 		g.enter(PhaseStarting, StartBound, now)
 		return
 	}
-	lost := func(m *member) bool { return m.over() && m.state != stateNone && m.state != platform.TaskDone }
+	lost := func(m *member) bool { return m.over() && m.state != stateNone && m.state != infra.TaskDone }
 	if g.any(lost) || late {
 		g.abort(scheduler.Result{Kind: scheduler.ResultNotStarted, Detail: "not reserved in time",
 			Workers: g.workersOf(func(m *member) bool { return !reserved(m) })})
@@ -211,7 +211,7 @@
 }
 
 func (g *Gang) advanceReleasing(late bool, now time.Time) {
-	if g.all(func(m *member) bool { return m.runs() || m.state == platform.TaskDone }) {
+	if g.all(func(m *member) bool { return m.runs() || m.state == infra.TaskDone }) {
 		g.enter(PhaseRunning, 0, now)
 		return
 	}
@@ -220,25 +220,25 @@
 	}
 	if late {
 		g.stop(scheduler.Result{Kind: scheduler.ResultLost, Detail: "release not confirmed in time",
-			Workers: g.workersOf(func(m *member) bool { return m.state == platform.TaskHeld })}, LossCheckpointBound)
+			Workers: g.workersOf(func(m *member) bool { return m.state == infra.TaskHeld })}, LossCheckpointBound)
 	}
 }
 
 // advanceRunning also takes an adopted gang on: one that is wholly resident is released, one that is not is stopped.
 func (g *Gang) advanceRunning(now time.Time) {
-	if g.all(func(m *member) bool { return m.state == platform.TaskDone }) {
+	if g.all(func(m *member) bool { return m.state == infra.TaskDone }) {
 		g.end(scheduler.Result{Kind: scheduler.ResultCompleted})
 		return
 	}
 	if g.checkLoss() {
 		return
 	}
-	if g.any(func(m *member) bool { return m.state == platform.TaskReserved }) {
+	if g.any(func(m *member) bool { return m.state == infra.TaskReserved }) {
 		g.abort(scheduler.Result{Kind: scheduler.ResultNotStarted, Detail: "the previous scheduler stopped before the start"})
 		return
 	}
 	if g.any(func(m *member) bool { return m.state == stateUnseen }) ||
-		!g.any(func(m *member) bool { return m.state == platform.TaskHeld }) {
+		!g.any(func(m *member) bool { return m.state == infra.TaskHeld }) {
 		return
 	}
 	if g.job.RunOnce && !g.intentWon && !g.released {
@@ -250,8 +250,8 @@
 
 // checkLoss stops the attempt if a member failed or was lost.
 func (g *Gang) checkLoss() bool {
-	hasFailed := func(m *member) bool { return m.state == platform.TaskFailed }
-	isLost := func(m *member) bool { return m.over() && m.state != platform.TaskDone && !hasFailed(m) }
+	hasFailed := func(m *member) bool { return m.state == infra.TaskFailed }
+	isLost := func(m *member) bool { return m.over() && m.state != infra.TaskDone && !hasFailed(m) }
 	if !g.any(hasFailed) && !g.any(isLost) {
 		return false
 	}
@@ -270,7 +270,7 @@
 
 func (g *Gang) failureDetail() string {
 	for i := range g.members {
-		if g.members[i].state == platform.TaskFailed {
+		if g.members[i].state == infra.TaskFailed {
 			return g.members[i].detail
 		}
 	}
@@ -283,7 +283,7 @@
 	}
 	result := g.result
 	switch {
-	case g.all(func(m *member) bool { return m.state == platform.TaskDone }):
+	case g.all(func(m *member) bool { return m.state == infra.TaskDone }):
 		result = scheduler.Result{Kind: scheduler.ResultCompleted}
 	case result.Kind == scheduler.ResultNotStarted && g.released:
 		result.Kind = scheduler.ResultLost
@@ -299,7 +299,7 @@
 	}
 	for i := range g.from {
 		m := &g.members[i]
-		if m.state != platform.TaskDone && m.checkpoint == g.from[i] {
+		if m.state != infra.TaskDone && m.checkpoint == g.from[i] {
 			return false
 		}
 	}
@@ -333,8 +333,8 @@
 
 // Commands returns the commands that members on a worker need now. Commands that the worker has just acknowledged are
 // left out for a while, since their effect may take time.
-func (g *Gang) Commands(worker string, now time.Time) []platform.Command {
-	var commands []platform.Command
+func (g *Gang) Commands(worker string, now time.Time) []infra.Command {
+	var commands []infra.Command
 	for i := range g.members {
 		m := &g.members[i]
 		if m.worker != worker {
@@ -344,7 +344,7 @@
 		if !ok || (m.ackOp == command.Op && now.Sub(m.ackAt) < repeatInterval) {
 			continue
 		}
-		if command.Op == platform.OpRelease {
+		if command.Op == infra.OpRelease {
 			invariant.Check(!g.job.RunOnce || g.intentWon, invariant.AtMostOnce,
 				"run-once job %s is released in attempt %d without its intent", g.job.ID, g.attempt)
 			g.released = true
@@ -371,30 +371,30 @@
 	return at
 }
 
-func (g *Gang) command(index int) (platform.Command, bool) {
+func (g *Gang) command(index int) (infra.Command, bool) {
 	m := &g.members[index]
-	c := platform.Command{Attempt: g.ID(), Member: index}
+	c := infra.Command{Attempt: g.ID(), Member: index}
 	switch {
 	case g.phase == PhaseReserving && m.state == stateNone:
-		c.Op = platform.OpReserve
+		c.Op = infra.OpReserve
 		c.Resources = g.job.Shape.PerMember
 		c.TTLMS = ReservationTTL.Milliseconds()
-	case g.phase == PhaseStarting && m.state == platform.TaskReserved:
-		c.Op = platform.OpStart
+	case g.phase == PhaseStarting && m.state == infra.TaskReserved:
+		c.Op = infra.OpStart
 		c.Run = g.job.Run
 		if index < len(g.from) {
 			c.Checkpoint = g.from[index]
 		}
-	case g.phase == PhaseReleasing && m.state == platform.TaskHeld:
-		c.Op = platform.OpRelease
+	case g.phase == PhaseReleasing && m.state == infra.TaskHeld:
+		c.Op = infra.OpRelease
 	case g.phase == PhaseStopping && !m.over() && m.state != stateUnseen:
-		c.Op = platform.OpStop
+		c.Op = infra.OpStop
 		if g.checkpointMS > 0 && m.runs() {
 			c.Checkpoint = "stop"
 			c.CheckpointMS = g.checkpointMS
 		}
 	default:
-		return platform.Command{}, false
+		return infra.Command{}, false
 	}
 	return c, true
 }
--- a/gateway/dispatcher.go
+++ b/gateway/dispatcher.go
@@ -8,8 +8,8 @@
 	"github.com/redwingthread/redwingthread/admission"
 	"github.com/redwingthread/redwingthread/config"
 	"github.com/redwingthread/redwingthread/errkind"
+	"github.com/redwingthread/redwingthread/infra"
 	"github.com/redwingthread/redwingthread/inner"
-	"github.com/redwingthread/redwingthread/platform"
 	"github.com/redwingthread/redwingthread/routing"
 )
 
@@ -249,7 +249,7 @@
 }
 
 // ObserveVMs takes in the platform's VM list.
-func (g *Gateway) ObserveVMs(vms []platform.VM) {
+func (g *Gateway) ObserveVMs(vms []infra.VM) {
 	g.dispatcher.mu.Lock()
 	defer g.dispatcher.mu.Unlock()
 	g.dispatcher.routes.ObserveVMs(vms, time.Now())
--- a/gateway/failure_test.go
+++ b/gateway/failure_test.go
@@ -10,9 +10,9 @@
 	"time"
 
 	"github.com/redwingthread/redwingthread/errkind"
+	"github.com/redwingthread/redwingthread/infra"
 	"github.com/redwingthread/redwingthread/inner"
 	"github.com/redwingthread/redwingthread/invariant"
-	"github.com/redwingthread/redwingthread/platform"
 )
 
 // TestKeys guards against a key that runs twice when a caller repeats it at any gateway, before or after its owner died.
@@ -227,8 +227,8 @@
 			g.LearnLeaving([]inner.EndpointIncarnation{{Service: "scan", Endpoint: "e-0", Incarnation: "e-0-1"}})
 		},
 		"VM list going back and forth": func(f *fixture, g *node) {
-			g.ObserveVMs([]platform.VM{{ID: "e-0", Role: platform.RoleEndpoint, State: platform.VMLeaving}})
-			g.ObserveVMs([]platform.VM{{ID: "e-0", Role: platform.RoleEndpoint, State: platform.VMLive}})
+			g.ObserveVMs([]infra.VM{{ID: "e-0", Role: infra.RoleEndpoint, State: infra.VMLeaving}})
+			g.ObserveVMs([]infra.VM{{ID: "e-0", Role: infra.RoleEndpoint, State: infra.VMLive}})
 		},
 	}
 	for name, sign := range signs {
--- a/gateway/scenario_test.go
+++ b/gateway/scenario_test.go
@@ -11,7 +11,7 @@
 
 	"github.com/anishathalye/porcupine"
 
-	"github.com/redwingthread/redwingthread/platform"
+	"github.com/redwingthread/redwingthread/infra"
 	"github.com/redwingthread/redwingthread/routing"
 )
 
@@ -251,9 +251,9 @@
 func (w *world) gossip(end time.Time) {
 	for time.Now().Before(end) {
 		time.Sleep(500 * time.Millisecond)
-		var vms []platform.VM
+		var vms []infra.VM
 		for _, e := range w.endpoints {
-			vms = append(vms, platform.VM{ID: e.id, Role: platform.RoleEndpoint, State: platform.VMLive})
+			vms = append(vms, infra.VM{ID: e.id, Role: infra.RoleEndpoint, State: infra.VMLive})
 		}
 		nodes := w.nodes()
 		for _, from := range nodes {
--- a/platform/client.go
+++ b/infra/client.go
@@ -1,4 +1,4 @@
-package platform
+package infra
 
 import (
 	"context"
@@ -32,7 +32,7 @@
 )
 
 // tracer makes the spans of this package; they are dropped unless the daemon installs an exporter.
-var tracer = otel.Tracer("github.com/redwingthread/redwingthread/platform")
+var tracer = otel.Tracer("github.com/redwingthread/redwingthread/infra")
 
 // service calls one of the platform's HTTP services.
 type service struct {
@@ -42,7 +42,7 @@
 }
 
 // newService returns a caller of the service at baseURL, for example "http://10.0.0.1:7000". Its bytes are counted as
-// platform.METRICNAME.bytes_sent and platform.METRICNAME.bytes_received.
+// infra.METRICNAME.bytes_sent and infra.METRICNAME.bytes_received.
 func newService(name, metricName, baseURL string) (*service, error) {
 	parsed, err := url.Parse(baseURL)
 	if err != nil || parsed.Scheme != "http" && parsed.Scheme != "https" || parsed.Host == "" {
--- a/platform/counted.go
+++ b/infra/counted.go
@@ -1,4 +1,4 @@
-package platform
+package infra
 
 import (
 	"context"
--- a/inner/messages.go
+++ b/inner/messages.go
@@ -6,8 +6,8 @@
 	"context"
 
 	"github.com/redwingthread/redwingthread/errkind"
+	"github.com/redwingthread/redwingthread/infra"
 	"github.com/redwingthread/redwingthread/jobs"
-	"github.com/redwingthread/redwingthread/platform"
 )
 
 // Request is one message from a process to a peer. Exactly one of the pointer fields is set.
@@ -117,9 +117,9 @@
 
 // FetchRecordsResponse holds retained records in offset order. Oldest is the first offset that the peer holds.
 type FetchRecordsResponse struct {
-	Oldest  uint64            `cbor:"oldest"`
-	Next    uint64            `cbor:"next"`
-	Records []platform.Record `cbor:"records"`
+	Oldest  uint64         `cbor:"oldest"`
+	Next    uint64         `cbor:"next"`
+	Records []infra.Record `cbor:"records"`
 }
 
 // FetchState asks for the folded configuration.
--- a/jobs/fold.go
+++ b/jobs/fold.go
@@ -8,7 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/redwingthread/redwingthread/errkind"
-	"github.com/redwingthread/redwingthread/platform"
+	"github.com/redwingthread/redwingthread/infra"
 )
 
 // MaxEnded is the number of ended jobs that the fold keeps. The oldest ones are dropped in the order of their ended
@@ -48,7 +48,7 @@
 	anchored bool
 	origin   uint64
 	// pending holds the records since origin while the fold is not anchored.
-	pending []platform.Record
+	pending []infra.Record
 	// lastSnapshot is the offset of the newest snapshot record seen; valid if hasSnapshot.
 	lastSnapshot uint64
 	hasSnapshot  bool
@@ -93,7 +93,7 @@
 }
 
 // Apply folds the record at offset Next. A record below Next changes nothing. The id is that of the job concerned.
-func (f *Fold) Apply(r platform.Record) (change Change, id string, err error) {
+func (f *Fold) Apply(r infra.Record) (change Change, id string, err error) {
 	if r.Offset < f.next {
 		return ChangeNone, "", nil
 	}
--- a/jobs/fold_test.go
+++ b/jobs/fold_test.go
@@ -8,7 +8,7 @@
 
 	"pgregory.net/rapid"
 
-	"github.com/redwingthread/redwingthread/platform"
+	"github.com/redwingthread/redwingthread/infra"
 	"github.com/redwingthread/redwingthread/resource"
 )
 
@@ -32,12 +32,12 @@
 
 func cancelled(id string) Record { return Record{Kind: RecordCancel, Cancel: &Cancel{Job: id}} }
 
-func raw(t interface{ Fatal(...any) }, offset uint64, r Record) platform.Record {
+func raw(t interface{ Fatal(...any) }, offset uint64, r Record) infra.Record {
 	data, err := Encode(r)
 	if err != nil {
 		t.Fatal(err)
 	}
-	return platform.Record{Offset: offset, Data: data}
+	return infra.Record{Offset: offset, Data: data}
 }
 
 // TestFoldRules guards against a record that takes effect although an earlier one has decided.
@@ -92,7 +92,7 @@
 		t.Fatal(err)
 	}
 	f := NewFold()
-	_, _, err = f.Apply(platform.Record{Data: data})
+	_, _, err = f.Apply(infra.Record{Data: data})
 	if !errors.Is(err, ErrRuleSet) || f.Next() != 0 || !f.Stopped() {
 		t.Fatalf("got error %v at offset %d", err, f.Next())
 	}
@@ -101,7 +101,7 @@
 // TestFoldFromSnapshot guards against a reader that starts after expired records and gets another state.
 func TestFoldFromSnapshot(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		var stream []platform.Record
+		var stream []infra.Record
 		all := NewFold()
 		add := func(r Record) {
 			record := raw(t, uint64(len(stream)), r)
--- a/jobs/service.go
+++ b/jobs/service.go
@@ -8,7 +8,7 @@
 
 	"github.com/redwingthread/redwingthread/config"
 	"github.com/redwingthread/redwingthread/errkind"
-	"github.com/redwingthread/redwingthread/platform"
+	"github.com/redwingthread/redwingthread/infra"
 )
 
 // Bounds of the service.
@@ -39,7 +39,7 @@
 
 // ServiceOptions are the dependencies of a Service.
 type ServiceOptions struct {
-	Log platform.Log
+	Log infra.Log
 	// Config returns the configuration in force, nil while there is none.
 	Config  func() *config.Document
 	Querier Querier
@@ -58,7 +58,7 @@
 // stream is the folded job stream of one failure domain.
 type stream struct {
 	name string
-	log  platform.Log
+	log  infra.Log
 	mu   sync.Mutex
 	// fold is guarded by mu, which is held during a read so that one reader serves all waiting calls.
 	fold *Fold
@@ -88,7 +88,7 @@
 	defer s.mu.Unlock()
 	st := s.streams[failureDomain]
 	if st == nil {
-		st = &stream{name: platform.JobStream(failureDomain), log: s.options.Log, fold: NewFold()}
+		st = &stream{name: infra.JobStream(failureDomain), log: s.options.Log, fold: NewFold()}
 		s.streams[failureDomain] = st
 	}
 	return st
--- a/jobs/service_test.go
+++ b/jobs/service_test.go
@@ -9,14 +9,14 @@
 
 	"github.com/redwingthread/redwingthread/config"
 	"github.com/redwingthread/redwingthread/errkind"
-	"github.com/redwingthread/redwingthread/platform"
+	"github.com/redwingthread/redwingthread/infra"
 	"github.com/redwingthread/redwingthread/resource"
 )
 
 // memoryLog is a log whose appends may fail before or after they take effect.
 type memoryLog struct {
 	mu      sync.Mutex
-	streams map[string][]platform.Record
+	streams map[string][]infra.Record
 	down    bool
 	// loseAnswer fails appends after, loseRecord before they take effect.
 	loseAnswer, loseRecord bool
@@ -31,7 +31,7 @@
 	}
 	first := uint64(len(l.streams[stream]))
 	for i, data := range records {
-		l.streams[stream] = append(l.streams[stream], platform.Record{Offset: first + uint64(i), Data: data})
+		l.streams[stream] = append(l.streams[stream], infra.Record{Offset: first + uint64(i), Data: data})
 	}
 	if l.loseAnswer {
 		return 0, lost
@@ -39,15 +39,15 @@
 	return first, nil
 }
 
-func (l *memoryLog) Read(_ context.Context, stream string, from uint64, _, _ int) (platform.ReadResponse, error) {
+func (l *memoryLog) Read(_ context.Context, stream string, from uint64, _, _ int) (infra.ReadResponse, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.down {
-		return platform.ReadResponse{}, errkind.New(errkind.Unavailable, "retry", "log is down")
+		return infra.ReadResponse{}, errkind.New(errkind.Unavailable, "retry", "log is down")
 	}
 	records := l.streams[stream]
 	from = min(from, uint64(len(records)))
-	return platform.ReadResponse{Next: uint64(len(records)), Records: records[from:]}, nil
+	return infra.ReadResponse{Next: uint64(len(records)), Records: records[from:]}, nil
 }
 
 type noScheduler struct{}
@@ -71,7 +71,7 @@
 	}
 }
 
-func newTestService(t *testing.T, log platform.Log) *Service {
+func newTestService(t *testing.T, log infra.Log) *Service {
 	doc := testDocument()
 	s, err := NewService(ServiceOptions{Log: log, Config: func() *config.Document { return doc }, Querier: noScheduler{}})
 	if err != nil {
@@ -100,7 +100,7 @@
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				c.log.streams = map[string][]platform.Record{}
+				c.log.streams = map[string][]infra.Record{}
 				_, err := newTestService(t, c.log).Submit(t.Context(), c.job)
 				if errkind.KindOf(err) != c.kind || Outcome(err) != c.outcome {
 					t.Fatalf("got %v, outcome %s", err, Outcome(err))
@@ -116,7 +116,7 @@
 // TestServiceRepeatsAndAccounts guards against a repeat that makes a second job, an id that changes its content, and an
 // account that reaches another one's job.
 func TestServiceRepeatsAndAccounts(t *testing.T) {
-	log := &memoryLog{streams: map[string][]platform.Record{}}
+	log := &memoryLog{streams: map[string][]infra.Record{}}
 	s := newTestService(t, log)
 	job := testJob("a")
 	job.FailureDomain = ""
--- a/membership/table.go
+++ b/membership/table.go
@@ -12,8 +12,8 @@
 	"sort"
 	"time"
 
+	"github.com/redwingthread/redwingthread/infra"
 	"github.com/redwingthread/redwingthread/inner"
-	"github.com/redwingthread/redwingthread/platform"
 )
 
 // Roles of daemons.
@@ -176,9 +176,9 @@
 }
 
 // ObserveVMs takes the platform's list of VMs. Entry VMs that it calls leaving stay so, see leavingVMs.
-func (t *Table) ObserveVMs(vms []platform.VM) {
+func (t *Table) ObserveVMs(vms []infra.VM) {
 	for _, vm := range vms {
-		if vm.Role == platform.RoleEntry && vm.State == platform.VMLeaving {
+		if vm.Role == infra.RoleEntry && vm.State == infra.VMLeaving {
 			t.leavingVMs[vm.ID] = true
 		}
 	}
--- a/membership/table_test.go
+++ b/membership/table_test.go
@@ -4,8 +4,8 @@
 	"testing"
 	"time"
 
+	"github.com/redwingthread/redwingthread/infra"
 	"github.com/redwingthread/redwingthread/inner"
-	"github.com/redwingthread/redwingthread/platform"
 )
 
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -36,10 +36,10 @@
 	table := newTable()
 	beat := inner.Heartbeat{Member: gatewayMember("vm-2", "fd-a", "i1")}
 	table.ObserveHeartbeat(beat, start)
-	vm := platform.VM{ID: "vm-2", Role: platform.RoleEntry, State: platform.VMLeaving}
-	table.ObserveVMs([]platform.VM{vm})
-	vm.State = platform.VMLive
-	table.ObserveVMs([]platform.VM{vm})
+	vm := infra.VM{ID: "vm-2", Role: infra.RoleEntry, State: infra.VMLeaving}
+	table.ObserveVMs([]infra.VM{vm})
+	vm.State = infra.VMLive
+	table.ObserveVMs([]infra.VM{vm})
 	table.ObserveHeartbeat(beat, start)
 	if !table.Live(RoleGateway, start)[0].Leaving {
 		t.Fatal("leaving was taken back by the list")
--- a/processtest/faults_test.go
+++ b/processtest/faults_test.go
@@ -11,8 +11,8 @@
 	"time"
 
 	"github.com/redwingthread/redwingthread/errkind"
+	"github.com/redwingthread/redwingthread/infra"
 	"github.com/redwingthread/redwingthread/operatorclient"
-	"github.com/redwingthread/redwingthread/platform"
 	"github.com/redwingthread/redwingthread/standin"
 )
 
@@ -75,8 +75,8 @@
 		s.set.Endpoints[id].SetFaults(standin.EndpointFaults{Leaving: true})
 	}
 	byList := func(id string) {
-		s.set.VMList.Set(platform.VM{ID: id, FailureDomain: "fd-a", Role: platform.RoleEndpoint,
-			State: platform.VMLeaving, Address: s.set.Address(id)}, time.Now())
+		s.set.VMList.Set(infra.VM{ID: id, FailureDomain: "fd-a", Role: infra.RoleEndpoint,
+			State: infra.VMLeaving, Address: s.set.Address(id)}, time.Now())
 	}
 	// The endpoints of fd-b and fd-c leave first, so that all 6 gateways use those of fd-a.
 	steps := []struct {
--- a/processtest/outages_test.go
+++ b/processtest/outages_test.go
@@ -13,9 +13,9 @@
 	"github.com/redwingthread/redwingthread/configlog"
 	"github.com/redwingthread/redwingthread/errkind"
 	"github.com/redwingthread/redwingthread/gang"
+	"github.com/redwingthread/redwingthread/infra"
 	"github.com/redwingthread/redwingthread/jobs"
 	"github.com/redwingthread/redwingthread/operatorclient"
-	"github.com/redwingthread/redwingthread/platform"
 	"github.com/redwingthread/redwingthread/standin"
 )
 
@@ -135,7 +135,7 @@
 	running := make(map[uint64][]string)
 	for id, worker := range s.set.Workers {
 		for _, task := range worker.Inventory(time.Now()).Tasks {
-			if task.Attempt.Job == job && task.State == platform.TaskRunning {
+			if task.Attempt.Job == job && task.State == infra.TaskRunning {
 				running[task.Attempt.Attempt] = append(running[task.Attempt.Attempt], id)
 			}
 		}
--- a/routing/leaving.go
+++ b/routing/leaving.go
@@ -4,8 +4,8 @@
 	"time"
 
 	"github.com/redwingthread/redwingthread/config"
+	"github.com/redwingthread/redwingthread/infra"
 	"github.com/redwingthread/redwingthread/inner"
-	"github.com/redwingthread/redwingthread/platform"
 )
 
 // LeavingBound is the time after the first sign within which a leaving endpoint stops getting requests.
@@ -154,11 +154,11 @@
 }
 
 // ObserveVMs takes in the platform's list. An endpoint is matched by its id or its address.
-func (t *Table) ObserveVMs(vms []platform.VM, now time.Time) {
-	byID := make(map[string]platform.VMState, len(vms))
-	byAddress := make(map[string]platform.VMState, len(vms))
+func (t *Table) ObserveVMs(vms []infra.VM, now time.Time) {
+	byID := make(map[string]infra.VMState, len(vms))
+	byAddress := make(map[string]infra.VMState, len(vms))
 	for _, vm := range vms {
-		if vm.Role == platform.RoleEndpoint {
+		if vm.Role == infra.RoleEndpoint {
 			byID[vm.ID] = vm.State
 			byAddress[vm.Address] = vm.State
 		}
@@ -175,12 +175,12 @@
 }
 
 // observeVM takes in the listed state of one endpoint, empty if it is not listed.
-func (t *Table) observeVM(e *endpoint, state platform.VMState, now time.Time) {
+func (t *Table) observeVM(e *endpoint, state infra.VMState, now time.Time) {
 	switch state {
-	case platform.VMLeaving:
+	case infra.VMLeaving:
 		t.mark(e, now)
 		e.incarnation.liveSince = time.Time{}
-	case platform.VMLive:
+	case infra.VMLive:
 		if e.incarnation.liveSince.IsZero() {
 			e.incarnation.liveSince = now
 		}
--- a/standin/clients_test.go
+++ b/standin/clients_test.go
@@ -5,22 +5,22 @@
 	"testing"
 
 	"github.com/redwingthread/redwingthread/errkind"
-	"github.com/redwingthread/redwingthread/platform"
+	"github.com/redwingthread/redwingthread/infra"
 )
 
 // TestPlatformClients guards against stand-ins that speak another contract than the program's own clients.
 func TestPlatformClients(t *testing.T) {
 	set := startSet(t)
 	ctx := context.Background()
-	log, err := platform.NewLogClient("http://" + set.Address("log"))
+	log, err := infra.NewLogClient("http://" + set.Address("log"))
 	if err != nil {
 		t.Fatal(err)
 	}
-	first, err := log.Append(ctx, platform.ConfigStream, [][]byte{[]byte("a"), []byte("b")})
+	first, err := log.Append(ctx, infra.ConfigStream, [][]byte{[]byte("a"), []byte("b")})
 	if err != nil || first != 0 {
 		t.Fatalf("got offset %d, error %v", first, err)
 	}
-	read, err := log.Read(ctx, platform.ConfigStream, 1, 10, 0)
+	read, err := log.Read(ctx, infra.ConfigStream, 1, 10, 0)
 	if err != nil || read.Next != 2 || len(read.Records) != 1 || string(read.Records[0].Data) != "b" {
 		t.Fatalf("got %+v, error %v", read, err)
 	}
@@ -28,17 +28,17 @@
 		t.Errorf("bad stream name: got error %v", err)
 	}
 	set.Log.SetFaults(LogFaults{LoseResponses: 1})
-	if _, err := log.Append(ctx, platform.ConfigStream, [][]byte{[]byte("c")}); err == nil {
+	if _, err := log.Append(ctx, infra.ConfigStream, [][]byte{[]byte("c")}); err == nil {
 		t.Error("lost response arrived")
 	}
-	if read, err := log.Read(ctx, platform.ConfigStream, 0, 10, 0); err != nil || read.Next != 3 {
+	if read, err := log.Read(ctx, infra.ConfigStream, 0, 10, 0); err != nil || read.Next != 3 {
 		t.Errorf("after the lost response: %+v, error %v", read, err)
 	}
-	list, err := platform.NewVMListClient("http://" + set.Address("vm_list"))
+	list, err := infra.NewVMListClient("http://" + set.Address("vm_list"))
 	if err != nil {
 		t.Fatal(err)
 	}
-	if vms, err := list.VMs(ctx); err != nil || len(vms) != 4 || vms[1].ID != "vm-1" || vms[1].Role != platform.RoleEntry {
+	if vms, err := list.VMs(ctx); err != nil || len(vms) != 4 || vms[1].ID != "vm-1" || vms[1].Role != infra.RoleEntry {
 		t.Errorf("got %+v, error %v", vms, err)
 	}
 }
--- a/standin/log.go
+++ b/standin/log.go
@@ -11,7 +11,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/redwingthread/redwingthread/errkind"
-	"github.com/redwingthread/redwingthread/platform"
+	"github.com/redwingthread/redwingthread/infra"
 )
 
 // LogOptions holds the properties of a log service. Zero values mean no bound.
@@ -119,7 +119,7 @@
 }
 
 // Read returns up to limit retained records from the offset on, without waiting.
-func (l *Log) Read(name string, from uint64, limit int, now time.Time) platform.ReadResponse {
+func (l *Log) Read(name string, from uint64, limit int, now time.Time) infra.ReadResponse {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	response, _ := l.read(name, from, limit, now)
@@ -127,13 +127,13 @@
 }
 
 // read returns the response and a channel that is closed at the next append. The caller holds mu.
-func (l *Log) read(name string, from uint64, limit int, now time.Time) (platform.ReadResponse, <-chan struct{}) {
+func (l *Log) read(name string, from uint64, limit int, now time.Time) (infra.ReadResponse, <-chan struct{}) {
 	s := l.stream(name)
 	l.expire(s, now)
-	response := platform.ReadResponse{Oldest: s.oldest, Next: s.next(), Records: []platform.Record{}}
+	response := infra.ReadResponse{Oldest: s.oldest, Next: s.next(), Records: []infra.Record{}}
 	for offset := max(from, s.oldest); offset < s.next() && len(response.Records) < limit; offset++ {
 		data := s.records[offset-s.oldest].data
-		response.Records = append(response.Records, platform.Record{Offset: offset, Data: data})
+		response.Records = append(response.Records, infra.Record{Offset: offset, Data: data})
 	}
 	return response, s.changed
 }
@@ -183,7 +183,7 @@
 		writeError(w, errkind.New(errkind.Unavailable, "append fewer and larger batches", "append rate exceeded"))
 		return
 	}
-	var request platform.AppendRequest
+	var request infra.AppendRequest
 	if err := readJSON(r, &request); err != nil {
 		writeError(w, err)
 		return
@@ -196,7 +196,7 @@
 	if l.takeLostResponse() {
 		dropConnection()
 	}
-	writeJSON(w, http.StatusOK, platform.AppendResponse{FirstOffset: first})
+	writeJSON(w, http.StatusOK, infra.AppendResponse{FirstOffset: first})
 }
 
 func (l *Log) serveRead(w http.ResponseWriter, r *http.Request) {
@@ -225,7 +225,7 @@
 }
 
 // wait reads and, while there is no record, waits for one until ctx ends.
-func (l *Log) wait(ctx context.Context, name string, from uint64, limit int) platform.ReadResponse {
+func (l *Log) wait(ctx context.Context, name string, from uint64, limit int) infra.ReadResponse {
 	for {
 		l.mu.Lock()
 		response, changed := l.read(name, from, limit, time.Now())
--- a/standin/options.go
+++ b/standin/options.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"net/netip"
 
-	"github.com/redwingthread/redwingthread/platform"
+	"github.com/redwingthread/redwingthread/infra"
 	"github.com/redwingthread/redwingthread/resource"
 	"github.com/redwingthread/redwingthread/settings"
 )
@@ -165,24 +165,24 @@
 }
 
 // vms returns the list of all VMs that the settings name.
-func (s *Settings) vms() []platform.VM {
-	var vms []platform.VM
+func (s *Settings) vms() []infra.VM {
+	var vms []infra.VM
 	add := func(id, failureDomain, role, address string) {
-		vms = append(vms, platform.VM{
-			ID: id, FailureDomain: failureDomain, Role: role, State: platform.VMLive, Address: address,
+		vms = append(vms, infra.VM{
+			ID: id, FailureDomain: failureDomain, Role: role, State: infra.VMLive, Address: address,
 		})
 	}
 	for _, vm := range s.VMList.VMs {
-		add(vm.ID, vm.FailureDomain, platform.RoleEntry, vm.Address)
+		add(vm.ID, vm.FailureDomain, infra.RoleEntry, vm.Address)
 	}
 	for _, w := range s.Workers {
 		for _, p := range places(w.ID, w.Address, w.Count) {
-			add(p.id, w.FailureDomain, platform.RoleWorker, p.address)
+			add(p.id, w.FailureDomain, infra.RoleWorker, p.address)
 		}
 	}
 	for _, e := range s.Endpoints {
 		for _, p := range places(e.ID, e.Address, e.Count) {
-			add(p.id, e.FailureDomain, platform.RoleEndpoint, p.address)
+			add(p.id, e.FailureDomain, infra.RoleEndpoint, p.address)
 		}
 	}
 	return vms
--- a/standin/services_test.go
+++ b/standin/services_test.go
@@ -18,7 +18,7 @@
 	"time"
 
 	"github.com/redwingthread/redwingthread/errkind"
-	"github.com/redwingthread/redwingthread/platform"
+	"github.com/redwingthread/redwingthread/infra"
 )
 
 const settingsText = `
@@ -97,13 +97,13 @@
 	set := startSet(t)
 	url := "http://" + set.Address("log") + "/v1/streams/config/records"
 	appended := make(chan error, 1)
-	var polled platform.ReadResponse
+	var polled infra.ReadResponse
 	go func() {
 		_, err := exchange(t, "GET", url+"?from=0&wait_ms=5000", nil, &polled)
 		appended <- err
 	}()
-	var first platform.AppendResponse
-	records := platform.AppendRequest{Records: [][]byte{[]byte("a"), []byte("b")}}
+	var first infra.AppendResponse
+	records := infra.AppendRequest{Records: [][]byte{[]byte("a"), []byte("b")}}
 	if status, err := exchange(t, "POST", url, records, &first); status != 200 || err != nil || first.FirstOffset != 0 {
 		t.Fatalf("got status %d, error %v, %+v", status, err, first)
 	}
@@ -114,7 +114,7 @@
 	if status, err := exchange(t, "POST", url, records, &first); err == nil {
 		t.Fatalf("lost response has status %d", status)
 	}
-	var read platform.ReadResponse
+	var read infra.ReadResponse
 	if _, err := exchange(t, "GET", url+"?from=0&limit=2", nil, &read); err != nil {
 		t.Fatal(err)
 	}
@@ -165,16 +165,16 @@
 
 // TestVMListLagsAndFlaps guards the lag and the return to older states that membership must withstand.
 func TestVMListLagsAndFlaps(t *testing.T) {
-	vm := platform.VM{ID: "vm-1", State: platform.VMLive}
-	l := NewVMList([]platform.VM{vm}, 10*time.Second)
+	vm := infra.VM{ID: "vm-1", State: infra.VMLive}
+	l := NewVMList([]infra.VM{vm}, 10*time.Second)
 	now := time.Unix(1_000, 0)
-	vm.State = platform.VMLeaving
+	vm.State = infra.VMLeaving
 	l.Set(vm, now)
-	if got := l.VMs(now.Add(9 * time.Second)); got[0].State != platform.VMLive {
+	if got := l.VMs(now.Add(9 * time.Second)); got[0].State != infra.VMLive {
 		t.Fatalf("before the lag: %+v", got)
 	}
 	late := now.Add(10 * time.Second)
-	if got := l.VMs(late); got[0].State != platform.VMLeaving {
+	if got := l.VMs(late); got[0].State != infra.VMLeaving {
 		t.Fatalf("after the lag: %+v", got)
 	}
 	l.SetFaults(VMListFaults{Flap: true})
@@ -331,18 +331,18 @@
 	set := startSet(t)
 	set.Workers["w-a-2"].SetFaults(WorkerFaults{LoseResponses: 1})
 	url := "http://" + set.Address("w-a-2")
-	request := platform.CommandsRequest{Holder: "s", Epoch: 1, LeaseMS: 6_000, Commands: []platform.Command{
-		{Op: platform.OpReserve, Attempt: attempt, TTLMS: 60_000},
+	request := infra.CommandsRequest{Holder: "s", Epoch: 1, LeaseMS: 6_000, Commands: []infra.Command{
+		{Op: infra.OpReserve, Attempt: attempt, TTLMS: 60_000},
 	}}
-	var response platform.CommandsResponse
+	var response infra.CommandsResponse
 	if _, err := exchange(t, "POST", url+"/v1/commands", request, &response); err == nil {
 		t.Fatal("lost response arrived")
 	}
-	var inventory platform.Inventory
+	var inventory infra.Inventory
 	if _, err := exchange(t, "GET", url+"/v1/inventory", nil, &inventory); err != nil || len(inventory.Tasks) != 1 {
 		t.Fatalf("got error %v, inventory %+v", err, inventory)
 	}
-	var list platform.VMListResponse
+	var list infra.VMListResponse
 	if _, err := exchange(t, "GET", "http://"+set.Address("vm_list")+"/v1/vms", nil, &list); err != nil || len(list.VMs) != 4 {
 		t.Fatalf("got error %v, list %+v", err, list)
 	}
--- a/standin/task.go
+++ b/standin/task.go
@@ -6,12 +6,12 @@
 	"strings"
 	"time"
 
-	"github.com/redwingthread/redwingthread/platform"
+	"github.com/redwingthread/redwingthread/infra"
 )
 
 // task is one entry of a worker's inventory with what the worker needs to run it.
 type task struct {
-	platform.Task
+	infra.Task
 	// reservedUntil is when a reservation expires; used in state reserved.
 	reservedUntil time.Time
 	// leaseUntil is when the task lease lapses; used in states held, running and checkpointing.
@@ -91,7 +91,7 @@
 
 // progressTo adds the work done until now.
 func (t *task) progressTo(now time.Time) {
-	if t.State == platform.TaskRunning && now.After(t.progressAt) {
+	if t.State == infra.TaskRunning && now.After(t.progressAt) {
 		t.progress += now.Sub(t.progressAt) * time.Duration(t.percent) / 100
 	}
 	t.progressAt = now
@@ -100,20 +100,20 @@
 // nextChange returns when the task changes by itself; zero if it does not.
 func (t *task) nextChange() time.Time {
 	switch t.State {
-	case platform.TaskReserved:
+	case infra.TaskReserved:
 		if !t.residentAt.IsZero() {
 			return earlier(t.residentAt, t.leaseUntil)
 		}
 		return t.reservedUntil
-	case platform.TaskHeld:
+	case infra.TaskHeld:
 		return t.leaseUntil
-	case platform.TaskRunning:
+	case infra.TaskRunning:
 		if t.run.length < 0 {
 			return t.leaseUntil
 		}
 		rest := max(t.run.length-t.progress, 0) * 100 / time.Duration(t.percent)
 		return earlier(t.progressAt.Add(rest), t.leaseUntil)
-	case platform.TaskCheckpointing:
+	case infra.TaskCheckpointing:
 		return earlier(t.checkpointAt, t.leaseUntil)
 	}
 	return time.Time{}
@@ -123,15 +123,15 @@
 func (t *task) change(now time.Time) bool {
 	t.progressTo(now)
 	switch {
-	case t.State == platform.TaskReserved && t.residentAt.IsZero():
+	case t.State == infra.TaskReserved && t.residentAt.IsZero():
 		return false
 	case !now.Before(t.leaseUntil):
-		t.State, t.Detail = platform.TaskLapsed, "task lease lapsed"
-	case t.State == platform.TaskReserved:
-		t.State = platform.TaskHeld
-	case t.State == platform.TaskRunning:
+		t.State, t.Detail = infra.TaskLapsed, "task lease lapsed"
+	case t.State == infra.TaskReserved:
+		t.State = infra.TaskHeld
+	case t.State == infra.TaskRunning:
 		t.end()
-	case t.State == platform.TaskCheckpointing:
+	case t.State == infra.TaskCheckpointing:
 		t.saved()
 	}
 	return true
@@ -139,18 +139,18 @@
 
 // end ends a task whose work is done.
 func (t *task) end() {
-	t.State = platform.TaskDone
+	t.State = infra.TaskDone
 	if t.run.failure != "" {
-		t.State, t.Detail = platform.TaskFailed, t.run.failure
+		t.State, t.Detail = infra.TaskFailed, t.run.failure
 	}
 }
 
 // saved completes a checkpoint.
 func (t *task) saved() {
 	t.Checkpoint = checkpointName(t.Attempt.Job, t.progress)
-	t.State = platform.TaskRunning
+	t.State = infra.TaskRunning
 	if t.stopAfterCheckpoint {
-		t.State = platform.TaskStopped
+		t.State = infra.TaskStopped
 	}
 }
 
--- a/standin/vmlist.go
+++ b/standin/vmlist.go
@@ -11,7 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/redwingthread/redwingthread/errkind"
-	"github.com/redwingthread/redwingthread/platform"
+	"github.com/redwingthread/redwingthread/infra"
 )
 
 // VMListFaults holds the faults of the VM list.
@@ -34,12 +34,12 @@
 
 type vmListState struct {
 	visible time.Time
-	vms     map[string]platform.VM
+	vms     map[string]infra.VM
 }
 
 // NewVMList returns a list that holds vms from the start.
-func NewVMList(vms []platform.VM, lag time.Duration) *VMList {
-	first := vmListState{vms: make(map[string]platform.VM)}
+func NewVMList(vms []infra.VM, lag time.Duration) *VMList {
+	first := vmListState{vms: make(map[string]infra.VM)}
 	for _, vm := range vms {
 		first.vms[vm.ID] = vm
 	}
@@ -54,19 +54,19 @@
 }
 
 // Set adds or replaces vm; the change is visible after the lag.
-func (l *VMList) Set(vm platform.VM, now time.Time) {
-	l.change(now, func(vms map[string]platform.VM) { vms[vm.ID] = vm })
+func (l *VMList) Set(vm infra.VM, now time.Time) {
+	l.change(now, func(vms map[string]infra.VM) { vms[vm.ID] = vm })
 }
 
 // Remove removes the VM of the id; the change is visible after the lag.
 func (l *VMList) Remove(id string, now time.Time) {
-	l.change(now, func(vms map[string]platform.VM) { delete(vms, id) })
+	l.change(now, func(vms map[string]infra.VM) { delete(vms, id) })
 }
 
-func (l *VMList) change(now time.Time, edit func(map[string]platform.VM)) {
+func (l *VMList) change(now time.Time, edit func(map[string]infra.VM)) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	next := vmListState{visible: now.Add(l.lag), vms: make(map[string]platform.VM)}
+	next := vmListState{visible: now.Add(l.lag), vms: make(map[string]infra.VM)}
 	for id, vm := range l.states[len(l.states)-1].vms {
 		next.vms[id] = vm
 	}
@@ -75,7 +75,7 @@
 }
 
 // VMs returns the list as it is visible at now, by id.
-func (l *VMList) VMs(now time.Time) []platform.VM {
+func (l *VMList) VMs(now time.Time) []infra.VM {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	visible := 0
@@ -88,7 +88,7 @@
 	if l.faults.Flap && l.reads%2 == 0 && visible > 0 {
 		visible--
 	}
-	vms := make([]platform.VM, 0, len(l.states[visible].vms))
+	vms := make([]infra.VM, 0, len(l.states[visible].vms))
 	for _, vm := range l.states[visible].vms {
 		vms = append(vms, vm)
 	}
@@ -104,14 +104,14 @@
 		faults := l.faults
 		l.mu.Unlock()
 		if faults.apply(w, r) {
-			writeTagged(w, r, platform.VMListResponse{VMs: l.VMs(time.Now())})
+			writeTagged(w, r, infra.VMListResponse{VMs: l.VMs(time.Now())})
 		}
 	})
 	return mux
 }
 
 // writeTagged writes the list with an entity tag of its content, or 304 if the client has that content.
-func writeTagged(w http.ResponseWriter, r *http.Request, list platform.VMListResponse) {
+func writeTagged(w http.ResponseWriter, r *http.Request, list infra.VMListResponse) {
 	body, err := json.Marshal(list)
 	if err != nil {
 		writeError(w, err)
@@ -129,13 +129,13 @@
 
 // serveChange handles POST /v1/vms of the control service: a VM to set, or to remove if its state is "removed".
 func (l *VMList) serveChange(w http.ResponseWriter, r *http.Request) {
-	var vm platform.VM
+	var vm infra.VM
 	if err := readJSON(r, &vm); err != nil {
 		writeError(w, err)
 		return
 	}
 	switch vm.State {
-	case platform.VMLive, platform.VMLeaving:
+	case infra.VMLive, infra.VMLeaving:
 		l.Set(vm, time.Now())
 	case "removed":
 		l.Remove(vm.ID, time.Now())
--- a/standin/worker.go
+++ b/standin/worker.go
@@ -5,7 +5,7 @@
 	"sync"
 	"time"
 
-	"github.com/redwingthread/redwingthread/platform"
+	"github.com/redwingthread/redwingthread/infra"
 )
 
 // Worker is a stand-in for a worker: a VM that runs tasks under leases.
@@ -30,7 +30,7 @@
 }
 
 // Commands carries out a call of POST /v1/commands at now.
-func (w *Worker) Commands(request platform.CommandsRequest, now time.Time) (platform.CommandsResponse, error) {
+func (w *Worker) Commands(request infra.CommandsRequest, now time.Time) (infra.CommandsResponse, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.state.advance(now)
@@ -38,7 +38,7 @@
 }
 
 // Inventory returns the inventory at now.
-func (w *Worker) Inventory(now time.Time) platform.Inventory {
+func (w *Worker) Inventory(now time.Time) infra.Inventory {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.state.advance(now)
@@ -68,7 +68,7 @@
 	if !w.currentFaults().apply(rw, r) {
 		return
 	}
-	var request platform.CommandsRequest
+	var request infra.CommandsRequest
 	if err := readJSON(r, &request); err != nil {
 		writeError(rw, err)
 		return
--- a/standin/workercommands.go
+++ b/standin/workercommands.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"github.com/redwingthread/redwingthread/errkind"
-	"github.com/redwingthread/redwingthread/platform"
+	"github.com/redwingthread/redwingthread/infra"
 )
 
 // Reasons of refused commands.
@@ -17,12 +17,12 @@
 )
 
 // commands carries out a call at now, after advance. An error of kind BadInput changes nothing.
-func (s *workerState) commands(request platform.CommandsRequest, now time.Time) (platform.CommandsResponse, error) {
+func (s *workerState) commands(request infra.CommandsRequest, now time.Time) (infra.CommandsResponse, error) {
 	if err := checkCommands(request); err != nil {
-		return platform.CommandsResponse{}, err
+		return infra.CommandsResponse{}, err
 	}
 	granted := s.grant(request, now)
-	var results []platform.CommandResult
+	var results []infra.CommandResult
 	if granted {
 		s.renew(request, now)
 		for _, c := range request.Commands {
@@ -31,7 +31,7 @@
 		// A task without work, such as "sleep 0", ends at its release.
 		s.advance(now)
 	}
-	response := platform.CommandsResponse{
+	response := infra.CommandsResponse{
 		Granted:     granted,
 		Epoch:       s.epoch,
 		Holder:      s.holder,
@@ -45,7 +45,7 @@
 	return response, nil
 }
 
-func checkCommands(request platform.CommandsRequest) error {
+func checkCommands(request infra.CommandsRequest) error {
 	const remedy = "send the request that docs/design.md describes"
 	if request.Holder == "" {
 		return errkind.New(errkind.BadInput, remedy, "command call without holder")
@@ -55,9 +55,9 @@
 	}
 	for i, c := range request.Commands {
 		switch c.Op {
-		case platform.OpReserve, platform.OpStart, platform.OpRelease, platform.OpCheckpoint, platform.OpStop,
-			platform.OpForget:
-		case platform.OpThrottle:
+		case infra.OpReserve, infra.OpStart, infra.OpRelease, infra.OpCheckpoint, infra.OpStop,
+			infra.OpForget:
+		case infra.OpThrottle:
 			if c.ThrottlePercent < 1 || c.ThrottlePercent > 100 {
 				return errkind.New(errkind.BadInput, "use 1 to 100 percent", "command %d throttles to %d percent", i,
 					c.ThrottlePercent)
@@ -71,7 +71,7 @@
 
 // grant decides about the holder lease. While a lease is in force only its holder may call; a new holder needs a higher
 // epoch than any granted before, which fences the former one. A lease of 0 ms gives the lease back after the call.
-func (s *workerState) grant(request platform.CommandsRequest, now time.Time) bool {
+func (s *workerState) grant(request infra.CommandsRequest, now time.Time) bool {
 	sameHolder := request.Holder == s.holder
 	inForce := now.Before(s.leaseUntil)
 	switch {
@@ -87,7 +87,7 @@
 }
 
 // renew extends the task leases of the attempts that the holder lists.
-func (s *workerState) renew(request platform.CommandsRequest, now time.Time) {
+func (s *workerState) renew(request infra.CommandsRequest, now time.Time) {
 	until := now.Add(milliseconds(request.TaskLeaseMS))
 	for _, attempt := range request.Renew {
 		for _, t := range s.tasks {
@@ -99,45 +99,45 @@
 }
 
 // command carries out one command.
-func (s *workerState) command(c platform.Command, request platform.CommandsRequest, now time.Time) platform.CommandResult {
+func (s *workerState) command(c infra.Command, request infra.CommandsRequest, now time.Time) infra.CommandResult {
 	t := s.find(c.Attempt, c.Member)
 	var reason string
 	switch c.Op {
-	case platform.OpReserve:
+	case infra.OpReserve:
 		reason = s.reserve(t, c, request.Epoch, now)
-	case platform.OpStop:
+	case infra.OpStop:
 		reason = s.stop(t, c, now)
-	case platform.OpForget:
+	case infra.OpForget:
 		reason = s.forget(t)
 	default:
 		if t == nil {
-			return platform.CommandResult{Reason: refusedNoTask}
+			return infra.CommandResult{Reason: refusedNoTask}
 		}
 		t.progressTo(now)
 		switch c.Op {
-		case platform.OpStart:
+		case infra.OpStart:
 			reason = s.start(t, c, request.TaskLeaseMS, now)
-		case platform.OpRelease:
+		case infra.OpRelease:
 			reason = s.release(t, now)
-		case platform.OpCheckpoint:
+		case infra.OpCheckpoint:
 			reason = s.checkpoint(t, now)
-		case platform.OpThrottle:
+		case infra.OpThrottle:
 			reason = throttle(t, c)
 		}
 	}
 	if reason == "" {
 		s.changed(now)
 	}
-	return platform.CommandResult{OK: reason == "", Reason: reason}
+	return infra.CommandResult{OK: reason == "", Reason: reason}
 }
 
 // reserve sets resources aside. A repeat extends the reservation.
-func (s *workerState) reserve(t *task, c platform.Command, epoch uint64, now time.Time) string {
+func (s *workerState) reserve(t *task, c infra.Command, epoch uint64, now time.Time) string {
 	until := now.Add(milliseconds(c.TTLMS))
 	switch {
 	case t != nil && t.State.Ended():
 		return refusedEndedTask
-	case t != nil && t.State != platform.TaskReserved:
+	case t != nil && t.State != infra.TaskReserved:
 		return refusedState + string(t.State)
 	case t != nil:
 		t.reservedUntil = until
@@ -148,8 +148,8 @@
 		return refusedCapacity
 	}
 	s.tasks = append(s.tasks, &task{
-		Task: platform.Task{
-			Attempt: c.Attempt, Member: c.Member, State: platform.TaskReserved, Resources: c.Resources, Epoch: epoch,
+		Task: infra.Task{
+			Attempt: c.Attempt, Member: c.Member, State: infra.TaskReserved, Resources: c.Resources, Epoch: epoch,
 		},
 		reservedUntil: until,
 		percent:       100,
@@ -158,11 +158,11 @@
 }
 
 // start makes a reserved task resident. A repeat changes nothing.
-func (s *workerState) start(t *task, c platform.Command, taskLeaseMS int64, now time.Time) string {
-	if t.State == platform.TaskHeld || !t.residentAt.IsZero() && t.State == platform.TaskReserved {
+func (s *workerState) start(t *task, c infra.Command, taskLeaseMS int64, now time.Time) string {
+	if t.State == infra.TaskHeld || !t.residentAt.IsZero() && t.State == infra.TaskReserved {
 		return ""
 	}
-	if t.State != platform.TaskReserved {
+	if t.State != infra.TaskReserved {
 		return refusedState + string(t.State)
 	}
 	t.run = parseProgram(c.Run)
@@ -171,17 +171,17 @@
 	t.leaseUntil = now.Add(milliseconds(taskLeaseMS))
 	t.residentAt = now.Add(milliseconds(s.faults.SlowStartMS))
 	if s.faults.SlowStartMS == 0 {
-		t.State = platform.TaskHeld
+		t.State = infra.TaskHeld
 	}
 	return ""
 }
 
 // release lets a held task run. A repeat changes nothing.
 func (s *workerState) release(t *task, now time.Time) string {
-	if t.State == platform.TaskRunning {
+	if t.State == infra.TaskRunning {
 		return ""
 	}
-	if t.State != platform.TaskHeld {
+	if t.State != infra.TaskHeld {
 		return refusedState + string(t.State)
 	}
 	s.runs[taskRunKey{t.Attempt.Job, t.Member}]++
@@ -191,24 +191,24 @@
 	if s.faults.NeverFinish {
 		t.run.length = endless
 	}
-	t.State = platform.TaskRunning
+	t.State = infra.TaskRunning
 	t.progressAt = now
 	return ""
 }
 
 func (s *workerState) checkpoint(t *task, now time.Time) string {
 	switch t.State {
-	case platform.TaskCheckpointing:
+	case infra.TaskCheckpointing:
 		return ""
-	case platform.TaskRunning:
-		t.State = platform.TaskCheckpointing
+	case infra.TaskRunning:
+		t.State = infra.TaskCheckpointing
 		t.checkpointAt = now.Add(s.options.CheckpointTime)
 		return ""
 	}
 	return refusedState + string(t.State)
 }
 
-func throttle(t *task, c platform.Command) string {
+func throttle(t *task, c infra.Command) string {
 	if t.State.Ended() {
 		return refusedState + string(t.State)
 	}
@@ -218,25 +218,25 @@
 
 // stop gives a reservation back or ends a task, after a checkpoint if the command asks for one and the bound allows
 // it. Stopping what is not there or has ended succeeds, since the holder's aim is met.
-func (s *workerState) stop(t *task, c platform.Command, now time.Time) string {
+func (s *workerState) stop(t *task, c infra.Command, now time.Time) string {
 	switch {
 	case t == nil || t.State.Ended():
 		return ""
-	case t.State == platform.TaskReserved && t.residentAt.IsZero():
+	case t.State == infra.TaskReserved && t.residentAt.IsZero():
 		s.remove(t)
 		return ""
 	}
 	t.progressTo(now)
 	inTime := s.options.CheckpointTime <= milliseconds(c.CheckpointMS)
 	switch {
-	case c.Checkpoint != "" && t.State == platform.TaskRunning && inTime:
-		t.State = platform.TaskCheckpointing
+	case c.Checkpoint != "" && t.State == infra.TaskRunning && inTime:
+		t.State = infra.TaskCheckpointing
 		t.checkpointAt = now.Add(s.options.CheckpointTime)
 		t.stopAfterCheckpoint = true
-	case c.Checkpoint != "" && t.State == platform.TaskCheckpointing && inTime:
+	case c.Checkpoint != "" && t.State == infra.TaskCheckpointing && inTime:
 		t.stopAfterCheckpoint = true
 	default:
-		t.State, t.Detail = platform.TaskStopped, ""
+		t.State, t.Detail = infra.TaskStopped, ""
 	}
 	return ""
 }
--- a/standin/workerstate.go
+++ b/standin/workerstate.go
@@ -5,7 +5,7 @@
 	"sort"
 	"time"
 
-	"github.com/redwingthread/redwingthread/platform"
+	"github.com/redwingthread/redwingthread/infra"
 	"github.com/redwingthread/redwingthread/resource"
 )
 
@@ -158,7 +158,7 @@
 	return used
 }
 
-func (s *workerState) find(attempt platform.AttemptID, member int) *task {
+func (s *workerState) find(attempt infra.AttemptID, member int) *task {
 	for _, t := range s.tasks {
 		if t.Attempt == attempt && t.Member == member {
 			return t
@@ -177,14 +177,14 @@
 }
 
 // inventory returns the inventory after advance.
-func (s *workerState) inventory() platform.Inventory {
-	inventory := platform.Inventory{
+func (s *workerState) inventory() infra.Inventory {
+	inventory := infra.Inventory{
 		Worker:      s.options.ID,
 		Incarnation: fmt.Sprintf("%s-%d", s.options.ID, s.incarnation),
 		Revision:    s.revision,
 		Capacity:    s.options.Capacity,
 		Leaving:     s.faults.Leaving,
-		Tasks:       make([]platform.Task, len(s.tasks)),
+		Tasks:       make([]infra.Task, len(s.tasks)),
 		Usage:       s.usage[0].used,
 	}
 	for i, t := range s.tasks {
