--- /dev/null
+++ b/joblog/view.go
@@ -0,0 +1,228 @@
+// Package joblog keeps jobs in the store's jobs topic and every VM's view of them.
+//
+// A job has up to three records, each under a key of its own, so that a repeated append overwrites itself: the
+// submission and the cancellation, which any VM writes before it answers the caller, and the state, which only the
+// fenced holder of the schedule writes.
+package joblog
+
+import (
+	"sync"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/redwingthread/redwingthread/store"
+	"github.com/redwingthread/redwingthread/workload"
+)
+
+// Prefixes of the keys.
+const (
+	keySubmission = "s/"
+	keyCancel     = "c/"
+	keyState      = "j/"
+)
+
+// noOffset stands for a record that does not exist.
+const noOffset = int64(-1)
+
+var encoding = func() cbor.EncMode {
+	options := cbor.CoreDetEncOptions()
+	options.Time = cbor.TimeUnixMicro
+	mode, err := options.EncMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}()
+
+// SubmissionRecord returns the record of a submission.
+func SubmissionRecord(job *workload.Job) (store.Record, error) {
+	value, err := encoding.Marshal(job)
+	return store.Record{Key: keySubmission + string(job.ID), Value: value}, err
+}
+
+// CancelRecord returns the record of a cancellation.
+func CancelRecord(id workload.JobID) store.Record {
+	return store.Record{Key: keyCancel + string(id), Value: []byte{1}}
+}
+
+// StateRecord returns the record of a job's state.
+func StateRecord(id workload.JobID, state []byte) store.Record {
+	return store.Record{Key: keyState + string(id), Value: state}
+}
+
+// DropRecords returns the records that remove all trace of a job.
+func DropRecords(id workload.JobID) []store.Record {
+	return []store.Record{
+		{Key: keyCancel + string(id)},
+		{Key: keyState + string(id)},
+		{Key: keySubmission + string(id)},
+	}
+}
+
+// Entry is what a VM knows of a job.
+type Entry struct {
+	// Job is nil while only other records of the job were read.
+	Job *workload.Job
+	// Phase includes the effect of a cancellation that the holder of the schedule has not acted on yet.
+	Phase workload.Phase
+	// Cancelled reports a cancellation that came before the end of the job.
+	Cancelled bool
+	// State is the encoded state; nil for a job that was never started.
+	State []byte
+}
+
+type entry struct {
+	job          *workload.Job
+	phase        workload.Phase
+	state        []byte
+	cancelOffset int64
+	// finalOffset is where the job's end was written.
+	finalOffset int64
+}
+
+func (e *entry) cancelled() bool {
+	if e.phase == workload.PhaseCancelled {
+		return true
+	}
+	return e.cancelOffset != noOffset && (!e.phase.Final() || e.cancelOffset < e.finalOffset)
+}
+
+func (e *entry) export() Entry {
+	out := Entry{Job: e.job, Phase: e.phase, Cancelled: e.cancelled(), State: e.state}
+	if out.Cancelled {
+		out.Phase = workload.PhaseCancelled
+	}
+	return out
+}
+
+// View is the fold of the jobs topic. It is safe for concurrent use.
+type View struct {
+	mu      sync.Mutex
+	entries map[workload.JobID]*entry
+	// waiting counts the accepted jobs of each queue of which nothing was started.
+	waiting map[string]int
+	// unreadable counts records that could not be read.
+	unreadable int
+}
+
+// NewView returns an empty view.
+func NewView() *View {
+	return &View{entries: map[workload.JobID]*entry{}, waiting: map[string]int{}}
+}
+
+// Apply folds one record and returns the id of the job that it belongs to; empty if it cannot be read.
+func (v *View) Apply(r store.Record) workload.JobID {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if len(r.Key) <= len(keySubmission) {
+		v.unreadable++
+		return ""
+	}
+	prefix, id := r.Key[:len(keySubmission)], workload.JobID(r.Key[len(keySubmission):])
+	e := v.entries[id]
+	if e == nil {
+		if len(r.Value) == 0 {
+			return id
+		}
+		e = &entry{cancelOffset: noOffset, finalOffset: noOffset}
+		v.entries[id] = e
+	}
+	v.count(e, -1)
+	if !v.fold(e, id, prefix, r) {
+		v.unreadable++
+	}
+	if v.entries[id] != nil {
+		v.count(e, 1)
+	}
+	return id
+}
+
+func (v *View) fold(e *entry, id workload.JobID, prefix string, r store.Record) bool {
+	switch prefix {
+	case keySubmission:
+		if len(r.Value) == 0 {
+			delete(v.entries, id)
+			return true
+		}
+		return e.foldSubmission(id, r)
+	case keyCancel:
+		if len(r.Value) > 0 && e.cancelOffset == noOffset {
+			e.cancelOffset = r.Offset
+		}
+		return true
+	case keyState:
+		return len(r.Value) == 0 || e.foldState(r)
+	}
+	return false
+}
+
+func (e *entry) foldSubmission(id workload.JobID, r store.Record) bool {
+	if e.job != nil {
+		return true
+	}
+	job := &workload.Job{}
+	if err := cbor.Unmarshal(r.Value, job); err != nil || job.ID != id || job.Validate() != nil {
+		return false
+	}
+	e.job = job
+	return true
+}
+
+func (e *entry) foldState(r store.Record) bool {
+	phase, err := workload.DecodePhase(r.Value)
+	if err != nil {
+		return false
+	}
+	if e.phase.Final() {
+		return true
+	}
+	e.phase = phase
+	e.state = r.Value
+	if phase.Final() {
+		e.finalOffset = r.Offset
+	}
+	return true
+}
+
+// count adds the job to the number of its queue's waiting jobs.
+func (v *View) count(e *entry, sign int) {
+	if e.job != nil && e.phase == workload.PhaseQueued && !e.cancelled() {
+		v.waiting[e.job.Queue] += sign
+	}
+}
+
+// Get returns what is known of a job.
+func (v *View) Get(id workload.JobID) (Entry, bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	e := v.entries[id]
+	if e == nil || e.job == nil {
+		return Entry{}, false
+	}
+	return e.export(), true
+}
+
+// Waiting returns how many accepted jobs of the queue have nothing started.
+func (v *View) Waiting(queue string) int {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.waiting[queue]
+}
+
+// Each calls f for every job with a submission.
+func (v *View) Each(f func(Entry)) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, e := range v.entries {
+		if e.job != nil {
+			f(e.export())
+		}
+	}
+}
+
+// Unreadable returns how many records could not be read.
+func (v *View) Unreadable() int {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.unreadable
+}
--- /dev/null
+++ b/joblog/writer.go
@@ -0,0 +1,128 @@
+package joblog
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/redwingthread/redwingthread/store"
+)
+
+const (
+	// appendTimeout bounds one append of callers' records.
+	appendTimeout = time.Second
+	// appendRetryInterval is the pause before a refused append is tried again.
+	appendRetryInterval = 60 * time.Millisecond
+	// refusedAttempts is how often an append that the store refuses is tried before the caller is told.
+	refusedAttempts = 4
+	// maxFlights is how many appends may be under way at once, so that one without an answer does not hold up the rest.
+	maxFlights = 3
+	// maxFlightBytes bounds the records of one append.
+	maxFlightBytes = 512 << 10
+)
+
+// Writer stores callers' records. Records that arrive while an append is under way go together in the next one.
+type Writer struct {
+	log store.Log
+
+	mu      sync.Mutex
+	pending []*write
+	flights int
+}
+
+type write struct {
+	record store.Record
+	ctx    context.Context
+	// uncertain writes were part of an append without an answer: they may be stored, now or later.
+	uncertain bool
+	refused   int
+	done      chan error
+}
+
+// NewWriter returns a writer to the log.
+func NewWriter(log store.Log) *Writer { return &Writer{log: log} }
+
+// Write stores the record. It returns nil once it is stored, an error that matches store.ErrNotDone if it is not stored
+// and never will be, or one that matches store.ErrUnknown if the outcome was not known when ctx ended.
+func (w *Writer) Write(ctx context.Context, record store.Record) error {
+	item := &write{record: record, ctx: ctx, done: make(chan error, 1)}
+	w.mu.Lock()
+	w.pending = append(w.pending, item)
+	w.dispatch()
+	w.mu.Unlock()
+	return <-item.done
+}
+
+// dispatch starts an append for what is pending. mu is held.
+func (w *Writer) dispatch() {
+	if w.flights >= maxFlights || len(w.pending) == 0 {
+		return
+	}
+	batch := w.takeBatch()
+	w.flights++
+	go w.fly(batch)
+}
+
+func (w *Writer) takeBatch() []*write {
+	size, n := 0, 0
+	for n < len(w.pending) && (n == 0 || size < maxFlightBytes) {
+		size += len(w.pending[n].record.Value)
+		n++
+	}
+	batch := w.pending[:n:n]
+	w.pending = w.pending[n:]
+	return batch
+}
+
+// fly appends the batch until every write of it has an outcome.
+func (w *Writer) fly(batch []*write) {
+	for len(batch) > 0 {
+		err := w.append(batch)
+		batch = settle(batch, err)
+		if len(batch) > 0 && errors.Is(err, store.ErrNotDone) {
+			time.Sleep(appendRetryInterval)
+		}
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.flights--
+	w.dispatch()
+}
+
+func (w *Writer) append(batch []*write) error {
+	records := make([]store.Record, len(batch))
+	for i, item := range batch {
+		records[i] = item.record
+	}
+	return w.log.Append(context.Background(), store.TopicJobs, records, nil, appendTimeout)
+}
+
+// settle gives the outcome to the writes that have one and returns the others.
+func settle(batch []*write, err error) []*write {
+	var open []*write
+	for _, item := range batch {
+		if outcome, ok := item.outcome(err); ok {
+			item.done <- outcome
+			continue
+		}
+		open = append(open, item)
+	}
+	return open
+}
+
+// outcome returns what the caller is told after an append; false to try again.
+func (i *write) outcome(err error) (error, bool) {
+	if err == nil {
+		return nil, true
+	}
+	if errors.Is(err, store.ErrNotDone) {
+		i.refused++
+	} else {
+		i.uncertain = true
+	}
+	if i.uncertain {
+		return errors.Join(store.ErrUnknown, err), i.ctx.Err() != nil
+	}
+	return err, i.ctx.Err() != nil || i.refused >= refusedAttempts
+}
--- /dev/null
+++ b/leader/journal.go
@@ -0,0 +1,89 @@
+package leader
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/redwingthread/redwingthread/dispatch"
+	"github.com/redwingthread/redwingthread/joblog"
+	"github.com/redwingthread/redwingthread/store"
+)
+
+const (
+	// producerName names the writer of job states; the epoch of the newest holder shuts out the others.
+	producerName = "schedule"
+	// journalTimeout bounds one attempt of an append, journalRetry is the pause before the next one.
+	journalTimeout = time.Second
+	journalRetry   = 50 * time.Millisecond
+	// maxBatchBytes bounds the states of one append.
+	maxBatchBytes = 1 << 20
+)
+
+// journal appends job states in order, one append at a time.
+type journal struct {
+	log      store.Log
+	epoch    int64
+	sequence int64
+	// working is told whether appends succeed.
+	working func(error)
+}
+
+// open shuts out the holders before this one.
+func (j *journal) open(ctx context.Context) error {
+	for ctx.Err() == nil {
+		err := j.log.Append(ctx, store.TopicJobs, nil, &store.Producer{Name: producerName, Epoch: j.epoch}, journalTimeout)
+		if err == nil || errors.Is(err, store.ErrFenced) {
+			return err
+		}
+		sleep(ctx, journalRetry)
+	}
+	return ctx.Err()
+}
+
+// write appends the records; it returns an error only if another holder has taken over or ctx has ended.
+func (j *journal) write(ctx context.Context, records []store.Record) error {
+	for len(records) > 0 {
+		n := batchLength(records)
+		if err := j.append(ctx, records[:n]); err != nil {
+			return err
+		}
+		records = records[n:]
+	}
+	return nil
+}
+
+func batchLength(records []store.Record) int {
+	size, n := 0, 0
+	for n < len(records) && (n == 0 || size+len(records[n].Value) < maxBatchBytes) {
+		size += len(records[n].Value)
+		n++
+	}
+	return n
+}
+
+// append repeats the append under its sequence number until its outcome is known.
+func (j *journal) append(ctx context.Context, records []store.Record) error {
+	producer := &store.Producer{Name: producerName, Epoch: j.epoch, Sequence: j.sequence}
+	for ctx.Err() == nil {
+		err := j.log.Append(ctx, store.TopicJobs, records, producer, journalTimeout)
+		j.working(err)
+		if err == nil {
+			j.sequence++
+			return nil
+		}
+		if errors.Is(err, store.ErrFenced) || errors.Is(err, store.ErrSequence) {
+			return err
+		}
+		sleep(ctx, journalRetry)
+	}
+	return ctx.Err()
+}
+
+func stateRecords(changes []dispatch.Change) []store.Record {
+	records := make([]store.Record, len(changes))
+	for i, change := range changes {
+		records[i] = joblog.StateRecord(change.ID, change.State)
+	}
+	return records
+}
--- /dev/null
+++ b/leader/workers.go
@@ -0,0 +1,168 @@
+package leader
+
+import (
+	"context"
+	"errors"
+
+	"github.com/redwingthread/redwingthread/boottime"
+	"github.com/redwingthread/redwingthread/dispatch"
+	"github.com/redwingthread/redwingthread/store"
+	"github.com/redwingthread/redwingthread/workload"
+)
+
+// workerList follows the list of workers in the store.
+type workerList struct {
+	leader *Leader
+	next   int64
+	known  map[string]workload.WorkerInfo
+	loaded bool
+}
+
+// followWorkers keeps sessions and core in step with the list of workers until ctx ends.
+func (l *Leader) followWorkers(ctx context.Context) {
+	list := workerList{leader: l, known: map[string]workload.WorkerInfo{}}
+	for ctx.Err() == nil {
+		if err := list.read(ctx); err != nil {
+			l.out.Debug().Err(err).Msg("list of workers not read")
+		}
+		l.post(func(c *dispatch.Core) {
+			l.buryUnknown(c)
+			l.closeUnused(c)
+		})
+		sleep(ctx, workersInterval)
+	}
+}
+
+// buryUnknown gives up restored runs on workers that never appeared in the list, once their leases have ended.
+func (l *Leader) buryUnknown(c *dispatch.Core) {
+	if boottime.Now() < l.startedAt+l.foreignLease() {
+		return
+	}
+	for _, id := range c.Unverified() {
+		if l.byID[id] == nil {
+			c.WorkerDead(id)
+		}
+	}
+}
+
+func (w *workerList) read(ctx context.Context) error {
+	if !w.loaded {
+		return w.load(ctx)
+	}
+	batch, err := w.leader.Log.Read(ctx, store.TopicWorkers, w.next, 0)
+	if errors.Is(err, store.ErrExpired) {
+		return w.load(ctx)
+	}
+	if err != nil {
+		return err
+	}
+	w.next += int64(len(batch.Records))
+	for _, r := range batch.Records {
+		w.apply(ctx, r)
+	}
+	return nil
+}
+
+// load reads the newest entry of every worker and drops the workers that have none.
+func (w *workerList) load(ctx context.Context) error {
+	present := map[string]bool{}
+	after := ""
+	end := int64(-1)
+	for {
+		page, err := w.leader.Log.Newest(ctx, store.TopicWorkers, after)
+		if err != nil {
+			return err
+		}
+		if end < 0 {
+			end = page.End
+		}
+		for _, r := range page.Records {
+			present[r.Key] = true
+			w.apply(ctx, r)
+		}
+		if !page.More || len(page.Records) == 0 {
+			break
+		}
+		after = page.Records[len(page.Records)-1].Key
+	}
+	for id := range w.known {
+		if !present[id] {
+			w.drop(id)
+		}
+	}
+	w.next = end
+	w.loaded = true
+	w.leader.out.Info().Int("workers", len(w.known)).Int64("offset", end).Msg("list of workers read")
+	return nil
+}
+
+func (w *workerList) apply(ctx context.Context, r store.Record) {
+	if len(r.Value) == 0 {
+		w.drop(r.Key)
+		return
+	}
+	info, err := w.leader.DecodeWorker(r.Key, r.Value)
+	if err != nil {
+		w.leader.out.Warn().Err(err).Str("worker", r.Key).Msg("entry of a worker cannot be used")
+		w.drop(r.Key)
+		return
+	}
+	old, known := w.known[r.Key]
+	if known && equalInfo(old, info) {
+		return
+	}
+	w.known[r.Key] = info
+	if !known || old.Draining != info.Draining || old.Incarnation != info.Incarnation || old.Address != info.Address {
+		w.leader.out.Info().Str("worker", info.ID).Str("address", info.Address).Bool("draining", info.Draining).
+			Int64("incarnation", info.Incarnation).Int64("offset", r.Offset).Msg("worker changed")
+	}
+	l := w.leader
+	l.post(func(c *dispatch.Core) {
+		c.SetWorker(info)
+		l.ensureSession(ctx, info)
+	})
+}
+
+func equalInfo(a, b workload.WorkerInfo) bool {
+	if len(a.Labels) != len(b.Labels) {
+		return false
+	}
+	for i := range a.Labels {
+		if a.Labels[i] != b.Labels[i] {
+			return false
+		}
+	}
+	return a.Address == b.Address && a.Service == b.Service && a.Rack == b.Rack && a.Capacity == b.Capacity &&
+		a.Draining == b.Draining && a.Incarnation == b.Incarnation && a.FailureDomain == b.FailureDomain
+}
+
+func (w *workerList) drop(id string) {
+	if _, known := w.known[id]; !known {
+		return
+	}
+	delete(w.known, id)
+	w.leader.out.Info().Str("worker", id).Msg("worker left the list")
+	w.leader.post(func(c *dispatch.Core) { c.DropWorker(id) })
+}
+
+// ensureSession opens a session to the worker, or a new one at its new address. It runs in the loop.
+func (l *Leader) ensureSession(ctx context.Context, info workload.WorkerInfo) {
+	s := l.byID[info.ID]
+	if s != nil && s.address == info.Address {
+		return
+	}
+	if s != nil {
+		s.cancel()
+	}
+	l.byID[info.ID] = l.newSession(ctx, info.ID, info.Address)
+}
+
+// closeUnused ends the sessions of workers that left the list and on which nothing runs. It runs in the loop.
+func (l *Leader) closeUnused(c *dispatch.Core) {
+	for id, s := range l.byID {
+		if !c.HasWorker(id) {
+			s.cancel()
+			delete(l.byID, id)
+		}
+	}
+}
--- /dev/null
+++ b/store/store.go
@@ -0,0 +1,85 @@
+// Package store describes the platform's metadata store as the product uses it: topics of records, of which keyed ones
+// keep the newest record of each key for good, conditional appends by fenced producers, and groups that assign parts.
+package store
+
+import (
+	"context"
+	"errors"
+	"time"
+)
+
+// The outcomes of a failed call.
+var (
+	// ErrNotDone marks a call that the store refused or never saw; it had no effect and will have none.
+	ErrNotDone = errors.New("store: the call was not executed")
+	// ErrUnknown marks a call without an answer; it may have been executed, or may be executed later.
+	ErrUnknown = errors.New("store: the outcome of the call is unknown")
+	// ErrFenced marks an append of a producer whose epoch another producer has overtaken.
+	ErrFenced = errors.New("store: a newer epoch of the producer exists")
+	// ErrSequence marks an append whose sequence number does not follow the last one.
+	ErrSequence = errors.New("store: the sequence number does not follow the last one")
+	// ErrExpired marks a read from an offset whose records are gone.
+	ErrExpired = errors.New("store: the records before the first retained offset are gone")
+)
+
+// Topic names a keyed topic; all records of a topic are in one part.
+type Topic string
+
+// The topics.
+const (
+	// TopicJobs holds submissions, cancellations and job states.
+	TopicJobs Topic = "jobs"
+	// TopicConfig holds what operators publish.
+	TopicConfig Topic = "config"
+	// TopicWorkers holds what workers say of themselves.
+	TopicWorkers Topic = "workers"
+)
+
+// Record is one record of a keyed topic. A record without value drops its key.
+type Record struct {
+	Key    string
+	Value  []byte
+	Offset int64
+}
+
+// Batch is what a read returned.
+type Batch struct {
+	// End is the offset after the last record of the topic, First the oldest offset retained.
+	End, First int64
+	Records    []Record
+}
+
+// Page is one page of the newest records of all keys. Pages are read at different times and are no snapshot.
+type Page struct {
+	Records []Record
+	More    bool
+	End     int64
+}
+
+// Producer identifies an append of a fenced writer. A higher epoch shuts out the lower ones.
+type Producer struct {
+	Name     string
+	Epoch    int64
+	Sequence int64
+}
+
+// Assignment is what a group gives a member.
+type Assignment struct {
+	Generation int64
+	// Holds reports whether the member holds the group's only part.
+	Holds bool
+}
+
+// Log is the store.
+type Log interface {
+	// Append adds the records to the topic, all or none. producer may be nil. No records with a producer set the epoch.
+	Append(ctx context.Context, topic Topic, records []Record, producer *Producer, timeout time.Duration) error
+	// Read returns records from the offset on; it waits up to wait for the first one.
+	Read(ctx context.Context, topic Topic, from int64, wait time.Duration) (*Batch, error)
+	// Newest returns the newest record of each key behind after, in the order of keys.
+	Newest(ctx context.Context, topic Topic, after string) (*Page, error)
+	// Join joins the group or keeps the member in it for ttl.
+	Join(ctx context.Context, group, member string, ttl time.Duration, generation int64) (Assignment, error)
+	// Leave gives the member's part back.
+	Leave(ctx context.Context, group, member string, generation int64) error
+}
