leader: give up silent workers, and count an earlier holder's lease only until contact

Change: the arithmetic of leases is a struct of its own without a clock; a silent worker gets no later lease; once a worker has answered, older holders cannot renew. Ruled out: sessions that had been closed, dropped events (none in the log).

--- a/leader/leader.go
+++ b/leader/leader.go
@@ -108,7 +108,7 @@
 // foreignLease bounds the leases that an earlier holder may have granted, or may still grant to workers that only it can
 // reach.
 func (l *Leader) foreignLease() time.Duration {
-	return RenewalWithoutStore + time.Duration(float64(l.lease)/(1-clockDrift))
+	return RenewalWithoutStore + slowest(l.lease)
 }
 
 // SetConfig passes a new version of the configuration to the core.
--- a/leader/session.go
+++ b/leader/session.go
@@ -32,8 +32,6 @@
 	unhealthyAttempts = 3
 	// maxOrders is how many orders to one worker may be under way at once.
 	maxOrders = 3
-	// clockDrift is how much slower than ours a worker's clock may be, as a share.
-	clockDrift = 0.02
 )
 
 // session keeps one worker's lease, list and orders.
@@ -47,12 +45,8 @@
 	cancel  context.CancelFunc
 	slots   chan struct{}
 
-	mu sync.Mutex
-	// clockMS is the worker's clock as of clockAt on the boot clock; clockAt is 0 before the first answer.
-	clockMS int64
-	clockAt time.Duration
-	// leaseEnd is when, on the boot clock, everything that was started so far has lost its lease at the latest.
-	leaseEnd time.Duration
+	mu    sync.Mutex
+	lease leaseClock
 	// dead reports that the core was told so since the last answer.
 	dead  bool
 	noted int64
@@ -68,7 +62,7 @@
 		conn:         l.workers.Connect(id, address),
 		log:          l.out.With().Str("worker", id).Logger(),
 		slots:        make(chan struct{}, maxOrders),
-		leaseEnd:     l.startedAt + l.foreignLease(),
+		lease:        leaseClock{lease: l.lease, end: l.startedAt + l.foreignLease()},
 		notedChanged: make(chan struct{}),
 	}
 	l.sessions.Add(1)
@@ -144,33 +138,25 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.dead = false
-	s.clockMS = listing.ClockMS
-	s.clockAt = boottime.Now()
+	s.lease.answered(boottime.Now(), listing.ClockMS)
 	if s.incarnation != listing.Incarnation {
 		s.incarnation = listing.Incarnation
 		s.noted = 0
 	}
 }
 
-// leaseUntil returns the time of the worker's clock until which a renewal sent now should last, and notes how long that
-// may be; 0 while the clock is unknown.
+// leaseUntil returns the time of the worker's clock until which a lease sent now lasts; 0 while the clock is unknown.
 func (s *session) leaseUntil() int64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.clockAt == 0 {
-		return 0
-	}
-	now := boottime.Now()
-	length := now - s.clockAt + s.leader.lease
-	end := s.clockAt + time.Duration(float64(length)/(1-clockDrift))
-	s.leaseEnd = max(s.leaseEnd, end)
-	return s.clockMS + length.Milliseconds()
+	return s.lease.renew(boottime.Now())
 }
 
 // failed tells the core that the worker does not answer, and once its lease has ended, that nothing runs there.
 func (s *session) failed() {
 	s.mu.Lock()
-	expired := !s.dead && boottime.Now() > s.leaseEnd
+	s.lease.failed()
+	expired := !s.dead && s.lease.over(boottime.Now())
 	if expired {
 		s.dead = true
 	}
