dispatch: order stops again that may not have arrived

Change: a stop is ordered again when the first list shows the run, and when a run is still listed after the time that a stop may take. Ruled out: a lost cancellation record (the next holder logged the job as cancelled). Test fails without the change.

--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -138,6 +138,9 @@
 	// unverified placements were restored after a takeover and not seen since.
 	unverified bool
 	stopping   bool
+	stopReason string
+	// stoppedAt is when the stop was last ordered.
+	stoppedAt time.Duration
 	// finished placements belong to a unit that is done; their own end is still to be listed.
 	finished bool
 	orphan   resource.Resources
--- a/dispatch/lifecycle_test.go
+++ b/dispatch/lifecycle_test.go
@@ -190,3 +190,23 @@
 		t.Fatalf("repetitions started at %v, want 1s and 4s", at)
 	}
 }
+
+// TestTakeoverStopsCancelledWork guards against work of a job that was cancelled while nobody held the schedule: its stops
+// were ordered before the next holder had a connection to the workers, and never again.
+func TestTakeoverStopsCancelledWork(t *testing.T) {
+	c := newCluster(t, 2)
+	c.submit("a", "normal", "large", tasks(2, 1))
+	c.plan()
+	c.takeOver()
+	c.core.CancelJob("a")
+	c.decide()
+	c.listAll()
+	plan := c.plan()
+	if len(plan.Stops) != 2 {
+		t.Fatalf("%d of 2 runs are stopped after the first lists", len(plan.Stops))
+	}
+	c.listAll()
+	if len(c.placed("a")) > 0 {
+		t.Fatal("the cancelled job runs on")
+	}
+}
--- a/dispatch/units.go
+++ b/dispatch/units.go
@@ -2,11 +2,15 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/redwingthread/redwingthread/resource"
 	"github.com/redwingthread/redwingthread/workload"
 )
 
+// stopPatience is added to the time that a stop may take before it is ordered again.
+const stopPatience = 500 * time.Millisecond
+
 // charge returns what a task of the step takes from a worker's capacity.
 func charge(s *workload.Step) resource.Resources {
 	demand := s.Demand
@@ -99,7 +103,14 @@
 		return
 	}
 	p.stopping = true
-	c.stops = append(c.stops, Stop{Ref: p.ref, Worker: p.worker.id, Reason: reason})
+	p.stopReason = reason
+	c.repeatStop(p)
+}
+
+// repeatStop orders the stop of a placement that may not have received an earlier one.
+func (c *Core) repeatStop(p *placement) {
+	p.stoppedAt = c.now
+	c.stops = append(c.stops, Stop{Ref: p.ref, Worker: p.worker.id, Reason: p.stopReason})
 }
 
 // StartAccepted notes that the worker has the run, or had it.
@@ -288,9 +299,9 @@
 	c.collapse(p.unit, "start abandoned")
 }
 
-// RepeatStop orders the stop again, after the worker's address has changed before it was answered.
-func (c *Core) RepeatStop(workerID string, ref workload.RunRef, reason string) {
-	if c.placement(workerID, ref) != nil {
-		c.stops = append(c.stops, Stop{Ref: ref, Worker: workerID, Reason: reason})
+// StopUnanswered notes that the worker's address changed before a stop was answered.
+func (c *Core) StopUnanswered(workerID string, ref workload.RunRef) {
+	if p := c.placement(workerID, ref); p != nil {
+		c.repeatStop(p)
 	}
 }
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -163,6 +163,9 @@
 		c.adoptOrphan(w, r.RunRef)
 		return
 	}
+	if p.stopping && (p.unverified || c.now-p.stoppedAt > c.params.StopTimeout+stopPatience) {
+		c.repeatStop(p)
+	}
 	if p.unverified || p.confirmedAt < 0 {
 		p.unverified = false
 		p.confirmedAt = c.now
--- a/leader/session.go
+++ b/leader/session.go
@@ -278,7 +278,7 @@
 		}
 		sleep(s.ctx, orderRetry*time.Duration(min(attempt, maxStopBackOff)))
 		if s.ctx.Err() != nil {
-			s.leader.post(func(c *dispatch.Core) { c.RepeatStop(s.id, o.Ref, o.Reason) })
+			s.leader.post(func(c *dispatch.Core) { c.StopUnanswered(s.id, o.Ref) })
 			return
 		}
 		if !s.leader.wanted(ctx, s.id, o.Ref) {
