leader: treat workers that removed their own entry as ended

Change: a removal that follows the last entry sooner than the store drops silent workers is the worker's own; leases are renewed for 4 s instead of 10 s without the store, which bounds what the next holder waits for. Ruled out: a stuck claim or quarantine (no such event).

--- a/leader/leader.go
+++ b/leader/leader.go
@@ -19,8 +19,9 @@
 	// maxLease is the longest lease that runs get. It must outlast a takeover, and ends the runs of a lost worker.
 	maxLease = 6 * time.Second
 	// RenewalWithoutStore is how long leases are renewed after the store last confirmed that this VM holds the schedule.
-	// It outlasts an outage of the store; the next holder waits that long for workers that it cannot reach.
-	RenewalWithoutStore = 10 * time.Second
+	// Together with the lease it outlasts an outage of the store; the next holder waits that long for workers that it
+	// cannot reach.
+	RenewalWithoutStore = 4 * time.Second
 	// planInterval is the least time between two plans.
 	planInterval = 5 * time.Millisecond
 	// idleInterval is the longest time between two plans.
@@ -46,6 +47,8 @@
 	DecodeWorker func(id string, text []byte) (workload.WorkerInfo, error)
 	Params       dispatch.Params
 	MaxLease     time.Duration
+	// HeartbeatInterval is the time between two entries of a worker in the list.
+	HeartbeatInterval time.Duration
 	// StatusRetention is how long the state of an ended job must be readable.
 	StatusRetention time.Duration
 	// ConfirmedAt returns when the store last confirmed that this VM holds the schedule, on the boot clock.
--- a/leader/workers.go
+++ b/leader/workers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"github.com/redwingthread/redwingthread/boottime"
 	"github.com/redwingthread/redwingthread/dispatch"
@@ -12,15 +13,16 @@
 
 // workerList follows the list of workers in the store.
 type workerList struct {
-	leader *Leader
-	next   int64
-	known  map[string]workload.WorkerInfo
-	loaded bool
+	leader   *Leader
+	next     int64
+	known    map[string]workload.WorkerInfo
+	loaded   bool
+	presence presence
 }
 
 // followWorkers keeps sessions and core in step with the list of workers until ctx ends.
 func (l *Leader) followWorkers(ctx context.Context) {
-	list := workerList{leader: l, known: map[string]workload.WorkerInfo{}}
+	list := workerList{leader: l, known: map[string]workload.WorkerInfo{}, presence: newPresence(l.HeartbeatInterval)}
 	for ctx.Err() == nil {
 		if err := list.read(ctx); err != nil {
 			l.out.Debug().Err(err).Msg("list of workers not read")
@@ -57,9 +59,11 @@
 		return err
 	}
 	w.next += int64(len(batch.Records))
+	now := boottime.Now()
 	for _, r := range batch.Records {
-		w.apply(ctx, r)
+		w.apply(ctx, r, now)
 	}
+	w.presence.readAt = now
 	return nil
 }
 
@@ -78,7 +82,7 @@
 		}
 		for _, r := range page.Records {
 			present[r.Key] = true
-			w.apply(ctx, r)
+			w.apply(ctx, r, boottime.Now())
 		}
 		if !page.More || len(page.Records) == 0 {
 			break
@@ -87,7 +91,7 @@
 	}
 	for id := range w.known {
 		if !present[id] {
-			w.drop(id)
+			w.drop(id, false)
 		}
 	}
 	w.next = end
@@ -96,17 +100,18 @@
 	return nil
 }
 
-func (w *workerList) apply(ctx context.Context, r store.Record) {
+func (w *workerList) apply(ctx context.Context, r store.Record, now time.Duration) {
 	if len(r.Value) == 0 {
-		w.drop(r.Key)
+		w.drop(r.Key, w.known[r.Key].Draining && w.presence.left(r.Key, now))
 		return
 	}
 	info, err := w.leader.DecodeWorker(r.Key, r.Value)
 	if err != nil {
 		w.leader.out.Warn().Err(err).Str("worker", r.Key).Msg("entry of a worker cannot be used")
-		w.drop(r.Key)
+		w.drop(r.Key, false)
 		return
 	}
+	w.presence.seenAt[r.Key] = now
 	old, known := w.known[r.Key]
 	if known && equalInfo(old, info) {
 		return
@@ -136,13 +141,20 @@
 		a.Draining == b.Draining && a.Incarnation == b.Incarnation && a.FailureDomain == b.FailureDomain
 }
 
-func (w *workerList) drop(id string) {
+// drop takes a worker out of the list. ended reports that it has ended all runs.
+func (w *workerList) drop(id string, ended bool) {
 	if _, known := w.known[id]; !known {
 		return
 	}
 	delete(w.known, id)
-	w.leader.out.Info().Str("worker", id).Msg("worker left the list")
-	w.leader.post(func(c *dispatch.Core) { c.DropWorker(id) })
+	delete(w.presence.seenAt, id)
+	w.leader.out.Info().Str("worker", id).Bool("ended", ended).Msg("worker left the list")
+	w.leader.post(func(c *dispatch.Core) {
+		c.DropWorker(id)
+		if ended {
+			c.WorkerDead(id)
+		}
+	})
 }
 
 // ensureSession opens a session to the worker, or a new one at its new address. It runs in the loop.
--- a/node/membership.go
+++ b/node/membership.go
@@ -163,7 +163,8 @@
 	l := leader.New(leader.Options{
 		Epoch: m.generation, Log: n.Log, Follower: n.follower, View: n.view, Workers: n.Workers,
 		DecodeWorker: n.Decoder.WorkerRecord, Params: n.dispatchParams(), MaxLease: n.Settings.Bounds.MaxLease,
-		StatusRetention: n.Settings.Bounds.StatusRetention, Out: n.Out,
+		HeartbeatInterval: n.Settings.Bounds.HeartbeatInterval,
+		StatusRetention:   n.Settings.Bounds.StatusRetention, Out: n.Out,
 		ConfirmedAt: func() time.Duration { return time.Duration(m.confirmedAt.Load()) },
 	}, config)
 	leaderCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
--- a/vmsettings/settings.go
+++ b/vmsettings/settings.go
@@ -43,6 +43,8 @@
 	KeyRevocation time.Duration
 	// StrictRevocation reports whether KeyRevocation holds for VMs without a path to the store, too.
 	StrictRevocation bool
+	// HeartbeatInterval is the time between two entries of a worker in the list.
+	HeartbeatInterval time.Duration
 	// MaxLease is the longest lease that workers grant.
 	MaxLease time.Duration
 	// StopTimeout bounds the time between a stop and the end of the run.
