--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -78,7 +78,10 @@
 	stops   []Stop
 	// accountUse counts the accelerators that running priority 0 work of each account holds.
 	accountUse map[string]int
-	events     []Event
+	headroom   headroom
+	// freeAccelerators are free on workers that take work, as of the current plan.
+	freeAccelerators int
+	events           []Event
 }
 
 // Event is a change of belief that the owner logs.
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -28,6 +28,9 @@
 
 // find returns where the unit can start now, one worker a member; nil if nowhere.
 func (c *Core) find(u *unit) []*worker {
+	if !c.mayFill(u) {
+		return nil
+	}
 	if u.size > 1 {
 		return c.findGang(u)
 	}
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -31,6 +31,8 @@
 	c.moveStalled()
 	ready := c.readySteps()
 	c.expireClaims(ready)
+	c.headroom.update(c.now)
+	c.countFree()
 	reservations := 0
 	for _, s := range ready {
 		if c.try(s) {
--- a/dispatch/reclaim.go
+++ b/dispatch/reclaim.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -12,6 +13,10 @@
 	acceleratorCores = 8
 	// foreignGuaranteeFactor makes work of priority 0 the last to be stopped.
 	foreignGuaranteeFactor = 50
+	// middlePriorityFactor makes the lowest priority give way first.
+	middlePriorityFactor = 2
+	// restartLoss is what a stop and a new start cost any unit, whose room is idle meanwhile.
+	restartLoss = 700 * time.Millisecond
 	// maxCheckpointLoss bounds what a checkpointing task loses when it is stopped.
 	maxCheckpointLoss = time.Second
 )
@@ -86,90 +91,141 @@
 	return total >= s.waitingTasks()
 }
 
-// planEviction returns the cheapest way found to fit the waiting tasks into the area; nil if there is none.
+// planEviction returns the cheapest way found to fit the waiting tasks into the area; nil if there is none. It finds
+// room for one task at a time, on the worker where that loses the least work.
 func (c *Core) planEviction(s *step, area []*worker) *eviction {
-	free := map[*worker]resource.Resources{}
+	p := &evictionPlan{core: c, step: s, area: area, free: map[*worker]resource.Resources{}, missing: s.waitingTasks()}
+	p.result.members = map[*worker]int{}
 	for _, w := range area {
-		free[w] = w.freeSoon()
-	}
-	e := &eviction{}
-	for {
-		members, missing := s.spread(area, free)
-		if missing == 0 {
-			e.members = members
-			return e
-		}
-		victim, cost := c.cheapestVictim(s, area, free, e.victims)
-		if victim == nil {
+		p.free[w] = w.freeSoon()
+	}
+	for p.fill(); p.missing > 0; p.fill() {
+		if !p.evictCheapest() {
 			return nil
 		}
-		e.victims = append(e.victims, victim)
-		e.cost += cost
-		for _, p := range victim.placements {
-			if at, ok := free[p.worker]; ok && !p.stopping {
-				free[p.worker] = at.Add(p.demand())
-			}
+	}
+	return &p.result
+}
+
+// evictionPlan is the state of one search.
+type evictionPlan struct {
+	core    *Core
+	step    *step
+	area    []*worker
+	free    map[*worker]resource.Resources
+	missing int
+	result  eviction
+}
+
+// fill gives the tasks without a place the room that is free.
+func (p *evictionPlan) fill() {
+	demand := charge(p.step.spec)
+	for _, w := range p.area {
+		n := min(p.missing, p.step.roomFor(w, p.free[w])-p.taken(w))
+		if n <= 0 {
+			continue
 		}
+		p.result.members[w] += n
+		p.missing -= n
+		p.free[w] = p.free[w].Sub(demand.Times(n))
 	}
 }
 
-// freeSoon is the worker's free room once the runs that are being stopped have ended.
-func (w *worker) freeSoon() resource.Resources {
-	free := w.free()
-	for _, p := range w.runs {
-		if p.stopping {
-			free = free.Add(p.demand())
+// taken returns how many of the places that roomFor allows by MaxPerWorker are given away.
+func (p *evictionPlan) taken(w *worker) int {
+	if p.step.spec.MaxPerWorker == 0 {
+		return 0
+	}
+	return p.result.members[w]
+}
+
+// evictCheapest stops the units that make room for one more task at the least cost; false if none can.
+func (p *evictionPlan) evictCheapest() bool {
+	var best []*unit
+	var bestCost float64
+	for _, w := range p.area {
+		units, cost := p.victimsOn(w)
+		if units != nil && (best == nil || cost < bestCost) {
+			best, bestCost = units, cost
 		}
 	}
-	return free
+	for _, u := range best {
+		p.result.victims = append(p.result.victims, u)
+		for _, placed := range u.placements {
+			if at, inArea := p.free[placed.worker]; inArea && !placed.stopping {
+				p.free[placed.worker] = at.Add(placed.demand())
+			}
+		}
+	}
+	p.result.cost += bestCost
+	return best != nil
 }
 
-// spread puts the step's waiting tasks on the workers and returns how many found no room.
-func (s *step) spread(area []*worker, free map[*worker]resource.Resources) (members map[*worker]int, missing int) {
-	members = map[*worker]int{}
-	missing = s.waitingTasks()
-	for _, w := range area {
-		n := min(missing, s.roomFor(w, free[w]))
-		if n > 0 {
-			members[w] = n
-			missing -= n
+// victimsOn returns the units on the worker whose end makes room for one more task, and what stopping them costs.
+func (p *evictionPlan) victimsOn(w *worker) ([]*unit, float64) {
+	demand := charge(p.step.spec)
+	if !demand.Fits(w.info.Capacity) || p.step.spec.MaxPerWorker > 0 && p.step.placedOn(w)+p.result.members[w] >= p.step.spec.MaxPerWorker {
+		return nil, 0
+	}
+	candidates := p.candidatesOn(w)
+	free := p.free[w]
+	n := 0
+	for ; n < len(candidates) && !demand.Fits(free); n++ {
+		free = free.Add(candidates[n].room)
+	}
+	if !demand.Fits(free) {
+		return nil, 0
+	}
+	var units []*unit
+	var cost float64
+	for _, v := range slices.Backward(candidates[:n]) {
+		if less := free.Sub(v.room); demand.Fits(less) {
+			// Cheaper units make enough room without this one.
+			free = less
+			continue
 		}
+		units = append(units, v.unit)
+		cost += v.cost
 	}
-	return members, missing
+	return units, cost
 }
 
-// cheapestVictim returns the unit whose stop loses the least work for the accelerators that it frees in the area.
-func (c *Core) cheapestVictim(s *step, area []*worker, free map[*worker]resource.Resources, taken []*unit) (*unit, float64) {
-	var best *unit
-	var bestCost, bestRatio float64
-	for _, w := range area {
-		if s.roomFor(w, w.info.Capacity) == 0 {
+// victim is a unit that may be stopped.
+type victim struct {
+	unit *unit
+	cost float64
+	// room is what the unit uses on one worker.
+	room resource.Resources
+}
+
+// candidatesOn returns the units on the worker that may be stopped, the cheapest first.
+func (p *evictionPlan) candidatesOn(w *worker) []victim {
+	var candidates []victim
+	for _, placed := range w.sortedRuns() {
+		u := placed.unit
+		if u == nil || placed.stopping || placed.finished || u.collapsing || slices.Contains(p.result.victims, u) || !p.core.mayStop(u, p.step) {
 			continue
 		}
-		for _, p := range w.sortedRuns() {
-			u := p.unit
-			if u == nil || p.stopping || p.finished || u.collapsing || slices.Contains(taken, u) || !c.mayStop(u, s) {
-				continue
-			}
-			cost := c.stopCost(u)
-			ratio := cost / float64(1+u.freedIn(free))
-			if best == nil || ratio < bestRatio {
-				best, bestCost, bestRatio = u, cost, ratio
-			}
+		at := slices.IndexFunc(candidates, func(v victim) bool { return v.unit == u })
+		if at >= 0 {
+			candidates[at].room = candidates[at].room.Add(placed.demand())
+			continue
 		}
+		candidates = append(candidates, victim{unit: u, cost: p.core.stopCost(u), room: placed.demand()})
 	}
-	return best, bestCost
+	slices.SortStableFunc(candidates, func(a, b victim) int { return cmp.Compare(a.cost, b.cost) })
+	return candidates
 }
 
-// freedIn returns the accelerators that the unit holds on the given workers.
-func (u *unit) freedIn(free map[*worker]resource.Resources) int {
-	n := 0
-	for _, p := range u.placements {
-		if _, ok := free[p.worker]; ok {
-			n += p.demand().Accelerators
+// freeSoon is the worker's free room once the runs that are being stopped have ended.
+func (w *worker) freeSoon() resource.Resources {
+	free := w.free()
+	for _, p := range w.runs {
+		if p.stopping {
+			free = free.Add(p.demand())
 		}
 	}
-	return n
+	return free
 }
 
 // mayStop reports whether the unit may be stopped for the guaranteed step: work of lower priority, or work of priority 0
@@ -185,17 +241,21 @@
 	return c.accountUse[j.spec.Account] > c.guarantee(j.spec.Account)
 }
 
-// stopCost returns the work that a stop loses, in core seconds.
+// stopCost returns what a stop loses, in core seconds.
 func (c *Core) stopCost(u *unit) float64 {
 	lost := c.now - u.startedAt
 	if u.step.spec.Checkpointing {
 		lost = min(lost, maxCheckpointLoss)
 	}
+	lost += restartLoss
 	d := u.step.spec.Demand
 	cores := float64(d.MilliCPU)/1000 + float64(d.Accelerators*acceleratorCores)
 	cost := lost.Seconds() * cores * float64(u.size)
-	if u.step.job.queue.Priority == 0 {
-		cost = (cost + 1) * foreignGuaranteeFactor
+	switch u.step.job.queue.Priority {
+	case 0:
+		return cost * foreignGuaranteeFactor
+	case 1:
+		return cost * middlePriorityFactor
 	}
 	return cost
 }
--- a/dispatch/units.go
+++ b/dispatch/units.go
@@ -66,7 +66,9 @@
 func (c *Core) countAccount(p *placement, sign int) {
 	j := p.unit.step.job
 	if j.queue.Priority == 0 {
-		c.accountUse[j.spec.Account] += sign * p.unit.step.spec.Demand.Accelerators
+		accelerators := sign * p.unit.step.spec.Demand.Accelerators
+		c.accountUse[j.spec.Account] += accelerators
+		c.headroom.use += accelerators
 	}
 }
 
@@ -80,6 +82,7 @@
 	if j.phase == workload.PhaseQueued {
 		j.phase = workload.PhaseRunning
 	}
+	c.freeAccelerators -= u.size * u.step.spec.Demand.Accelerators
 	for member, w := range workers {
 		p := u.newPlacement(member, w)
 		c.attach(p)
--- a/joblog/view.go
+++ b/joblog/view.go
@@ -1,11 +1,13 @@
-// Package joblog keeps jobs in the store's jobs topic and every VM's view of them.
+// Package joblog keeps jobs in the store and every VM's view of them.
 //
-// A job has up to three records, each under a key of its own, so that a repeated append overwrites itself: the
-// submission and the cancellation, which any VM writes before it answers the caller, and the state, which only the
-// fenced holder of the schedule writes.
+// A job has up to three records, each under a key of its own, so that a repeated append overwrites itself. The submission
+// and the cancellation are in a part of the intake topic, which any VM writes before it answers the caller; the parts
+// share the load, since a part executes one append at a time and a slow store makes each take long. The state is in the
+// states topic, which only the fenced holder of the schedule writes, so that callers' appends do not hold it up.
 package joblog
 
 import (
+	"hash/fnv"
 	"sync"
 
 	"github.com/fxamacker/cbor/v2"
@@ -21,8 +23,15 @@
 	keyState      = "j/"
 )
 
-// noOffset stands for a record that does not exist.
-const noOffset = int64(-1)
+// IntakeParts is how many parts the intake has.
+const IntakeParts = 4
+
+// IntakeOf returns the stream of a job's submission and cancellation.
+func IntakeOf(id workload.JobID) store.Stream {
+	hash := fnv.New32a()
+	_, _ = hash.Write([]byte(id))
+	return store.Stream{Topic: store.TopicIntake, Part: int(hash.Sum32() % IntakeParts)}
+}
 
 var encoding = func() cbor.EncMode {
 	options := cbor.CoreDetEncOptions()
@@ -50,41 +59,36 @@
 	return store.Record{Key: keyState + string(id), Value: state}
 }
 
-// DropRecords returns the records that remove all trace of a job.
-func DropRecords(id workload.JobID) []store.Record {
-	return []store.Record{
-		{Key: keyCancel + string(id)},
-		{Key: keyState + string(id)},
-		{Key: keySubmission + string(id)},
-	}
+// DropIntake returns the records that remove a job from the intake.
+func DropIntake(id workload.JobID) []store.Record {
+	return []store.Record{{Key: keyCancel + string(id)}, {Key: keySubmission + string(id)}}
 }
 
+// DropState returns the record that removes a job's state.
+func DropState(id workload.JobID) store.Record { return store.Record{Key: keyState + string(id)} }
+
 // Entry is what a VM knows of a job.
 type Entry struct {
 	// Job is nil while only other records of the job were read.
 	Job *workload.Job
 	// Phase includes the effect of a cancellation that the holder of the schedule has not acted on yet.
 	Phase workload.Phase
-	// Cancelled reports a cancellation that came before the end of the job.
+	// Cancelled reports that the job is to be stopped, or was.
 	Cancelled bool
 	// State is the encoded state; nil for a job that was never started.
 	State []byte
 }
 
 type entry struct {
-	job          *workload.Job
-	phase        workload.Phase
-	state        []byte
-	cancelOffset int64
-	// finalOffset is where the job's end was written.
-	finalOffset int64
+	job   *workload.Job
+	phase workload.Phase
+	state []byte
+	// cancelAsked reports that a caller has cancelled the job; its end may have been stored before.
+	cancelAsked bool
 }
 
 func (e *entry) cancelled() bool {
-	if e.phase == workload.PhaseCancelled {
-		return true
-	}
-	return e.cancelOffset != noOffset && (!e.phase.Final() || e.cancelOffset < e.finalOffset)
+	return e.phase == workload.PhaseCancelled || e.cancelAsked && !e.phase.Final()
 }
 
 func (e *entry) export() Entry {
@@ -95,7 +99,7 @@
 	return out
 }
 
-// View is the fold of the jobs topic. It is safe for concurrent use.
+// View is the fold of all records of jobs. It is safe for concurrent use.
 type View struct {
 	mu      sync.Mutex
 	entries map[workload.JobID]*entry
@@ -124,7 +128,7 @@
 		if len(r.Value) == 0 {
 			return id
 		}
-		e = &entry{cancelOffset: noOffset, finalOffset: noOffset}
+		e = &entry{}
 		v.entries[id] = e
 	}
 	v.count(e, -1)
@@ -146,9 +150,7 @@
 		}
 		return e.foldSubmission(id, r)
 	case keyCancel:
-		if len(r.Value) > 0 && e.cancelOffset == noOffset {
-			e.cancelOffset = r.Offset
-		}
+		e.cancelAsked = e.cancelAsked || len(r.Value) > 0
 		return true
 	case keyState:
 		return len(r.Value) == 0 || e.foldState(r)
@@ -178,9 +180,6 @@
 	}
 	e.phase = phase
 	e.state = r.Value
-	if phase.Final() {
-		e.finalOffset = r.Offset
-	}
 	return true
 }
 
--- a/joblog/writer.go
+++ b/joblog/writer.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/redwingthread/redwingthread/store"
+	"github.com/redwingthread/redwingthread/workload"
 )
 
 const (
@@ -22,9 +23,44 @@
 	maxFlightBytes = 512 << 10
 )
 
-// Writer stores callers' records. Records that arrive while an append is under way go together in the next one.
+// Writer stores callers' records.
 type Writer struct {
-	log store.Log
+	parts [IntakeParts]partWriter
+}
+
+// NewWriter returns a writer to the log.
+func NewWriter(log store.Log) *Writer {
+	w := &Writer{}
+	for part := range w.parts {
+		w.parts[part].log = log
+		w.parts[part].stream = store.Stream{Topic: store.TopicIntake, Part: part}
+	}
+	return w
+}
+
+// Submit stores a submission. It returns nil once it is stored, an error that matches store.ErrNotDone if it is not
+// stored and never will be, or one that matches store.ErrUnknown if the outcome was not known when ctx ended.
+func (w *Writer) Submit(ctx context.Context, job *workload.Job) error {
+	record, err := SubmissionRecord(job)
+	if err != nil {
+		return errors.Join(store.ErrNotDone, err)
+	}
+	return w.write(ctx, job.ID, record)
+}
+
+// Cancel stores a cancellation; see Submit for the outcomes.
+func (w *Writer) Cancel(ctx context.Context, id workload.JobID) error {
+	return w.write(ctx, id, CancelRecord(id))
+}
+
+func (w *Writer) write(ctx context.Context, id workload.JobID, record store.Record) error {
+	return w.parts[IntakeOf(id).Part].write(ctx, record)
+}
+
+// partWriter writes to one part. Records that arrive while an append is under way go together in the next one.
+type partWriter struct {
+	log    store.Log
+	stream store.Stream
 
 	mu      sync.Mutex
 	pending []*write
@@ -40,12 +76,9 @@
 	done      chan error
 }
 
-// NewWriter returns a writer to the log.
-func NewWriter(log store.Log) *Writer { return &Writer{log: log} }
-
-// Write stores the record. It returns nil once it is stored, an error that matches store.ErrNotDone if it is not stored
+// write stores the record. It returns nil once it is stored, an error that matches store.ErrNotDone if it is not stored
 // and never will be, or one that matches store.ErrUnknown if the outcome was not known when ctx ended.
-func (w *Writer) Write(ctx context.Context, record store.Record) error {
+func (w *partWriter) write(ctx context.Context, record store.Record) error {
 	item := &write{record: record, ctx: ctx, done: make(chan error, 1)}
 	w.mu.Lock()
 	w.pending = append(w.pending, item)
@@ -55,7 +88,7 @@
 }
 
 // dispatch starts an append for what is pending. mu is held.
-func (w *Writer) dispatch() {
+func (w *partWriter) dispatch() {
 	if w.flights >= maxFlights || len(w.pending) == 0 {
 		return
 	}
@@ -64,7 +97,7 @@
 	go w.fly(batch)
 }
 
-func (w *Writer) takeBatch() []*write {
+func (w *partWriter) takeBatch() []*write {
 	size, n := 0, 0
 	for n < len(w.pending) && (n == 0 || size < maxFlightBytes) {
 		size += len(w.pending[n].record.Value)
@@ -76,7 +109,7 @@
 }
 
 // fly appends the batch until every write of it has an outcome.
-func (w *Writer) fly(batch []*write) {
+func (w *partWriter) fly(batch []*write) {
 	for len(batch) > 0 {
 		err := w.append(batch)
 		batch = settle(batch, err)
@@ -90,12 +123,12 @@
 	w.dispatch()
 }
 
-func (w *Writer) append(batch []*write) error {
+func (w *partWriter) append(batch []*write) error {
 	records := make([]store.Record, len(batch))
 	for i, item := range batch {
 		records[i] = item.record
 	}
-	return w.log.Append(context.Background(), store.TopicJobs, records, nil, appendTimeout)
+	return w.log.Append(context.Background(), w.stream, records, nil, appendTimeout)
 }
 
 // settle gives the outcome to the writes that have one and returns the others.
--- a/leader/journal.go
+++ b/leader/journal.go
@@ -36,7 +36,7 @@
 // open shuts out the holders before this one.
 func (j *journal) open(ctx context.Context) error {
 	for ctx.Err() == nil {
-		err := j.log.Append(ctx, store.TopicJobs, nil, &store.Producer{Name: producerName, Epoch: j.epoch}, journalTimeout)
+		err := j.log.Append(ctx, store.States, nil, &store.Producer{Name: producerName, Epoch: j.epoch}, journalTimeout)
 		if err == nil || errors.Is(err, store.ErrFenced) {
 			return err
 		}
@@ -72,7 +72,7 @@
 	uncertain := false
 	for ctx.Err() == nil {
 		producer := &store.Producer{Name: producerName, Epoch: j.epoch, Sequence: j.sequence}
-		err := j.log.Append(ctx, store.TopicJobs, records, producer, journalTimeout)
+		err := j.log.Append(ctx, store.States, records, producer, journalTimeout)
 		j.working(err)
 		var wrong *store.SequenceError
 		switch {
--- a/leader/journal_test.go
+++ b/leader/journal_test.go
@@ -41,7 +41,7 @@
 	if err := second.write(ctx, record("j/a", "done")); err != nil {
 		t.Fatal(err)
 	}
-	if got := string(log.Value(store.TopicJobs, "j/a")); got != "done" {
+	if got := string(log.Value(store.States, "j/a")); got != "done" {
 		t.Fatalf("the store holds %q after the second holder wrote done", got)
 	}
 	if err := first.write(ctx, record("j/a", "stale")); !errors.Is(err, store.ErrFenced) {
@@ -77,7 +77,7 @@
 				if err := j.write(ctx, record("j/a", strconv.Itoa(value))); err != nil {
 					t.Fatal(err)
 				}
-				if got := string(log.Value(store.TopicJobs, "j/a")); got != strconv.Itoa(value) {
+				if got := string(log.Value(store.States, "j/a")); got != strconv.Itoa(value) {
 					t.Fatalf("the store holds %s after %d was stored", got, value)
 				}
 			}
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -161,7 +161,7 @@
 		l.out.Warn().Err(err).Msg("schedule not taken")
 		return
 	}
-	if err := l.Follower.Refresh(ctx, 0); err != nil {
+	if err := l.Follower.Refresh(ctx, 0, l.Follower.Streams()...); err != nil {
 		return
 	}
 	l.Follower.Subscribe(l.jobsChanged)
@@ -423,14 +423,25 @@
 	if l.journalDone != nil {
 		return
 	}
-	var records []store.Record
-	for _, id := range l.core.TakeEnded(boottime.Now() - l.StatusRetention - dropMargin) {
-		records = append(records, joblog.DropRecords(id)...)
-	}
-	if len(records) == 0 {
+	ended := l.core.TakeEnded(boottime.Now() - l.StatusRetention - dropMargin)
+	if len(ended) == 0 {
 		return
 	}
 	done := make(chan error, 1)
 	l.journalDone = done
-	go func() { done <- l.journal.write(ctx, records) }()
+	go func() { done <- l.dropRecords(ctx, ended) }()
+}
+
+// dropRecords removes the states last, so that a job of which only the submission was removed does not start anew.
+func (l *Leader) dropRecords(ctx context.Context, ids []workload.JobID) error {
+	states := make([]store.Record, len(ids))
+	for i, id := range ids {
+		states[i] = joblog.DropState(id)
+		err := l.Log.Append(ctx, joblog.IntakeOf(id), joblog.DropIntake(id), nil, journalTimeout)
+		if err != nil {
+			l.out.Warn().Err(err).Str("job", string(id)).Msg("records of an ended job were not removed; the next holder tries again")
+			return nil
+		}
+	}
+	return l.journal.write(ctx, states)
 }
--- a/leader/workers.go
+++ b/leader/workers.go
@@ -51,7 +51,7 @@
 	if !w.loaded {
 		return w.load(ctx)
 	}
-	batch, err := w.leader.Log.Read(ctx, store.TopicWorkers, w.next, 0)
+	batch, err := w.leader.Log.Read(ctx, store.Workers, w.next, 0)
 	if errors.Is(err, store.ErrExpired) {
 		return w.load(ctx)
 	}
@@ -69,34 +69,23 @@
 
 // load reads the newest entry of every worker and drops the workers that have none.
 func (w *workerList) load(ctx context.Context) error {
+	records, next, err := store.ReadNewest(ctx, w.leader.Log, store.Workers)
+	if err != nil {
+		return err
+	}
 	present := map[string]bool{}
-	after := ""
-	end := int64(-1)
-	for {
-		page, err := w.leader.Log.Newest(ctx, store.TopicWorkers, after)
-		if err != nil {
-			return err
-		}
-		if end < 0 {
-			end = page.End
-		}
-		for _, r := range page.Records {
-			present[r.Key] = true
-			w.apply(ctx, r, boottime.Now())
-		}
-		if !page.More || len(page.Records) == 0 {
-			break
-		}
-		after = page.Records[len(page.Records)-1].Key
+	for _, r := range records {
+		present[r.Key] = true
+		w.apply(ctx, r, boottime.Now())
 	}
 	for id := range w.known {
 		if !present[id] {
 			w.drop(id, false)
 		}
 	}
-	w.next = end
+	w.next = next
 	w.loaded = true
-	w.leader.out.Info().Int("workers", len(w.known)).Int64("offset", end).Msg("list of workers read")
+	w.leader.out.Info().Int("workers", len(w.known)).Int64("offset", next).Msg("list of workers read")
 	return nil
 }
 
--- a/node/configwatch.go
+++ b/node/configwatch.go
@@ -65,7 +65,7 @@
 		return w.load(ctx)
 	}
 	startedAt := boottime.Now()
-	batch, err := w.log.Read(ctx, store.TopicConfig, w.next, configPoll)
+	batch, err := w.log.Read(ctx, store.Config, w.next, configPoll)
 	if errors.Is(err, store.ErrExpired) {
 		w.out.Warn().Int64("offset", w.next).Msg("configuration records were dropped before they were read; reading the newest")
 		return w.load(ctx)
@@ -86,25 +86,14 @@
 // load reads the newest records.
 func (w *configWatch) load(ctx context.Context) error {
 	startedAt := boottime.Now()
-	after := ""
-	end := int64(-1)
-	for {
-		page, err := w.log.Newest(ctx, store.TopicConfig, after)
-		if err != nil {
-			return err
-		}
-		if end < 0 {
-			end = page.End
-		}
-		for _, r := range page.Records {
-			w.apply(r)
-		}
-		if !page.More || len(page.Records) == 0 {
-			break
-		}
-		after = page.Records[len(page.Records)-1].Key
+	records, next, err := store.ReadNewest(ctx, w.log, store.Config)
+	if err != nil {
+		return err
+	}
+	for _, r := range records {
+		w.apply(r)
 	}
-	w.next = end
+	w.next = next
 	w.loaded = true
 	w.confirm(startedAt)
 	return nil
@@ -145,10 +134,10 @@
 	}
 	w.failing = err != nil
 	if w.failing {
-		w.out.Warn().Err(err).Str("dependency", "store").Str("topic", string(store.TopicConfig)).Msg("dependency lost")
+		w.out.Warn().Err(err).Str("dependency", "store").Stringer("stream", store.Config).Msg("dependency lost")
 		return
 	}
-	w.out.Info().Str("dependency", "store").Str("topic", string(store.TopicConfig)).Msg("dependency regained")
+	w.out.Info().Str("dependency", "store").Stringer("stream", store.Config).Msg("dependency regained")
 }
 
 func pause(ctx context.Context, d time.Duration) {
--- a/node/frontend.go
+++ b/node/frontend.go
@@ -74,14 +74,7 @@
 	if _, known := n.view.Get(job.ID); known {
 		return nil
 	}
-	record, err := joblog.SubmissionRecord(job)
-	if err != nil {
-		return errkind.Wrap(err, errkind.Internal, "report this as a fault of the program", "encode submission")
-	}
-	if len(record.Value) > n.Settings.Store.MaxRecordBytes {
-		return errkind.New(errkind.TooLarge, "hand in a smaller job", "the job takes %d bytes", len(record.Value))
-	}
-	return n.stored(job.ID, n.writer.Write(ctx, record))
+	return n.stored(job.ID, n.writer.Submit(ctx, job))
 }
 
 // stored translates the outcome of a caller's write.
@@ -110,8 +103,12 @@
 // lookUp returns the job if it belongs to the caller. An answer that can still change is looked up in a fresh view.
 func (n *Node) lookUp(ctx context.Context, access Access, id workload.JobID) (joblog.Entry, bool) {
 	entry, ok := n.view.Get(id)
-	if !ok || !entry.Phase.Final() {
-		n.refresh(ctx, stateMaxAge)
+	switch {
+	case !ok:
+		n.refresh(ctx, stateMaxAge, store.States, joblog.IntakeOf(id))
+		entry, ok = n.view.Get(id)
+	case !entry.Phase.Final():
+		n.refresh(ctx, stateMaxAge, store.States)
 		entry, ok = n.view.Get(id)
 	}
 	if !ok || entry.Job.Queue != access.Queue.Name || entry.Job.Account != access.Account {
@@ -120,11 +117,11 @@
 	return entry, true
 }
 
-func (n *Node) refresh(ctx context.Context, maxAge time.Duration) {
+func (n *Node) refresh(ctx context.Context, maxAge time.Duration, streams ...store.Stream) {
 	ctx, cancel := context.WithTimeout(ctx, refreshTimeout)
 	defer cancel()
 	// An outage leaves the last view in place; the follower logs it.
-	_ = n.follower.Refresh(ctx, maxAge)
+	_ = n.follower.Refresh(ctx, maxAge, streams...)
 }
 
 // Cancel ends a job. An unknown job gives a NotFound error.
@@ -136,12 +133,12 @@
 	if entry.Phase.Final() {
 		return nil
 	}
-	return n.stored("", n.writer.Write(ctx, joblog.CancelRecord(id)))
+	return n.stored("", n.writer.Cancel(ctx, id))
 }
 
 // Waiting returns how many accepted jobs of the queue have nothing started.
 func (n *Node) Waiting(ctx context.Context, access Access) int {
-	n.refresh(ctx, waitingMaxAge)
+	n.refresh(ctx, waitingMaxAge, n.follower.Streams()...)
 	return n.view.Waiting(access.Queue.Name)
 }
 
--- a/node/membership.go
+++ b/node/membership.go
@@ -18,8 +18,8 @@
 	memberTTL    = 1600 * time.Millisecond
 	joinInterval = 400 * time.Millisecond
 	// standbySteps and standbyStep spread the VMs' candidacies for a free schedule.
-	standbySteps = 6
-	standbyStep  = 40 * time.Millisecond
+	standbySteps = 12
+	standbyStep  = 30 * time.Millisecond
 	// smallCPUShare is the share of a core below which a VM leaves the schedule to others for smallStandby.
 	smallCPUShare = 0.3
 	smallStandby  = 800 * time.Millisecond
@@ -35,8 +35,6 @@
 type membership struct {
 	node   *Node
 	member string
-	// standby is how long this VM leaves a free schedule to others.
-	standby time.Duration
 
 	joined     bool
 	generation int64
@@ -49,12 +47,13 @@
 	leaderDone  chan struct{}
 }
 
-// standbyOf spreads the VMs' candidacies, so that seldom two join at once. VMs with a small share of a core wait longest:
-// the holder's work grows with the number of workers.
-func standbyOf(vm string, cpuShare float64) time.Duration {
+// standbyOf returns how long a VM leaves a free schedule to others, if the group takes roundTrip to answer. It spreads the
+// candidacies further apart than an answer takes, so that seldom two VMs join at once. VMs with a small share of a core
+// wait longest: the holder's work grows with the number of workers.
+func standbyOf(vm string, cpuShare float64, roundTrip time.Duration) time.Duration {
 	hash := fnv.New32a()
 	_, _ = hash.Write([]byte(vm))
-	spread := time.Duration(hash.Sum32()%standbySteps) * standbyStep
+	spread := time.Duration(hash.Sum32()%standbySteps) * max(standbyStep, roundTrip)
 	if cpuShare < smallCPUShare {
 		return spread + smallStandby
 	}
@@ -85,6 +84,7 @@
 		m.keep(ctx, config)
 		return
 	}
+	askedAt := boottime.Now()
 	holder, err := m.node.Log.Holder(ctx, scheduleGroup)
 	if err != nil || holder != "" {
 		m.freeSince = 0
@@ -94,7 +94,7 @@
 	if m.freeSince == 0 {
 		m.freeSince = now
 	}
-	if now-m.freeSince >= m.standby {
+	if now-m.freeSince >= standbyOf(m.node.Settings.VM, m.node.Settings.CPUShare, now-askedAt) {
 		m.freeSince = 0
 		m.generation = 0
 		m.joined = true
--- a/node/node.go
+++ b/node/node.go
@@ -102,7 +102,7 @@
 	memberDone := make(chan struct{})
 	go func() {
 		defer close(memberDone)
-		m := &membership{node: n, member: n.memberName(), standby: standbyOf(n.Settings.VM, n.Settings.CPUShare)}
+		m := &membership{node: n, member: n.memberName()}
 		m.run(memberCtx)
 	}()
 	select {
--- a/store/store.go
+++ b/store/store.go
@@ -33,19 +33,37 @@
 	return "store: the next sequence number is " + strconv.FormatInt(e.Expected, 10)
 }
 
-// Topic names a keyed topic; all records of a topic are in one part.
+// Topic names a keyed topic.
 type Topic string
 
 // The topics.
 const (
-	// TopicJobs holds submissions, cancellations and job states.
-	TopicJobs Topic = "jobs"
+	// TopicIntake holds callers' submissions and cancellations, in several parts.
+	TopicIntake Topic = "intake"
+	// TopicStates holds job states.
+	TopicStates Topic = "states"
 	// TopicConfig holds what operators publish.
 	TopicConfig Topic = "config"
 	// TopicWorkers holds what workers say of themselves.
 	TopicWorkers Topic = "workers"
 )
 
+// Stream is one part of a topic. Appends to a part are executed one after the other.
+type Stream struct {
+	Topic Topic
+	Part  int
+}
+
+// The streams of the topics that have one part.
+var (
+	States  = Stream{Topic: TopicStates}
+	Config  = Stream{Topic: TopicConfig}
+	Workers = Stream{Topic: TopicWorkers}
+)
+
+// String names the stream in log lines.
+func (s Stream) String() string { return string(s.Topic) + "/" + strconv.Itoa(s.Part) }
+
 // Record is one record of a keyed topic. A record without value drops its key.
 type Record struct {
 	Key    string
@@ -55,7 +73,7 @@
 
 // Batch is what a read returned.
 type Batch struct {
-	// End is the offset after the last record of the topic, First the oldest offset retained.
+	// End is the offset after the last record of the stream, First the oldest offset retained.
 	End, First int64
 	Records    []Record
 }
@@ -83,12 +101,12 @@
 
 // Log is the store.
 type Log interface {
-	// Append adds the records to the topic, all or none. producer may be nil. No records with a producer set the epoch.
-	Append(ctx context.Context, topic Topic, records []Record, producer *Producer, timeout time.Duration) error
+	// Append adds the records to the stream, all or none. producer may be nil. No records with a producer set the epoch.
+	Append(ctx context.Context, stream Stream, records []Record, producer *Producer, timeout time.Duration) error
 	// Read returns records from the offset on; it waits up to wait for the first one.
-	Read(ctx context.Context, topic Topic, from int64, wait time.Duration) (*Batch, error)
+	Read(ctx context.Context, stream Stream, from int64, wait time.Duration) (*Batch, error)
 	// Newest returns the newest record of each key behind after, in the order of keys.
-	Newest(ctx context.Context, topic Topic, after string) (*Page, error)
+	Newest(ctx context.Context, stream Stream, after string) (*Page, error)
 	// Join joins the group or keeps the member in it for ttl.
 	Join(ctx context.Context, group, member string, ttl time.Duration, generation int64) (Assignment, error)
 	// Leave gives the member's part back.
@@ -96,3 +114,23 @@
 	// Holder returns the member that holds the group's only part, empty if none does.
 	Holder(ctx context.Context, group string) (member string, err error)
 }
+
+// ReadNewest returns the newest record of each key and the offset to read on from. The pages are read at different times;
+// reading on from the end that the first one states repeats what changed meanwhile.
+func ReadNewest(ctx context.Context, log Log, stream Stream) (records []Record, next int64, err error) {
+	after := ""
+	for first := true; ; first = false {
+		page, err := log.Newest(ctx, stream, after)
+		if err != nil {
+			return nil, 0, err
+		}
+		if first {
+			next = page.End
+		}
+		records = append(records, page.Records...)
+		if !page.More || len(page.Records) == 0 {
+			return records, next, nil
+		}
+		after = page.Records[len(page.Records)-1].Key
+	}
+}
--- a/store/storetest/fake.go
+++ b/store/storetest/fake.go
@@ -18,7 +18,7 @@
 // Fake is an in-memory store. Its zero value is not usable; see New.
 type Fake struct {
 	mu        sync.Mutex
-	topics    map[store.Topic]*topic
+	topics    map[store.Stream]*topic
 	producers map[string]*producer
 	groups    map[string]*group
 	fault     Fault
@@ -51,7 +51,7 @@
 // New returns an empty store.
 func New() *Fake {
 	return &Fake{
-		topics:    map[store.Topic]*topic{},
+		topics:    map[store.Stream]*topic{},
 		producers: map[string]*producer{},
 		groups:    map[string]*group{},
 		changed:   make(chan struct{}),
@@ -77,7 +77,7 @@
 	return fault(call)
 }
 
-func (f *Fake) topic(name store.Topic) *topic {
+func (f *Fake) topic(name store.Stream) *topic {
 	t := f.topics[name]
 	if t == nil {
 		t = &topic{newest: map[string]store.Record{}}
@@ -87,7 +87,7 @@
 }
 
 // Append implements store.Log.
-func (f *Fake) Append(_ context.Context, name store.Topic, records []store.Record, p *store.Producer, _ time.Duration) error {
+func (f *Fake) Append(_ context.Context, name store.Stream, records []store.Record, p *store.Producer, _ time.Duration) error {
 	fault, execute := f.check("append")
 	if !execute {
 		return fault
@@ -147,7 +147,7 @@
 }
 
 // Read implements store.Log.
-func (f *Fake) Read(ctx context.Context, name store.Topic, from int64, wait time.Duration) (*store.Batch, error) {
+func (f *Fake) Read(ctx context.Context, name store.Stream, from int64, wait time.Duration) (*store.Batch, error) {
 	if fault, execute := f.check("read"); !execute || fault != nil {
 		return nil, fault
 	}
@@ -181,7 +181,7 @@
 }
 
 // Newest implements store.Log.
-func (f *Fake) Newest(_ context.Context, name store.Topic, after string) (*store.Page, error) {
+func (f *Fake) Newest(_ context.Context, name store.Stream, after string) (*store.Page, error) {
 	if fault, execute := f.check("newest"); !execute || fault != nil {
 		return nil, fault
 	}
@@ -203,7 +203,7 @@
 }
 
 // DropHistory removes all records of the topic; the newest of each key stay.
-func (f *Fake) DropHistory(name store.Topic) {
+func (f *Fake) DropHistory(name store.Stream) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	t := f.topic(name)
@@ -212,7 +212,7 @@
 }
 
 // Value returns the newest value of a key; nil if there is none.
-func (f *Fake) Value(name store.Topic, key string) []byte {
+func (f *Fake) Value(name store.Stream, key string) []byte {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.topic(name).newest[key].Value
