Send callers of a VM without the store on at once; let urgent work stop lower priorities

Change: a VM whose configuration was not confirmed for 1.9 s refuses writes at once and is not ready; an append without an answer is repeated once, then answered 504; the group drops a silent holder after 1.3 s; urgent work may stop work of lower priority, at most as much as it does itself. Ruled out: 1.5 s as the age (no better, and near what a slow store takes).

--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -38,8 +38,7 @@
 		if c.try(s) {
 			continue
 		}
-		if c.entitled(s) {
-			c.reclaim(s)
+		if c.mayReclaim(s) && c.reclaim(s) {
 			continue
 		}
 		if s.claim == nil && reservations < maxReservations && c.now-s.readySince >= reserveAfter {
--- a/dispatch/reclaim.go
+++ b/dispatch/reclaim.go
@@ -21,10 +21,14 @@
 	maxCheckpointLoss = time.Second
 )
 
-// reclaim stops the cheapest work in the way of a guaranteed step and keeps the room for it.
-func (c *Core) reclaim(s *step) {
+// mayReclaim reports whether other work may be stopped for the step.
+func (c *Core) mayReclaim(s *step) bool { return s.job.queue.Priority == 0 }
+
+// reclaim stops the cheapest work in the way of an urgent step and keeps the room for it. It reports whether room is kept.
+// Beyond the account's guarantee only work of lower priority is stopped, and no more of it than the step itself does.
+func (c *Core) reclaim(s *step) bool {
 	if s.claim != nil {
-		return
+		return true
 	}
 	var best *eviction
 	for _, area := range c.areas(s) {
@@ -33,15 +37,16 @@
 			best = e
 		}
 	}
-	if best == nil {
-		return
+	if best == nil || !c.entitled(s) && best.cost > s.waitingWork() {
+		return false
 	}
 	s.claim = &claim{step: s, members: best.members, until: c.now + claimTime}
 	c.hold(s.claim)
 	for _, u := range best.victims {
-		c.event(Event{Name: "work stopped for a guarantee", Job: u.step.job.spec.ID, Detail: string(s.job.spec.ID)})
-		c.collapse(u, "reclaimed for guaranteed work")
+		c.event(Event{Name: "work stopped for urgent work", Job: u.step.job.spec.ID, Detail: string(s.job.spec.ID)})
+		c.collapse(u, "reclaimed for urgent work")
 	}
+	return true
 }
 
 // eviction is a way to make room for a step.
@@ -228,8 +233,18 @@
 	return free
 }
 
-// mayStop reports whether the unit may be stopped for the guaranteed step: work of lower priority, or work of priority 0
-// of an account that uses more than its guarantee.
+// waitingWork returns the estimated work of the step's waiting tasks, in core seconds.
+func (s *step) waitingWork() float64 {
+	return s.spec.Estimate.Seconds() * cores(s.spec.Demand) * float64(s.waitingTasks())
+}
+
+// cores returns how many processor cores a demand counts as.
+func cores(d resource.Resources) float64 {
+	return float64(d.MilliCPU)/1000 + float64(d.Accelerators*acceleratorCores)
+}
+
+// mayStop reports whether the unit may be stopped for the step: work of lower priority, or for a guarantee also work of
+// priority 0 of an account that uses more than its own.
 func (c *Core) mayStop(u *unit, s *step) bool {
 	j := u.step.job
 	if u.step.spec.LongRunning || j == s.job {
@@ -238,7 +253,7 @@
 	if j.queue.Priority > 0 {
 		return true
 	}
-	return c.accountUse[j.spec.Account] > c.guarantee(j.spec.Account)
+	return c.entitled(s) && c.accountUse[j.spec.Account] > c.guarantee(j.spec.Account)
 }
 
 // stopCost returns what a stop loses, in core seconds.
@@ -248,9 +263,7 @@
 		lost = min(lost, maxCheckpointLoss)
 	}
 	lost += restartLoss
-	d := u.step.spec.Demand
-	cores := float64(d.MilliCPU)/1000 + float64(d.Accelerators*acceleratorCores)
-	cost := lost.Seconds() * cores * float64(u.size)
+	cost := lost.Seconds() * cores(u.step.spec.Demand) * float64(u.size)
 	switch u.step.job.queue.Priority {
 	case 0:
 		return cost * foreignGuaranteeFactor
--- a/joblog/writer.go
+++ b/joblog/writer.go
@@ -12,7 +12,10 @@
 
 const (
 	// appendTimeout bounds one append of callers' records.
-	appendTimeout = time.Second
+	appendTimeout = 1100 * time.Millisecond
+	// maxUnknown is how often an append without an answer is repeated before the caller is told that the outcome is
+	// unknown. The caller then has time to send the same request to another VM.
+	maxUnknown = 2
 	// appendRetryInterval is the pause before a refused append is tried again.
 	appendRetryInterval = 60 * time.Millisecond
 	// refusedAttempts is how often an append that the store refuses is tried before the caller is told.
@@ -72,6 +75,7 @@
 	ctx    context.Context
 	// uncertain writes were part of an append without an answer: they may be stored, now or later.
 	uncertain bool
+	unknown   int
 	refused   int
 	done      chan error
 }
@@ -153,9 +157,10 @@
 		i.refused++
 	} else {
 		i.uncertain = true
+		i.unknown++
 	}
 	if i.uncertain {
-		return errors.Join(store.ErrUnknown, err), i.ctx.Err() != nil
+		return errors.Join(store.ErrUnknown, err), i.ctx.Err() != nil || i.unknown >= maxUnknown || i.refused >= refusedAttempts
 	}
 	return err, i.ctx.Err() != nil || i.refused >= refusedAttempts
 }
--- a/node/configwatch.go
+++ b/node/configwatch.go
@@ -16,7 +16,7 @@
 const (
 	// configPoll is how long a read of the configuration waits at the store. Each completed read confirms the
 	// configuration as of its start.
-	configPoll = time.Second
+	configPoll = 500 * time.Millisecond
 	// configRetry is the pause after a failed read.
 	configRetry = 100 * time.Millisecond
 )
--- a/node/frontend.go
+++ b/node/frontend.go
@@ -74,9 +74,22 @@
 	if _, known := n.view.Get(job.ID); known {
 		return nil
 	}
+	if err := storeInReach(access); err != nil {
+		return err
+	}
 	return n.stored(job.ID, n.writer.Submit(ctx, job))
 }
 
+// storeInReach refuses a write at once while the store does not answer this VM, so that the caller has time to reach
+// another VM.
+func storeInReach(access Access) error {
+	if access.ConfigAge <= readyConfigAge {
+		return nil
+	}
+	return errkind.New(errkind.Unavailable, "try again at another VM",
+		"the store has not answered for %d ms", access.ConfigAge.Milliseconds())
+}
+
 // stored translates the outcome of a caller's write.
 func (n *Node) stored(id workload.JobID, err error) error {
 	if err == nil {
@@ -133,6 +146,9 @@
 	if entry.Phase.Final() {
 		return nil
 	}
+	if err := storeInReach(access); err != nil {
+		return err
+	}
 	return n.stored("", n.writer.Cancel(ctx, id))
 }
 
--- a/node/membership.go
+++ b/node/membership.go
@@ -15,8 +15,8 @@
 	// scheduleGroup is the group whose assignment decides who holds the schedule.
 	scheduleGroup = "schedule"
 	// memberTTL is how long the group keeps a silent member; joinInterval is the time between two signs of life.
-	memberTTL    = 1600 * time.Millisecond
-	joinInterval = 400 * time.Millisecond
+	memberTTL    = 1300 * time.Millisecond
+	joinInterval = 350 * time.Millisecond
 	// standbySteps and standbyStep spread the VMs' candidacies for a free schedule.
 	standbySteps = 12
 	standbyStep  = 30 * time.Millisecond
--- a/node/options.go
+++ b/node/options.go
@@ -42,6 +42,7 @@
 const (
 	// keyMargin is taken off the revocation bound for the time between a check and its effect.
 	keyMargin = 500 * time.Millisecond
-	// readyConfigAge is the age of the configuration above which the balancer is told to choose another VM.
-	readyConfigAge = 2500 * time.Millisecond
+	// readyConfigAge is the age of the configuration above which the store counts as out of reach: the balancer is told to
+	// choose another VM, and callers are sent there.
+	readyConfigAge = 1900 * time.Millisecond
 )
