dispatch: remember failed searches within a plan

Change: steps with the same demand share the outcome of a search within a plan; sums over workers and ranks are computed once a plan; stalls are looked for every 250 ms; the pause between plans follows their length. Ruled out: fewer plans alone (delays every start).

--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -81,7 +81,14 @@
 	headroom   headroom
 	// freeAccelerators are free on workers that take work, as of the current plan.
 	freeAccelerators int
-	events           []Event
+	// busyShare is the share of accelerators in use, as of the current plan.
+	busyShare       float64
+	stallsCheckedAt time.Duration
+	// manySuspects reports that quarantine is lifted, because too many workers would be left out.
+	manySuspects bool
+	// failed remembers the searches of the current plan that found no room.
+	failed failedSearches
+	events []Event
 }
 
 // Event is a change of belief that the owner logs.
@@ -114,6 +121,10 @@
 	// readySince is when the step's predecessors were done; -1 before that.
 	readySince time.Duration
 	claim      *claim
+	// reclaimFailedAt is when no work worth stopping was last found for the step.
+	reclaimFailedAt time.Duration
+	// rank is the step's place in the order of the current plan.
+	rank int
 }
 
 type unit struct {
@@ -355,7 +366,7 @@
 }
 
 func newStep(j *job, repetition, index int) *step {
-	s := &step{job: j, spec: &j.spec.Steps[index], repetition: repetition, index: index, readySince: never}
+	s := &step{job: j, spec: &j.spec.Steps[index], repetition: repetition, index: index, readySince: never, reclaimFailedAt: never}
 	if s.spec.Gang {
 		s.units = []*unit{{step: s, size: s.spec.Tasks}}
 		return s
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -28,15 +28,17 @@
 
 // find returns where the unit can start now, one worker a member; nil if nowhere.
 func (c *Core) find(u *unit) []*worker {
-	if !c.mayFill(u) {
+	if !c.mayFill(u) || c.failed.includes(c, u) {
 		return nil
 	}
 	if u.size > 1 {
-		return c.findGang(u)
-	}
-	if w := c.findWorker(u); w != nil {
+		if workers := c.findGang(u); workers != nil {
+			return workers
+		}
+	} else if w := c.findWorker(u); w != nil {
 		return []*worker{w}
 	}
+	c.failed.add(c, u)
 	return nil
 }
 
@@ -98,14 +100,14 @@
 // impatient reports whether the step has waited long enough to run away from its preferred rack.
 func (c *Core) impatient(s *step) bool {
 	waited := c.now - s.readySince
-	if c.busyShare() < idleShare {
+	if c.busyShare < idleShare {
 		return waited >= idlePatience
 	}
 	return waited >= max(minBusyPatience, s.spec.Estimate)
 }
 
-// busyShare returns the share of the workers' accelerators in use.
-func (c *Core) busyShare() float64 {
+// countBusy computes the share of the workers' accelerators in use.
+func (c *Core) countBusy() {
 	var used, capacity int
 	for _, w := range c.order {
 		if w.registered {
@@ -113,10 +115,10 @@
 			capacity += w.info.Capacity.Accelerators
 		}
 	}
-	if capacity == 0 {
-		return 1
+	c.busyShare = 1
+	if capacity > 0 {
+		c.busyShare = float64(used) / float64(capacity)
 	}
-	return float64(used) / float64(capacity)
 }
 
 // findWorker returns the best worker for a single task.
@@ -187,6 +189,9 @@
 // findGang returns workers for all members of a gang.
 func (c *Core) findGang(u *unit) []*worker {
 	s := u.step
+	if !s.spec.SameRack && c.freeAccelerators < u.size*s.spec.Demand.Accelerators {
+		return nil
+	}
 	racks := c.rackRooms(u)
 	if !s.spec.SameRack && s.spec.DataRack == "" {
 		return fill(u, merge(racks))
@@ -262,10 +267,25 @@
 
 // anyRackCouldFit reports whether a rack of healthy workers could hold the gang if it were empty.
 func (c *Core) anyRackCouldFit(u *unit) bool {
+	key := searchOf(c, u.step)
+	if room, known := c.failed.emptyRack[key]; known {
+		return room >= u.size
+	}
+	room := c.largestEmptyRack(u)
+	c.failed.rememberEmptyRack(key, room)
+	return room >= u.size
+}
+
+// largestEmptyRack returns how many members of the gang the largest rack that suits it could hold if it were empty.
+func (c *Core) largestEmptyRack(u *unit) int {
 	racks := c.roomsWith(u, func(w *worker) resource.Resources { return w.info.Capacity })
-	return slices.ContainsFunc(racks, func(r *rackRoom) bool {
-		return r.total >= u.size && (u.step.spec.SameRack || r.rack == u.step.spec.DataRack)
-	})
+	largest := 0
+	for _, r := range racks {
+		if u.step.spec.SameRack || r.rack == u.step.spec.DataRack {
+			largest = max(largest, r.total)
+		}
+	}
+	return largest
 }
 
 // fill spreads the members over the workers, the fittest first; nil if there is not enough room.
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -28,11 +28,17 @@
 
 // Plan decides what to start and what to stop now.
 func (c *Core) Plan() Plan {
-	c.moveStalled()
+	c.countSuspects()
+	c.countBusy()
+	if c.now-c.stallsCheckedAt >= stallInterval {
+		c.stallsCheckedAt = c.now
+		c.moveStalled()
+	}
 	ready := c.readySteps()
 	c.expireClaims(ready)
 	c.headroom.update(c.now)
 	c.countFree()
+	c.failed = failedSearches{}
 	reservations := 0
 	for _, s := range ready {
 		if c.try(s) {
@@ -80,7 +86,10 @@
 			ready = c.appendReady(ready, steps)
 		}
 	}
-	slices.SortStableFunc(ready, func(a, b *step) int { return cmp.Compare(c.rank(a), c.rank(b)) })
+	for _, s := range ready {
+		s.rank = c.rank(s)
+	}
+	slices.SortStableFunc(ready, func(a, b *step) int { return cmp.Compare(a.rank, b.rank) })
 	return ready
 }
 
--- a/dispatch/reclaim.go
+++ b/dispatch/reclaim.go
@@ -17,6 +17,8 @@
 	middlePriorityFactor = 2
 	// restartLoss is what a stop and a new start cost any unit, whose room is idle meanwhile.
 	restartLoss = 700 * time.Millisecond
+	// reclaimRetry is the pause between two searches for work to stop for a step.
+	reclaimRetry = 100 * time.Millisecond
 	// maxCheckpointLoss bounds what a checkpointing task loses when it is stopped.
 	maxCheckpointLoss = time.Second
 )
@@ -30,6 +32,9 @@
 	if s.claim != nil {
 		return true
 	}
+	if s.reclaimFailedAt >= 0 && c.now-s.reclaimFailedAt < reclaimRetry {
+		return false
+	}
 	var best *eviction
 	for _, area := range c.areas(s) {
 		e := c.planEviction(s, area)
@@ -38,6 +43,7 @@
 		}
 	}
 	if best == nil || !c.entitled(s) && best.cost > s.waitingWork() {
+		s.reclaimFailedAt = c.now
 		return false
 	}
 	s.claim = &claim{step: s, members: best.members, until: c.now + claimTime}
--- a/dispatch/watch.go
+++ b/dispatch/watch.go
@@ -16,6 +16,8 @@
 	// stallTime is how long a run's progress may stand still before it is moved. A run waits for its image, its
 	// checkpoint and the rest of its gang before the first percent.
 	stallTime = 3500 * time.Millisecond
+	// stallInterval is the time between two searches for stalled runs.
+	stallInterval = 250 * time.Millisecond
 	// maxQuarantinedShare bounds the workers that may be left out at once, as a share of all.
 	maxQuarantinedShare = 0.34
 )
@@ -60,16 +62,18 @@
 // quarantined reports whether the worker is left out now. Quarantine is lifted when too many workers are suspect, since
 // then the jobs are more likely at fault.
 func (c *Core) quarantined(w *worker) bool {
-	if w.health.until <= c.now {
-		return false
-	}
+	return w.health.until > c.now && !c.manySuspects
+}
+
+// countSuspects decides whether quarantine is in force.
+func (c *Core) countSuspects() {
 	suspects := 0
-	for _, o := range c.order {
-		if o.health.until > c.now {
+	for _, w := range c.order {
+		if w.health.until > c.now {
 			suspects++
 		}
 	}
-	return float64(suspects) <= maxQuarantinedShare*float64(len(c.order))
+	c.manySuspects = float64(suspects) > maxQuarantinedShare*float64(len(c.order))
 }
 
 // progress notes how far a run has come.
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -24,6 +24,8 @@
 	RenewalWithoutStore = 4 * time.Second
 	// planInterval is the least time between two plans.
 	planInterval = 5 * time.Millisecond
+	// planShare bounds the processor time that plans take: a plan that took a while is followed by a longer pause.
+	planShare = 4
 	// idleInterval is the longest time between two plans.
 	idleInterval = 150 * time.Millisecond
 	// workersInterval is the time between two reads of the list of workers.
@@ -83,6 +85,8 @@
 	// listed holds the ends that the core took into account, to be noted with the next append.
 	listed   map[*session]mark
 	lastPlan time.Duration
+	// planPause is the time from the start of the last plan to the earliest next one.
+	planPause time.Duration
 
 	configMu sync.Mutex
 	config   *workload.Config
@@ -260,7 +264,7 @@
 		case <-timer.C:
 		}
 		l.takeAll()
-		if wait := planInterval - (boottime.Now() - l.lastPlan); wait > 0 {
+		if wait := l.planPause - (boottime.Now() - l.lastPlan); wait > 0 {
 			timer.Reset(wait)
 			continue
 		}
@@ -314,6 +318,7 @@
 	}
 	l.starts = append(l.starts, plan.Starts...)
 	l.flush(ctx)
+	l.planPause = max(planInterval, planShare*(boottime.Now()-l.lastPlan))
 }
 
 func (l *Leader) send(f func()) {
