--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -84,6 +84,8 @@
 	// busyShare is the share of accelerators in use, as of the current plan.
 	busyShare       float64
 	stallsCheckedAt time.Duration
+	// racks is the number of racks with workers in the list.
+	racks int
 	// manySuspects reports that quarantine is lifted, because too many workers would be left out.
 	manySuspects bool
 	// failed remembers the searches of the current plan that found no room.
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -106,15 +106,18 @@
 	return waited >= max(minBusyPatience, s.spec.Estimate)
 }
 
-// countBusy computes the share of the workers' accelerators in use.
+// countBusy computes the share of the workers' accelerators in use, and the number of racks.
 func (c *Core) countBusy() {
 	var used, capacity int
+	racks := map[string]bool{}
 	for _, w := range c.order {
 		if w.registered {
+			racks[w.info.Rack] = true
 			used += w.used.Accelerators
 			capacity += w.info.Capacity.Accelerators
 		}
 	}
+	c.racks = len(racks)
 	c.busyShare = 1
 	if capacity > 0 {
 		c.busyShare = float64(used) / float64(capacity)
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -13,10 +13,12 @@
 	dueMargin = 20 * time.Millisecond
 	// claimTime is how long stopped work's capacity is kept for the step it was stopped for.
 	claimTime = 2500 * time.Millisecond
-	// maxReservations is how many blocked steps may hold free capacity back from the steps behind them.
-	maxReservations = 2
+	// racksPerReservation bounds the blocked steps that may hold free capacity back from the steps behind them, and
+	// minReservations is that bound in small deployments.
+	racksPerReservation = 2
+	minReservations     = 2
 	// reserveAfter is how long a step must have been blocked before it holds capacity back.
-	reserveAfter = 2 * time.Second
+	reserveAfter = 700 * time.Millisecond
 )
 
 // claim is capacity that is kept for a waiting step.
@@ -47,7 +49,7 @@
 		if c.mayReclaim(s) && c.reclaim(s) {
 			continue
 		}
-		if s.claim == nil && reservations < maxReservations && c.now-s.readySince >= reserveAfter {
+		if s.claim == nil && reservations < c.maxReservations() && c.now-s.readySince >= reserveAfter {
 			reservations++
 			c.reserve(s)
 		}
@@ -59,6 +61,9 @@
 	return plan
 }
 
+// maxReservations returns how many blocked steps may hold capacity back.
+func (c *Core) maxReservations() int { return max(minReservations, c.racks/racksPerReservation) }
+
 // NextDue returns when the next repetition of a scheduled job is due, the zero time if none is known.
 func (c *Core) NextDue() time.Time {
 	var next time.Time
