Say that a job does not exist only from a fresh view; trust only entries read in order

Change: 503 where the view cannot be brought up to date; entries from the newest pages have no age. Ruled out: lost cancellation records (none was appended).

--- a/leader/workers.go
+++ b/leader/workers.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"time"
 
 	"github.com/redwingthread/redwingthread/boottime"
 	"github.com/redwingthread/redwingthread/dispatch"
@@ -61,7 +60,12 @@
 	w.next += int64(len(batch.Records))
 	now := boottime.Now()
 	for _, r := range batch.Records {
-		w.apply(ctx, r, now)
+		if len(r.Value) == 0 {
+			w.drop(r.Key, w.known[r.Key].Draining && w.presence.left(r.Key, now))
+			continue
+		}
+		w.presence.seenAt[r.Key] = now
+		w.apply(ctx, r)
 	}
 	w.presence.readAt = now
 	return nil
@@ -76,7 +80,7 @@
 	present := map[string]bool{}
 	for _, r := range records {
 		present[r.Key] = true
-		w.apply(ctx, r, boottime.Now())
+		w.apply(ctx, r)
 	}
 	for id := range w.known {
 		if !present[id] {
@@ -89,18 +93,13 @@
 	return nil
 }
 
-func (w *workerList) apply(ctx context.Context, r store.Record, now time.Duration) {
-	if len(r.Value) == 0 {
-		w.drop(r.Key, w.known[r.Key].Draining && w.presence.left(r.Key, now))
-		return
-	}
+func (w *workerList) apply(ctx context.Context, r store.Record) {
 	info, err := w.leader.DecodeWorker(r.Key, r.Value)
 	if err != nil {
 		w.leader.out.Warn().Err(err).Str("worker", r.Key).Msg("entry of a worker cannot be used")
 		w.drop(r.Key, false)
 		return
 	}
-	w.presence.seenAt[r.Key] = now
 	old, known := w.known[r.Key]
 	if known && equalInfo(old, info) {
 		return
--- a/node/frontend.go
+++ b/node/frontend.go
@@ -106,42 +106,43 @@
 
 // Phase returns where a job stands. An unknown job gives a NotFound error.
 func (n *Node) Phase(ctx context.Context, access Access, id workload.JobID) (workload.Phase, error) {
-	entry, ok := n.lookUp(ctx, access, id)
-	if !ok {
-		return 0, errkind.New(errkind.NotFound, "check the id", "there is no such job")
-	}
-	return entry.Phase, nil
+	entry, err := n.lookUp(ctx, access, id)
+	return entry.Phase, err
 }
 
-// lookUp returns the job if it belongs to the caller. An answer that can still change is looked up in a fresh view.
-func (n *Node) lookUp(ctx context.Context, access Access, id workload.JobID) (joblog.Entry, bool) {
+// lookUp returns the job if it belongs to the caller. An answer that can still change is looked up in a fresh view; that a
+// job does not exist is said only by a VM whose view is fresh.
+func (n *Node) lookUp(ctx context.Context, access Access, id workload.JobID) (joblog.Entry, error) {
 	entry, ok := n.view.Get(id)
-	switch {
-	case !ok:
-		n.refresh(ctx, stateMaxAge, store.States, joblog.IntakeOf(id))
+	if !ok {
+		err := n.refresh(ctx, 0, store.States, joblog.IntakeOf(id))
 		entry, ok = n.view.Get(id)
-	case !entry.Phase.Final():
-		n.refresh(ctx, stateMaxAge, store.States)
+		if !ok && err != nil {
+			return joblog.Entry{}, errkind.Wrap(err, errkind.Unavailable, "try again at another VM", "this VM cannot read the jobs now")
+		}
+	} else if !entry.Phase.Final() {
+		// Without the store the last view answers; the follower logs the outage.
+		_ = n.refresh(ctx, stateMaxAge, store.States)
 		entry, ok = n.view.Get(id)
 	}
 	if !ok || entry.Job.Queue != access.Queue.Name || entry.Job.Account != access.Account {
-		return joblog.Entry{}, false
+		return joblog.Entry{}, errkind.New(errkind.NotFound, "check the id", "there is no such job")
 	}
-	return entry, true
+	return entry, nil
 }
 
-func (n *Node) refresh(ctx context.Context, maxAge time.Duration, streams ...store.Stream) {
+// refresh brings the view of the streams up to date; an error means that the last view stays.
+func (n *Node) refresh(ctx context.Context, maxAge time.Duration, streams ...store.Stream) error {
 	ctx, cancel := context.WithTimeout(ctx, refreshTimeout)
 	defer cancel()
-	// An outage leaves the last view in place; the follower logs it.
-	_ = n.follower.Refresh(ctx, maxAge, streams...)
+	return n.follower.Refresh(ctx, maxAge, streams...)
 }
 
 // Cancel ends a job. An unknown job gives a NotFound error.
 func (n *Node) Cancel(ctx context.Context, access Access, id workload.JobID) error {
-	entry, ok := n.lookUp(ctx, access, id)
-	if !ok {
-		return errkind.New(errkind.NotFound, "check the id", "there is no such job")
+	entry, err := n.lookUp(ctx, access, id)
+	if err != nil {
+		return err
 	}
 	if entry.Phase.Final() {
 		return nil
@@ -154,7 +155,8 @@
 
 // Waiting returns how many accepted jobs of the queue have nothing started.
 func (n *Node) Waiting(ctx context.Context, access Access) int {
-	n.refresh(ctx, waitingMaxAge, n.follower.Streams()...)
+	// Without the store the last count answers; the follower logs the outage.
+	_ = n.refresh(ctx, waitingMaxAge, n.follower.Streams()...)
 	return n.view.Waiting(access.Queue.Name)
 }
 
