node: a holder that was cut off asks who holds the schedule before it joins again

Change: after its membership may have lapsed, a VM asks for the holder and leaves if it is another one. Test fails without the change (the fake store deals parts anew, too).

--- /dev/null
+++ b/leader/workers_test.go
@@ -0,0 +1,89 @@
+package leader
+
+import (
+	"bytes"
+	"context"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/redwingthread/redwingthread/store"
+	"github.com/redwingthread/redwingthread/store/storetest"
+	"github.com/redwingthread/redwingthread/workload"
+)
+
+// idleWorkers connects to workers that never answer.
+type idleWorkers struct{}
+
+func (idleWorkers) Connect(string, string) WorkerConn { return idleConn{} }
+
+type idleConn struct{}
+
+func (idleConn) Watch(ctx context.Context, _ Watch, _ time.Duration) (*workload.Listing, error) {
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+func (idleConn) SameConnection() bool { return false }
+func (idleConn) Start(context.Context, StartOrder, time.Duration) (int64, error) {
+	return 0, ErrNoAnswer
+}
+func (idleConn) Stop(context.Context, StopOrder, time.Duration) error { return ErrNoAnswer }
+func (idleConn) Close()                                               {}
+
+// newTestLeader returns a leader whose loop does not run; its log lines go to out.
+func newTestLeader(t *testing.T, log store.Log, out *bytes.Buffer) *Leader {
+	l := New(Options{
+		Epoch: 1, Log: log, Workers: idleWorkers{}, MaxLease: 10 * time.Second, HeartbeatInterval: 1500 * time.Millisecond,
+		DecodeWorker: func(id string, text []byte) (workload.WorkerInfo, error) {
+			return workload.WorkerInfo{ID: id, Address: "127.0.0.1:1", Draining: string(text) == "draining"}, nil
+		},
+		Out: zerolog.New(out),
+	}, &workload.Config{})
+	return l
+}
+
+func putWorker(t *testing.T, log store.Log, id, state string) {
+	record := store.Record{Key: id, Value: []byte(state)}
+	if err := log.Append(t.Context(), store.Workers, []store.Record{record}, nil, time.Second); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// TestRemovalAfterATakeoverSaysNothing guards against runs that are started elsewhere while a silent worker goes on with
+// them: the age of an entry that a new holder reads first is not known, and its removal looked like the worker's own.
+func TestRemovalAfterATakeoverSaysNothing(t *testing.T) {
+	cases := []struct {
+		name        string
+		seenInOrder bool
+		want        string
+	}{
+		{"entry read with the newest", false, `"ended":false`},
+		{"entry read in order", true, `"ended":true`},
+	}
+	for _, c := range cases {
+		log := storetest.New()
+		var out bytes.Buffer
+		l := newTestLeader(t, log, &out)
+		list := workerList{leader: l, known: map[string]workload.WorkerInfo{}, presence: newPresence(l.HeartbeatInterval)}
+		putWorker(t, log, "w", "draining")
+		readAll(t, &list)
+		readAll(t, &list)
+		if c.seenInOrder {
+			putWorker(t, log, "w", "draining")
+			readAll(t, &list)
+		}
+		putWorker(t, log, "w", "")
+		readAll(t, &list)
+		if !strings.Contains(out.String(), c.want) {
+			t.Errorf("%s: want %s in %s", c.name, c.want, out.String())
+		}
+	}
+}
+
+func readAll(t *testing.T, list *workerList) {
+	if err := list.read(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+}
--- a/node/membership.go
+++ b/node/membership.go
@@ -80,12 +80,16 @@
 }
 
 func (m *membership) step(ctx context.Context, config *workload.Config) {
-	if m.joined {
+	if m.joined && !m.lapsed() {
 		m.keep(ctx, config)
 		return
 	}
 	askedAt := boottime.Now()
 	holder, err := m.node.Log.Holder(ctx, scheduleGroup)
+	if m.joined {
+		m.afterLapse(ctx, config, holder, err)
+		return
+	}
 	if err != nil || holder != "" {
 		m.freeSince = 0
 		return
@@ -102,11 +106,31 @@
 	}
 }
 
+// ttl is how long the group keeps this VM without a sign of life.
+func (m *membership) ttl() time.Duration { return max(memberTTL, m.node.Settings.Store.MinGroupTTL) }
+
+// lapsed reports whether the group may have dropped this VM.
+func (m *membership) lapsed() bool {
+	return m.leader != nil && boottime.Now()-time.Duration(m.confirmedAt.Load()) > m.ttl()
+}
+
+// afterLapse decides what becomes of the schedule when the store answers again. Joining as a new member would take the
+// schedule from a holder that has taken over meanwhile.
+func (m *membership) afterLapse(ctx context.Context, config *workload.Config, holder string, err error) {
+	switch {
+	case err != nil:
+		m.node.Out.Debug().Err(err).Msg("membership not confirmed")
+	case holder == "" || holder == m.member:
+		m.keep(ctx, config)
+	default:
+		m.giveBack("another VM holds the schedule")
+	}
+}
+
 // keep joins the group or stays in it, and leads while the group gives the schedule to this VM.
 func (m *membership) keep(ctx context.Context, config *workload.Config) {
 	startedAt := boottime.Now()
-	ttl := max(memberTTL, m.node.Settings.Store.MinGroupTTL)
-	assignment, err := m.node.Log.Join(ctx, scheduleGroup, m.member, ttl, m.generation)
+	assignment, err := m.node.Log.Join(ctx, scheduleGroup, m.member, m.ttl(), m.generation)
 	if ctx.Err() != nil {
 		return
 	}
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -282,3 +283,50 @@
 	}
 	eventually(t, "one job waits", func() bool { return v.Waiting(t.Context(), access) == 1 })
 }
+
+// cuttable is one VM's way to the store.
+type cuttable struct {
+	store.Log
+	cut atomic.Bool
+}
+
+func (c *cuttable) err() error {
+	if c.cut.Load() {
+		return store.ErrUnknown
+	}
+	return nil
+}
+
+func (c *cuttable) Join(ctx context.Context, group, member string, ttl time.Duration, generation int64) (store.Assignment, error) {
+	if err := c.err(); err != nil {
+		return store.Assignment{}, err
+	}
+	return c.Log.Join(ctx, group, member, ttl, generation)
+}
+
+func (c *cuttable) Holder(ctx context.Context, group string) (string, error) {
+	if err := c.err(); err != nil {
+		return "", err
+	}
+	return c.Log.Holder(ctx, group)
+}
+
+// TestReturningHolderLeavesTheScheduleAlone guards against a schedule that changes hands twice when a holder that was cut
+// off comes back: its join as a new member took the schedule from its sound successor.
+func TestReturningHolderLeavesTheScheduleAlone(t *testing.T) {
+	log, first := calm(t)
+	way := &cuttable{Log: log}
+	first.Log = way
+	second := newVM(t, log)
+	takePart(t, first, "a")
+	eventually(t, "the first VM holds the schedule", func() bool { return first.leads() })
+	takePart(t, second, "b")
+	way.cut.Store(true)
+	eventually(t, "the second VM has taken over", func() bool { return second.leads() })
+	way.cut.Store(false)
+	eventually(t, "the first VM has given up", func() bool { return !first.leads() })
+	time.Sleep(3 * joinInterval)
+	if !second.leads() || first.leads() {
+		t.Fatalf("after the cut the first VM leads: %v, the second: %v", first.leads(), second.leads())
+	}
+}
--- a/store/storetest/fake.go
+++ b/store/storetest/fake.go
@@ -226,10 +226,12 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	g := f.group(name)
-	if _, known := g.members[member]; !known {
+	_, known := g.members[member]
+	g.members[member] = f.now().Add(ttl)
+	if !known {
 		g.generation++
+		g.holder = ""
 	}
-	g.members[member] = f.now().Add(ttl)
 	f.assign(g)
 	return store.Assignment{Generation: g.generation, Holds: g.holder == member}, nil
 }
@@ -250,7 +252,8 @@
 	return g
 }
 
-// assign gives the part to the first member by name when its holder is gone.
+// assign gives the part to the first member by name when its holder is gone, or when a new member has joined: the
+// platform's store deals the parts anew then.
 func (f *Fake) assign(g *group) {
 	if _, alive := g.members[g.holder]; alive {
 		return
