--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -78,7 +78,6 @@
 	stops   []Stop
 	// accountUse counts the accelerators that running priority 0 work of each account holds.
 	accountUse map[string]int
-	headroom   headroom
 	// freeAccelerators are free on workers that take work, as of the current plan.
 	freeAccelerators int
 	// busyShare is the share of accelerators in use, as of the current plan.
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -28,7 +28,7 @@
 
 // find returns where the unit can start now, one worker a member; nil if nowhere.
 func (c *Core) find(u *unit) []*worker {
-	if !c.mayFill(u) || c.failed.includes(c, u) {
+	if c.failed.includes(c, u) {
 		return nil
 	}
 	if u.size > 1 {
@@ -352,3 +352,13 @@
 	}
 	return n
 }
+
+// countFree sums the accelerators that are free on workers that take work.
+func (c *Core) countFree() {
+	c.freeAccelerators = 0
+	for _, w := range c.order {
+		if w.registered && w.listed && w.reachable && !w.info.Draining && !c.quarantined(w) {
+			c.freeAccelerators += max(0, w.free().Accelerators)
+		}
+	}
+}
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -38,7 +38,6 @@
 	}
 	ready := c.readySteps()
 	c.expireClaims(ready)
-	c.headroom.update(c.now)
 	c.countFree()
 	c.failed = failedSearches{}
 	reservations := 0
--- a/dispatch/units.go
+++ b/dispatch/units.go
@@ -66,9 +66,7 @@
 func (c *Core) countAccount(p *placement, sign int) {
 	j := p.unit.step.job
 	if j.queue.Priority == 0 {
-		accelerators := sign * p.unit.step.spec.Demand.Accelerators
-		c.accountUse[j.spec.Account] += accelerators
-		c.headroom.use += accelerators
+		c.accountUse[j.spec.Account] += sign * p.unit.step.spec.Demand.Accelerators
 	}
 }
 
