--- /dev/null
+++ b/joblog/joblog_test.go
@@ -0,0 +1,190 @@
+package joblog
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/redwingthread/redwingthread/store"
+	"github.com/redwingthread/redwingthread/store/storetest"
+	"github.com/redwingthread/redwingthread/workload"
+)
+
+func job(id string) *workload.Job {
+	return &workload.Job{ID: workload.JobID(id), Queue: "q", Steps: []workload.Step{{Tasks: 1}}, AcceptedAt: time.UnixMilli(1_700_000_000_123)}
+}
+
+func submission(t *testing.T, id string) store.Record {
+	r, err := SubmissionRecord(job(id))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+func state(id string, phase workload.Phase) store.Record {
+	return StateRecord(workload.JobID(id), (&workload.JobState{Phase: phase}).Encode())
+}
+
+// TestViewFoldsInAnyOrder guards against a job whose state depends on which of its records a VM read first: they come from
+// different streams.
+func TestViewFoldsInAnyOrder(t *testing.T) {
+	records := []store.Record{submission(t, "a"), CancelRecord("a"), state("a", workload.PhaseRunning)}
+	for _, order := range [][]int{{0, 1, 2}, {0, 2, 1}, {1, 0, 2}, {1, 2, 0}, {2, 0, 1}, {2, 1, 0}} {
+		v := NewView()
+		for _, i := range order {
+			v.Apply(records[i])
+		}
+		e, ok := v.Get("a")
+		if !ok || e.Phase != workload.PhaseCancelled || !e.Cancelled || !e.Job.AcceptedAt.Equal(job("a").AcceptedAt) {
+			t.Errorf("order %v: %+v, %v", order, e, ok)
+		}
+		if v.Waiting("q") != 0 {
+			t.Errorf("order %v: %d jobs wait", order, v.Waiting("q"))
+		}
+	}
+}
+
+// TestFinalStateStays guards against an ended job that an older state brings back, and against a completed job that a late
+// cancellation turns into a cancelled one.
+func TestFinalStateStays(t *testing.T) {
+	v := NewView()
+	for _, r := range []store.Record{submission(t, "a"), state("a", workload.PhaseCompleted), state("a", workload.PhaseRunning), CancelRecord("a"), submission(t, "a")} {
+		v.Apply(r)
+	}
+	if e, _ := v.Get("a"); e.Phase != workload.PhaseCompleted {
+		t.Fatalf("the job is %v", e.Phase)
+	}
+	for _, r := range DropIntake("a") {
+		v.Apply(r)
+	}
+	v.Apply(DropState("a"))
+	if _, known := v.Get("a"); known {
+		t.Fatal("the dropped job is still known")
+	}
+}
+
+// TestWaitingCounts guards against a count of waiting jobs that drifts when records repeat.
+func TestWaitingCounts(t *testing.T) {
+	v := NewView()
+	for range 2 {
+		for i := range 5 {
+			v.Apply(submission(t, fmt.Sprint(i)))
+		}
+	}
+	v.Apply(state("0", workload.PhaseRunning))
+	v.Apply(CancelRecord("1"))
+	v.Apply(CancelRecord("1"))
+	if n := v.Waiting("q"); n != 3 {
+		t.Fatalf("%d jobs wait, want 3", n)
+	}
+}
+
+// TestUnreadableRecordsAreCounted guards against records of other writers that stop the fold.
+func TestUnreadableRecordsAreCounted(t *testing.T) {
+	v := NewView()
+	for _, r := range []store.Record{{}, {Key: "x"}, {Key: "s/a", Value: []byte("junk")}, {Key: "j/a", Value: []byte{9}}, {Key: "z/a", Value: []byte{1}}} {
+		v.Apply(r)
+	}
+	if v.Unreadable() != 5 {
+		t.Fatalf("%d of 5 records were unreadable", v.Unreadable())
+	}
+	if _, known := v.Get("a"); known {
+		t.Fatal("an unreadable submission names a job")
+	}
+}
+
+// TestReaderSurvivesDroppedHistory guards against a VM that loses jobs when the store drops the history it has not read.
+func TestReaderSurvivesDroppedHistory(t *testing.T) {
+	log := storetest.New()
+	log.PageSize = 2
+	v := NewView()
+	f := NewFollower(log, v, zerolog.Nop())
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go f.Run(ctx)
+	refresh(t, f)
+	for i := range 7 {
+		id := fmt.Sprint(i)
+		if err := log.Append(ctx, IntakeOf(workload.JobID(id)), []store.Record{submission(t, id)}, nil, time.Second); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, stream := range f.Streams() {
+		log.DropHistory(stream)
+	}
+	refresh(t, f)
+	if n := v.Waiting("q"); n != 7 {
+		t.Fatalf("%d of 7 jobs are known", n)
+	}
+}
+
+func refresh(t *testing.T, f *Follower) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	if err := f.Refresh(ctx, 0, f.Streams()...); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// TestWriterGroupsAppends guards against an append a caller, which a slow store cannot keep up with.
+func TestWriterGroupsAppends(t *testing.T) {
+	log := storetest.New()
+	var appends atomic.Int64
+	log.SetFault(func(string) (error, bool) {
+		appends.Add(1)
+		time.Sleep(50 * time.Millisecond)
+		return nil, true
+	})
+	w := NewWriter(log)
+	var callers sync.WaitGroup
+	for i := range 200 {
+		callers.Go(func() {
+			if err := w.Submit(t.Context(), job(fmt.Sprint(i))); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	callers.Wait()
+	if n := appends.Load(); n > 60 {
+		t.Fatalf("%d appends for 200 callers", n)
+	}
+}
+
+// TestWriterTellsRefusedFromUnknown guards against a refusal of a record that may be stored: one attempt without an answer
+// makes the outcome unknown, whatever comes after it.
+func TestWriterTellsRefusedFromUnknown(t *testing.T) {
+	log := storetest.New()
+	w := NewWriter(log)
+	log.SetFault(func(string) (error, bool) { return store.ErrNotDone, false })
+	if err := w.Submit(t.Context(), job("a")); !errors.Is(err, store.ErrNotDone) || errors.Is(err, store.ErrUnknown) {
+		t.Errorf("refused: %v", err)
+	}
+	var calls atomic.Int64
+	log.SetFault(func(string) (error, bool) {
+		if calls.Add(1) == 1 {
+			return store.ErrUnknown, false
+		}
+		return store.ErrNotDone, false
+	})
+	if err := w.Submit(t.Context(), job("b")); !errors.Is(err, store.ErrUnknown) {
+		t.Errorf("unknown, then refused: %v", err)
+	}
+	calls.Store(0)
+	log.SetFault(func(string) (error, bool) {
+		if calls.Add(1) == 1 {
+			return store.ErrUnknown, true
+		}
+		return nil, true
+	})
+	if err := w.Submit(t.Context(), job("c")); err != nil {
+		t.Errorf("unknown, then stored: %v", err)
+	}
+}
--- a/joblog/view.go
+++ b/joblog/view.go
@@ -35,7 +35,7 @@
 
 var encoding = func() cbor.EncMode {
 	options := cbor.CoreDetEncOptions()
-	options.Time = cbor.TimeUnixMicro
+	options.Time = cbor.TimeRFC3339Nano
 	mode, err := options.EncMode()
 	if err != nil {
 		panic(err)
