--- a/dispatch/units.go
+++ b/dispatch/units.go
@@ -160,6 +160,9 @@
 	if p.unit == nil {
 		return
 	}
+	if end.Reason != workload.EndDone && end.Reason != workload.EndStopped {
+		c.event(Event{Name: "run ended", Job: end.Task.Job, Worker: w.id, Detail: end.Task.String() + " " + string(end.Reason)})
+	}
 	c.judge(p, end.Reason)
 	c.settle(p.unit, end)
 	c.afterPlacementGone(p.unit, string(end.Reason))
--- a/leader/journal.go
+++ b/leader/journal.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/redwingthread/redwingthread/boottime"
 	"github.com/redwingthread/redwingthread/dispatch"
 	"github.com/redwingthread/redwingthread/joblog"
 	"github.com/redwingthread/redwingthread/store"
@@ -72,7 +73,9 @@
 	uncertain := false
 	for ctx.Err() == nil {
 		producer := &store.Producer{Name: producerName, Epoch: j.epoch, Sequence: j.sequence}
+		startedAt := boottime.Now()
 		err := j.log.Append(ctx, store.States, records, producer, journalTimeout)
+		observe(timerAppend, boottime.Now()-startedAt)
 		j.working(err)
 		var wrong *store.SequenceError
 		switch {
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -310,6 +310,7 @@
 	l.lastPlan = boottime.Now()
 	l.core.Advance(l.lastPlan, time.Now())
 	plan := l.core.Plan()
+	observe(timerPlan, boottime.Now()-l.lastPlan)
 	l.logEvents()
 	for _, stop := range plan.Stops {
 		if s := l.byID[stop.Worker]; s != nil {
--- /dev/null
+++ b/leader/metrics.go
@@ -0,0 +1,23 @@
+package leader
+
+import (
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+)
+
+// Names of the counters and latency histograms of the holder of the schedule.
+const (
+	counterStartsAccepted = "schedule.starts.accepted"
+	counterStartsRefused  = "schedule.starts.refused"
+	counterStops          = "schedule.stops"
+	timerStart            = "schedule.start.latency"
+	timerAppend           = "schedule.append.latency"
+	timerPlan             = "schedule.plan.latency"
+)
+
+func count(name string) { metrics.GetOrRegisterCounter(name, metrics.DefaultRegistry).Inc(1) }
+
+func observe(name string, took time.Duration) {
+	metrics.GetOrRegisterTimer(name, metrics.DefaultRegistry).Update(took)
+}
--- a/leader/session.go
+++ b/leader/session.go
@@ -217,6 +217,8 @@
 func (s *session) start(ctx context.Context, o dispatch.Start) {
 	s.slots <- struct{}{}
 	defer func() { <-s.slots }()
+	startedAt := boottime.Now()
+	defer func() { observe(timerStart, boottime.Now()-startedAt) }()
 	for attempt := 1; ctx.Err() == nil; attempt++ {
 		order := StartOrder{
 			Ref: o.Ref, Specification: o.Specification, Checkpoint: o.Checkpoint,
@@ -255,6 +257,11 @@
 	default:
 		s.leader.post(func(c *dispatch.Core) { c.StartRefused(s.id, ref, err.Error()) })
 	}
+	if err == nil {
+		count(counterStartsAccepted)
+	} else {
+		count(counterStartsRefused)
+	}
 	s.log.Info().Str("job", string(ref.Task.Job)).Str("task", ref.Task.String()).Int64("run", ref.Run).
 		Int("attempt", attempt).Bool("resumed", o.Checkpoint != "").AnErr("refusal", err).Msg("start answered")
 	return true
@@ -271,6 +278,7 @@
 			return
 		}
 		if err == nil || errors.Is(err, ErrRunIsOver) {
+			count(counterStops)
 			s.log.Info().Str("job", string(o.Ref.Task.Job)).Str("task", o.Ref.Task.String()).Int64("run", o.Ref.Run).
 				Int("attempt", attempt).Str("reason", o.Reason).Msg("stop answered")
 			s.leader.post(func(c *dispatch.Core) { c.StopAnswered(s.id, o.Ref) })
--- /dev/null
+++ b/node/metrics.go
@@ -0,0 +1,14 @@
+package node
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+)
+
+// Observe counts an answered request and its latency for the metrics address.
+func (n *Node) Observe(method string, status int, took time.Duration) {
+	metrics.GetOrRegisterCounter("requests."+method+"."+strconv.Itoa(status), metrics.DefaultRegistry).Inc(1)
+	metrics.GetOrRegisterTimer("requests."+method+".latency", metrics.DefaultRegistry).Update(took)
+}
