Remove settings, fields and results that nothing uses; one function for pauses

Read through as a newcomer: four settings, a parameter of the core, a field and a result were carried and never read; two packages had the same pause. Tests of leader, platform, dispatch and node pass.

--- /dev/null
+++ b/boottime/sleep.go
@@ -0,0 +1,16 @@
+package boottime
+
+import (
+	"context"
+	"time"
+)
+
+// Sleep returns after d, or earlier when ctx ends.
+func Sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- a/dispatch/cluster_test.go
+++ b/dispatch/cluster_test.go
@@ -47,7 +47,7 @@
 
 func newCluster(t testing.TB, workers int) *cluster {
 	c := &cluster{
-		t: t, core: New(Params{RemoteFactor: 3, StopTimeout: time.Second}),
+		t: t, core: New(Params{StopTimeout: time.Second}),
 		epoch: time.Unix(1_700_000_000, 0), now: time.Hour,
 		workers: map[string]*simWorker{}, stored: map[workload.JobID][]byte{},
 		specs: map[workload.JobID]*workload.Job{}, phases: map[workload.JobID]workload.Phase{},
@@ -207,7 +207,7 @@
 
 // takeOver replaces the core by one that knows only what was stored and what the workers say.
 func (c *cluster) takeOver() {
-	c.core = New(Params{RemoteFactor: 3, StopTimeout: time.Second})
+	c.core = New(Params{StopTimeout: time.Second})
 	c.begin()
 	for _, id := range c.order {
 		c.core.SetWorker(c.workers[id].info)
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -24,8 +24,6 @@
 
 // Params are the bounds of the deployment that decisions depend on.
 type Params struct {
-	// RemoteFactor is how many times longer a task takes away from its data or from the rest of its gang.
-	RemoteFactor float64
 	// StopTimeout bounds the time between a stop and the end of the run.
 	StopTimeout time.Duration
 }
@@ -162,7 +160,6 @@
 
 	percent   int
 	percentAt time.Duration
-	firstSeen time.Duration
 }
 
 // never stands for a time that has not come.
--- a/dispatch/units.go
+++ b/dispatch/units.go
@@ -35,7 +35,7 @@
 	}
 	task := workload.TaskID{Job: s.job.spec.ID, Repetition: s.repetition, Step: s.index, Index: index}
 	return &placement{
-		unit: u, member: member, worker: w, confirmedAt: never, percentAt: never, firstSeen: never,
+		unit: u, member: member, worker: w, confirmedAt: never, percentAt: never,
 		ref: workload.RunRef{Task: task, Run: u.state.Run},
 	}
 }
--- a/dispatch/watch.go
+++ b/dispatch/watch.go
@@ -78,9 +78,6 @@
 
 // progress notes how far a run has come.
 func (c *Core) progress(p *placement, percent int) {
-	if p.firstSeen < 0 {
-		p.firstSeen = c.now
-	}
 	if p.percentAt < 0 || percent != p.percent {
 		p.percent = percent
 		p.percentAt = c.now
--- a/leader/journal.go
+++ b/leader/journal.go
@@ -41,7 +41,7 @@
 		if err == nil || errors.Is(err, store.ErrFenced) {
 			return err
 		}
-		sleep(ctx, j.retry)
+		boottime.Sleep(ctx, j.retry)
 	}
 	return ctx.Err()
 }
@@ -100,7 +100,7 @@
 		case errors.Is(err, store.ErrUnknown):
 			uncertain = true
 		}
-		sleep(ctx, j.retry)
+		boottime.Sleep(ctx, j.retry)
 	}
 	return ctx.Err()
 }
--- a/leader/session.go
+++ b/leader/session.go
@@ -94,7 +94,7 @@
 			}
 			failing = true
 			s.failed()
-			sleep(ctx, pause)
+			boottime.Sleep(ctx, pause)
 			pause = min(2*pause, maxWatchRetry)
 			continue
 		}
@@ -224,11 +224,11 @@
 			Ref: o.Ref, Specification: o.Specification, Checkpoint: o.Checkpoint,
 			LeaseUntilMS: s.leaseUntil(), Fence: s.leader.epoch,
 		}
-		_, err := s.conn.Start(ctx, order, orderTimeout)
+		err := s.conn.Start(ctx, order, orderTimeout)
 		if s.startSettled(o, err, attempt) {
 			return
 		}
-		sleep(s.ctx, orderRetry)
+		boottime.Sleep(s.ctx, orderRetry)
 		if s.ctx.Err() != nil {
 			s.leader.post(func(c *dispatch.Core) { c.AbandonStart(s.id, o.Ref, "the worker has another address") })
 			return
@@ -284,7 +284,7 @@
 			s.leader.post(func(c *dispatch.Core) { c.StopAnswered(s.id, o.Ref) })
 			return
 		}
-		sleep(s.ctx, orderRetry*time.Duration(min(attempt, maxStopBackOff)))
+		boottime.Sleep(s.ctx, orderRetry*time.Duration(min(attempt, maxStopBackOff)))
 		if s.ctx.Err() != nil {
 			s.leader.post(func(c *dispatch.Core) { c.StopUnanswered(s.id, o.Ref) })
 			return
@@ -294,12 +294,3 @@
 		}
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/leader/worker.go
+++ b/leader/worker.go
@@ -65,7 +65,7 @@
 	Watch(ctx context.Context, watch Watch, timeout time.Duration) (*workload.Listing, error)
 	// SameConnection reports whether the next Watch reaches the process that answered the last one.
 	SameConnection() bool
-	Start(ctx context.Context, order StartOrder, timeout time.Duration) (clockMS int64, err error)
+	Start(ctx context.Context, order StartOrder, timeout time.Duration) error
 	Stop(ctx context.Context, order StopOrder, timeout time.Duration) error
 	Close()
 }
--- a/leader/workers.go
+++ b/leader/workers.go
@@ -30,7 +30,7 @@
 			l.buryUnknown(c)
 			l.closeUnused(c)
 		})
-		sleep(ctx, workersInterval)
+		boottime.Sleep(ctx, workersInterval)
 	}
 }
 
--- a/leader/workers_test.go
+++ b/leader/workers_test.go
@@ -25,12 +25,10 @@
 	<-ctx.Done()
 	return nil, ctx.Err()
 }
-func (idleConn) SameConnection() bool { return false }
-func (idleConn) Start(context.Context, StartOrder, time.Duration) (int64, error) {
-	return 0, ErrNoAnswer
-}
-func (idleConn) Stop(context.Context, StopOrder, time.Duration) error { return ErrNoAnswer }
-func (idleConn) Close()                                               {}
+func (idleConn) SameConnection() bool                                   { return false }
+func (idleConn) Start(context.Context, StartOrder, time.Duration) error { return ErrNoAnswer }
+func (idleConn) Stop(context.Context, StopOrder, time.Duration) error   { return ErrNoAnswer }
+func (idleConn) Close()                                                 {}
 
 // newTestLeader returns a leader whose loop does not run; its log lines go to out.
 func newTestLeader(t *testing.T, log store.Log, out *bytes.Buffer) *Leader {
--- a/node/configwatch.go
+++ b/node/configwatch.go
@@ -51,11 +51,11 @@
 		err := w.read(ctx)
 		w.noteDependency(err)
 		if err != nil {
-			pause(ctx, configRetry)
+			boottime.Sleep(ctx, configRetry)
 			continue
 		}
 		if config, _ := w.current(); config == nil {
-			pause(ctx, configRetry)
+			boottime.Sleep(ctx, configRetry)
 		}
 	}
 }
@@ -139,12 +139,3 @@
 	}
 	w.out.Info().Str("dependency", "store").Stringer("stream", store.Config).Msg("dependency regained")
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/node/membership.go
+++ b/node/membership.go
@@ -66,7 +66,7 @@
 		if config, _ := m.node.config.current(); config != nil {
 			m.step(ctx, config)
 		}
-		pause(ctx, m.interval())
+		boottime.Sleep(ctx, m.interval())
 	}
 	m.giveBack("shutdown")
 }
--- a/node/options.go
+++ b/node/options.go
@@ -36,7 +36,7 @@
 }
 
 func (o *Options) dispatchParams() dispatch.Params {
-	return dispatch.Params{RemoteFactor: o.Settings.Bounds.RemoteFactor, StopTimeout: o.Settings.Bounds.StopTimeout}
+	return dispatch.Params{StopTimeout: o.Settings.Bounds.StopTimeout}
 }
 
 const (
--- a/vmsettings/settings.go
+++ b/vmsettings/settings.go
@@ -27,8 +27,7 @@
 
 // Store are the limits of the metadata store.
 type Store struct {
-	MaxRecordBytes  int
-	MaxRequestBytes int
+	MaxRecordBytes int
 	// MinGroupTTL is the shortest time for which a group keeps a silent member.
 	MinGroupTTL time.Duration
 }
@@ -37,8 +36,6 @@
 type Bounds struct {
 	// ShutdownGrace is the time between SIGTERM and SIGKILL.
 	ShutdownGrace time.Duration
-	// DrainNotice is how soon a draining worker must get no new work.
-	DrainNotice time.Duration
 	// KeyRevocation is how soon a key that was taken away must stop working.
 	KeyRevocation time.Duration
 	// StrictRevocation reports whether KeyRevocation holds for VMs without a path to the store, too.
@@ -49,10 +46,6 @@
 	MaxLease time.Duration
 	// StopTimeout bounds the time between a stop and the end of the run.
 	StopTimeout time.Duration
-	// GangTimeout is how long members of a gang wait for each other.
-	GangTimeout time.Duration
 	// StatusRetention is how long the state of an ended job must be readable.
 	StatusRetention time.Duration
-	// RemoteFactor is how many times longer tasks take away from their data.
-	RemoteFactor float64
 }
