gateway: set the cancel function of a test gateway before others see it

The trace shows only these two lines; the program is not concerned. The order is fixed by the fixture's lock now.

--- a/gateway/fixture_test.go
+++ b/gateway/fixture_test.go
@@ -105,11 +105,11 @@
 	if f.unsafe != nil {
 		f.unsafe(n)
 	}
+	ctx, cancel := context.WithCancel(f.ctx)
+	n.cancel = cancel
 	f.mu.Lock()
 	f.gateways[vm] = n
 	f.mu.Unlock()
-	ctx, cancel := context.WithCancel(f.ctx)
-	n.cancel = cancel
 	go g.Run(ctx)
 	return n
 }
