One cursor for streams, one socket option, one note of a dependency; drop what nothing reads

Three readers (jobs, configuration, workers) each held the same code: newest records first, read on, start over when records were dropped. It is store.Cursor now. TCP_USER_TIMEOUT stood in endpoint and again in httpconn; both use tcpopt. The lines for a lost and regained store stood twice; telemetry.Dependency writes them. An event of the schedule made a timer even when the loop took it at once. The leader kept two of its options a second time; two fields of a job were written and never read. Left: countSuspects, countBusy and countFree each walk the workers once a plan; scripts/capacity.sh repeats lines of demo-lib.sh.

--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -9,8 +9,9 @@
 //   - units.go: the life of a unit from its start to its end
 //   - plan.go: which steps are tried in which order
 //   - place.go: where the tasks of a step fit
-//   - reclaim.go: which work is stopped for guaranteed work
-//   - watch.go: workers that fail, hang or slow down what they run
+//   - search.go: searches for room that are known to fail
+//   - reclaim.go: which work is stopped for urgent work
+//   - watch.go: workers that fail or hang what they run
 package dispatch
 
 import (
@@ -103,10 +104,7 @@
 	queue workload.Queue
 	phase workload.Phase
 	// runs holds one entry a repetition that was materialised.
-	runs      [][]*step
-	cancelled bool
-	// acceptedAt is the time of acceptance on the core's clock.
-	acceptedAt time.Duration
+	runs       [][]*step
 	placements int
 }
 
@@ -225,7 +223,6 @@
 	if q := c.config.Queue(spec.Queue); q != nil {
 		j.queue = *q
 	}
-	j.acceptedAt = c.now - max(0, c.wall.Sub(spec.AcceptedAt))
 	if state != nil {
 		c.restore(j, state)
 	}
@@ -244,7 +241,6 @@
 	if j == nil || j.phase.Final() {
 		return
 	}
-	j.cancelled = true
 	c.finish(j, workload.PhaseCancelled)
 }
 
--- a/endpoint/pool.go
+++ b/endpoint/pool.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/redwingthread/redwingthread/errkind"
+	"github.com/redwingthread/redwingthread/tcpopt"
 )
 
 // Bounds of connections.
@@ -37,7 +38,7 @@
 func NetDial(ctx context.Context, address string) (net.Conn, error) {
 	dialer := net.Dialer{
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: 2 * time.Second, Interval: time.Second, Count: 3},
-		Control:         setUserTimeout,
+		Control:         tcpopt.UserTimeout(unackedBound),
 	}
 	return dialer.DialContext(ctx, "tcp", address)
 }
--- a/httpconn/conn.go
+++ b/httpconn/conn.go
@@ -16,8 +16,9 @@
 	"strconv"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
+
+	"github.com/redwingthread/redwingthread/tcpopt"
 )
 
 const (
@@ -31,8 +32,6 @@
 	maxBody = 8 << 20
 	// readBuffer is the size in bytes of a connection's read buffer; most responses fit.
 	readBuffer = 4 << 10
-	// tcpUserTimeout is the option TCP_USER_TIMEOUT of linux/tcp.h; package syscall lacks it.
-	tcpUserTimeout = 0x12
 )
 
 // ErrNotSent marks a call of which no byte can have reached the peer.
@@ -115,7 +114,7 @@
 	}
 	dialer := net.Dialer{
 		Timeout:   min(DialTimeout, time.Until(deadline)),
-		Control:   setUserTimeout,
+		Control:   tcpopt.UserTimeout(unackedBound),
 		KeepAlive: keepAlive,
 	}
 	conn, err := dialer.DialContext(ctx, "tcp", c.Address)
@@ -161,17 +160,6 @@
 	return &Response{Status: answer.StatusCode, Header: answer.Header, Body: body}, nil
 }
 
-func setUserTimeout(_, _ string, raw syscall.RawConn) error {
-	var failure error
-	err := raw.Control(func(fd uintptr) {
-		failure = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(unackedBound.Milliseconds()))
-	})
-	if err != nil {
-		return err
-	}
-	return failure
-}
-
 // maxIdle is how many idle connections a Pool keeps.
 const maxIdle = 4
 
--- a/joblog/follower.go
+++ b/joblog/follower.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -97,6 +96,3 @@
 	}
 	return nil
 }
-
-// subscriberPointer holds the function that gets the ids of changed jobs.
-type subscriberPointer = atomic.Pointer[func([]workload.JobID)]
--- a/joblog/reader.go
+++ b/joblog/reader.go
@@ -2,14 +2,14 @@
 
 import (
 	"context"
-	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
 
-	"github.com/redwingthread/redwingthread/boottime"
 	"github.com/redwingthread/redwingthread/store"
+	"github.com/redwingthread/redwingthread/telemetry"
 	"github.com/redwingthread/redwingthread/workload"
 )
 
@@ -26,16 +26,15 @@
 type reader struct {
 	log    store.Log
 	stream store.Stream
+	// cursor belongs to the goroutine of run.
+	cursor store.Cursor
 	view   *View
 	out    zerolog.Logger
 	// wake asks for a read now.
-	wake       chan struct{}
-	subscriber subscriberPointer
-
-	// failing, loaded and next belong to the goroutine of run; next is the offset of the next read.
-	failing bool
-	loaded  bool
-	next    int64
+	wake chan struct{}
+	// subscriber gets the ids of changed jobs.
+	subscriber atomic.Pointer[func([]workload.JobID)]
+	dependency telemetry.Dependency
 
 	mu sync.Mutex
 	// complete reports that a read has reached the end; freshAt is the start of the last such read on the boot clock.
@@ -47,7 +46,7 @@
 
 func newReader(log store.Log, stream store.Stream, view *View, out zerolog.Logger) *reader {
 	return &reader{
-		log: log, stream: stream, view: view,
+		log: log, stream: stream, cursor: store.Cursor{Stream: stream}, view: view,
 		out:     out.With().Stringer("stream", stream).Logger(),
 		wake:    make(chan struct{}, 1),
 		updated: make(chan struct{}),
@@ -60,7 +59,7 @@
 		if ctx.Err() != nil {
 			return
 		}
-		r.noteDependency(err)
+		r.dependency.Note(r.out, "store", err)
 		switch {
 		case err != nil:
 			r.sleep(ctx, retryInterval)
@@ -88,25 +87,22 @@
 }
 
 func (r *reader) read(ctx context.Context) error {
-	if !r.loaded {
-		return r.load(ctx)
-	}
 	wait := time.Duration(0)
 	if r.subscriber.Load() != nil {
 		wait = longPoll
 	}
-	startedAt := boottime.Now()
-	batch, err := r.log.Read(ctx, r.stream, r.next, wait)
-	if errors.Is(err, store.ErrExpired) {
-		r.out.Warn().Int64("offset", r.next).Msg("records were dropped before they were read; reading the newest of each key")
-		return r.load(ctx)
-	}
+	update, err := r.cursor.Read(ctx, r.log, wait)
 	if err != nil {
 		return err
 	}
-	ids := r.apply(batch.Records)
-	r.next += int64(len(batch.Records))
-	r.publish(startedAt, r.next >= batch.End, ids)
+	if update.Expired {
+		r.out.Warn().Msg("records were dropped before they were read; the newest of each key were read")
+	}
+	ids := r.apply(update.Records)
+	if update.Loaded {
+		r.out.Info().Int64("offset", update.Next).Int("records", len(ids)).Msg("records loaded")
+	}
+	r.publish(update.StartedAt, update.Complete, ids)
 	return nil
 }
 
@@ -120,21 +116,6 @@
 	return ids
 }
 
-// load reads the newest record of every key.
-func (r *reader) load(ctx context.Context) error {
-	startedAt := boottime.Now()
-	records, next, err := store.ReadNewest(ctx, r.log, r.stream)
-	if err != nil {
-		return err
-	}
-	ids := r.apply(records)
-	r.next = next
-	r.loaded = true
-	r.out.Info().Int64("offset", next).Int("records", len(ids)).Msg("records loaded")
-	r.publish(startedAt, true, ids)
-	return nil
-}
-
 // publish makes a read visible. complete reports that it reached the end of the stream.
 func (r *reader) publish(startedAt time.Duration, complete bool, ids []workload.JobID) {
 	r.mu.Lock()
@@ -179,15 +160,3 @@
 		}
 	}
 }
-
-func (r *reader) noteDependency(err error) {
-	if (err != nil) == r.failing {
-		return
-	}
-	r.failing = err != nil
-	if r.failing {
-		r.out.Warn().Err(err).Str("dependency", "store").Msg("dependency lost")
-		return
-	}
-	r.out.Info().Str("dependency", "store").Msg("dependency regained")
-}
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -30,6 +30,8 @@
 	idleInterval = 150 * time.Millisecond
 	// workersInterval is the time between two reads of the list of workers.
 	workersInterval = 400 * time.Millisecond
+	// postTimeout is how long an event waits for a loop that is behind.
+	postTimeout = time.Second
 	// eventQueue bounds the events that wait for the loop.
 	eventQueue = 4096
 	// dropInterval is the time between two searches for jobs whose records may be dropped.
@@ -62,8 +64,6 @@
 type Leader struct {
 	Options
 	out       zerolog.Logger
-	epoch     int64
-	workers   Workers
 	lease     time.Duration
 	startedAt time.Duration
 
@@ -103,7 +103,7 @@
 // New returns a leader for one epoch.
 func New(o Options, config *workload.Config) *Leader {
 	return &Leader{
-		Options: o, out: o.Out.With().Int64("epoch", o.Epoch).Logger(), epoch: o.Epoch, workers: o.Workers,
+		Options: o, out: o.Out.With().Int64("epoch", o.Epoch).Logger(),
 		lease:  min(maxLease, o.MaxLease),
 		events: make(chan func(*dispatch.Core), eventQueue),
 		byID:   map[string]*session{},
@@ -133,7 +133,12 @@
 	}
 	select {
 	case l.events <- f:
-	case <-time.After(time.Second):
+		return
+	default:
+	}
+	select {
+	case l.events <- f:
+	case <-time.After(postTimeout):
 		if !l.ended.Load() {
 			l.out.Error().Msg("event of the schedule dropped: the loop does not take events")
 		}
@@ -160,7 +165,7 @@
 	ctx, l.cancel = context.WithCancel(ctx)
 	defer l.cancel()
 	l.startedAt = boottime.Now()
-	l.journal = &journal{log: l.Log, epoch: l.epoch, retry: journalRetry, working: l.noteJournal()}
+	l.journal = &journal{log: l.Log, epoch: l.Epoch, retry: journalRetry, working: l.noteJournal()}
 	if err := l.journal.open(ctx); err != nil {
 		l.out.Warn().Err(err).Msg("schedule not taken")
 		return
--- a/leader/presence.go
+++ b/leader/presence.go
@@ -28,5 +28,5 @@
 	if !known || now-p.readAt > maxReadGap {
 		return false
 	}
-	return now-seenAt < silentHeartbeats*p.interval-p.interval
+	return now-seenAt < (silentHeartbeats-1)*p.interval
 }
--- a/leader/session.go
+++ b/leader/session.go
@@ -59,7 +59,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	s := &session{
 		id: id, address: address, leader: l, ctx: ctx, cancel: cancel,
-		conn:         l.workers.Connect(id, address),
+		conn:         l.Workers.Connect(id, address),
 		log:          l.out.With().Str("worker", id).Logger(),
 		slots:        make(chan struct{}, maxOrders),
 		lease:        leaseClock{lease: l.lease, end: l.startedAt + l.foreignLease()},
@@ -112,7 +112,7 @@
 // watchOnce makes one call. The first call of a session and of a connection does not wait, and tells the worker nothing
 // about ends: numbers of ends start anew in another incarnation.
 func (s *session) watchOnce(ctx context.Context, first bool) (*workload.Listing, time.Duration, error) {
-	watch := Watch{Fence: s.leader.epoch, Wait: watchWait}
+	watch := Watch{Fence: s.leader.Epoch, Wait: watchWait}
 	fresh := first || !s.conn.SameConnection()
 	s.mu.Lock()
 	if fresh {
@@ -222,7 +222,7 @@
 	for attempt := 1; ctx.Err() == nil; attempt++ {
 		order := StartOrder{
 			Ref: o.Ref, Specification: o.Specification, Checkpoint: o.Checkpoint,
-			LeaseUntilMS: s.leaseUntil(), Fence: s.leader.epoch,
+			LeaseUntilMS: s.leaseUntil(), Fence: s.leader.Epoch,
 		}
 		err := s.conn.Start(ctx, order, orderTimeout)
 		if s.startSettled(o, err, attempt) {
@@ -272,7 +272,7 @@
 	s.slots <- struct{}{}
 	defer func() { <-s.slots }()
 	for attempt := 1; ctx.Err() == nil; attempt++ {
-		err := s.conn.Stop(ctx, StopOrder{Ref: o.Ref, Fence: s.leader.epoch}, orderTimeout)
+		err := s.conn.Stop(ctx, StopOrder{Ref: o.Ref, Fence: s.leader.Epoch}, orderTimeout)
 		if errors.Is(err, ErrDeposed) {
 			s.leader.deposed("worker " + s.id)
 			return
--- a/leader/workers.go
+++ b/leader/workers.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 
 	"github.com/redwingthread/redwingthread/boottime"
 	"github.com/redwingthread/redwingthread/dispatch"
@@ -13,15 +12,14 @@
 // workerList follows the list of workers in the store.
 type workerList struct {
 	leader   *Leader
-	next     int64
+	cursor   store.Cursor
 	known    map[string]workload.WorkerInfo
-	loaded   bool
 	presence presence
 }
 
 // followWorkers keeps sessions and core in step with the list of workers until ctx ends.
 func (l *Leader) followWorkers(ctx context.Context) {
-	list := workerList{leader: l, known: map[string]workload.WorkerInfo{}, presence: newPresence(l.HeartbeatInterval)}
+	list := workerList{leader: l, cursor: store.Cursor{Stream: store.Workers}, known: map[string]workload.WorkerInfo{}, presence: newPresence(l.HeartbeatInterval)}
 	for ctx.Err() == nil {
 		if err := list.read(ctx); err != nil {
 			l.out.Debug().Err(err).Msg("list of workers not read")
@@ -47,19 +45,16 @@
 }
 
 func (w *workerList) read(ctx context.Context) error {
-	if !w.loaded {
-		return w.load(ctx)
-	}
-	batch, err := w.leader.Log.Read(ctx, store.Workers, w.next, 0)
-	if errors.Is(err, store.ErrExpired) {
-		return w.load(ctx)
-	}
+	update, err := w.cursor.Read(ctx, w.leader.Log, 0)
 	if err != nil {
 		return err
 	}
-	w.next += int64(len(batch.Records))
+	if update.Loaded {
+		w.replace(ctx, update)
+		return nil
+	}
 	now := boottime.Now()
-	for _, r := range batch.Records {
+	for _, r := range update.Records {
 		if len(r.Value) == 0 {
 			w.drop(r.Key, w.known[r.Key].Draining && w.presence.left(r.Key, now))
 			continue
@@ -71,14 +66,10 @@
 	return nil
 }
 
-// load reads the newest entry of every worker and drops the workers that have none.
-func (w *workerList) load(ctx context.Context) error {
-	records, next, err := store.ReadNewest(ctx, w.leader.Log, store.Workers)
-	if err != nil {
-		return err
-	}
+// replace takes in the newest entry of every worker and drops the workers that have none.
+func (w *workerList) replace(ctx context.Context, update *store.Update) {
 	present := map[string]bool{}
-	for _, r := range records {
+	for _, r := range update.Records {
 		present[r.Key] = true
 		w.apply(ctx, r)
 	}
@@ -87,10 +78,7 @@
 			w.drop(id, false)
 		}
 	}
-	w.next = next
-	w.loaded = true
-	w.leader.out.Info().Int("workers", len(w.known)).Int64("offset", next).Msg("list of workers read")
-	return nil
+	w.leader.out.Info().Int("workers", len(w.known)).Int64("offset", update.Next).Msg("list of workers read")
 }
 
 func (w *workerList) apply(ctx context.Context, r store.Record) {
--- a/leader/workers_test.go
+++ b/leader/workers_test.go
@@ -64,7 +64,7 @@
 		log := storetest.New()
 		var out bytes.Buffer
 		l := newTestLeader(t, log, &out)
-		list := workerList{leader: l, known: map[string]workload.WorkerInfo{}, presence: newPresence(l.HeartbeatInterval)}
+		list := workerList{leader: l, cursor: store.Cursor{Stream: store.Workers}, known: map[string]workload.WorkerInfo{}, presence: newPresence(l.HeartbeatInterval)}
 		putWorker(t, log, "w", "draining")
 		readAll(t, &list)
 		readAll(t, &list)
--- a/node/configwatch.go
+++ b/node/configwatch.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"sync"
 	"time"
 
@@ -10,6 +9,7 @@
 
 	"github.com/redwingthread/redwingthread/boottime"
 	"github.com/redwingthread/redwingthread/store"
+	"github.com/redwingthread/redwingthread/telemetry"
 	"github.com/redwingthread/redwingthread/workload"
 )
 
@@ -34,9 +34,9 @@
 	// confirmedAt is the start of the read that last confirmed the configuration, on the boot clock.
 	confirmedAt time.Duration
 
-	loaded  bool
-	next    int64
-	failing bool
+	// cursor and dependency belong to the goroutine of run.
+	cursor     store.Cursor
+	dependency telemetry.Dependency
 }
 
 // current returns the newest configuration and its age; nil before the first one.
@@ -49,7 +49,7 @@
 func (w *configWatch) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		err := w.read(ctx)
-		w.noteDependency(err)
+		w.dependency.Note(w.out, "store", err)
 		if err != nil {
 			boottime.Sleep(ctx, configRetry)
 			continue
@@ -61,41 +61,19 @@
 }
 
 func (w *configWatch) read(ctx context.Context) error {
-	if !w.loaded {
-		return w.load(ctx)
-	}
-	startedAt := boottime.Now()
-	batch, err := w.log.Read(ctx, store.Config, w.next, configPoll)
-	if errors.Is(err, store.ErrExpired) {
-		w.out.Warn().Int64("offset", w.next).Msg("configuration records were dropped before they were read; reading the newest")
-		return w.load(ctx)
-	}
+	update, err := w.cursor.Read(ctx, w.log, configPoll)
 	if err != nil {
 		return err
 	}
-	for _, r := range batch.Records {
-		w.apply(r)
+	if update.Expired {
+		w.out.Warn().Msg("configuration records were dropped before they were read; the newest were read")
 	}
-	w.next += int64(len(batch.Records))
-	if w.next >= batch.End {
-		w.confirm(startedAt)
-	}
-	return nil
-}
-
-// load reads the newest records.
-func (w *configWatch) load(ctx context.Context) error {
-	startedAt := boottime.Now()
-	records, next, err := store.ReadNewest(ctx, w.log, store.Config)
-	if err != nil {
-		return err
-	}
-	for _, r := range records {
+	for _, r := range update.Records {
 		w.apply(r)
 	}
-	w.next = next
-	w.loaded = true
-	w.confirm(startedAt)
+	if update.Complete {
+		w.confirm(update.StartedAt)
+	}
 	return nil
 }
 
@@ -127,15 +105,3 @@
 		Int("keys", len(config.KeyAccounts)).Msg("configuration in force")
 	w.changed(config)
 }
-
-func (w *configWatch) noteDependency(err error) {
-	if (err != nil) == w.failing {
-		return
-	}
-	w.failing = err != nil
-	if w.failing {
-		w.out.Warn().Err(err).Str("dependency", "store").Stringer("stream", store.Config).Msg("dependency lost")
-		return
-	}
-	w.out.Info().Str("dependency", "store").Stringer("stream", store.Config).Msg("dependency regained")
-}
--- a/node/node.go
+++ b/node/node.go
@@ -13,6 +13,7 @@
 	"github.com/redwingthread/redwingthread/errkind"
 	"github.com/redwingthread/redwingthread/joblog"
 	"github.com/redwingthread/redwingthread/leader"
+	"github.com/redwingthread/redwingthread/store"
 	"github.com/redwingthread/redwingthread/telemetry"
 	"github.com/redwingthread/redwingthread/workload"
 )
@@ -48,7 +49,10 @@
 func New(o Options) *Node {
 	n := &Node{Options: o, view: joblog.NewView(), writer: joblog.NewWriter(o.Log)}
 	n.follower = joblog.NewFollower(o.Log, n.view, o.Out)
-	n.config = &configWatch{log: o.Log, decoder: o.Decoder, out: o.Out, changed: n.configChanged}
+	n.config = &configWatch{
+		log: o.Log, cursor: store.Cursor{Stream: store.Config}, decoder: o.Decoder, changed: n.configChanged,
+		out: o.Out.With().Stringer("stream", store.Config).Logger(),
+	}
 	return n
 }
 
--- /dev/null
+++ b/store/cursor.go
@@ -0,0 +1,75 @@
+package store
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/redwingthread/redwingthread/boottime"
+)
+
+// Cursor reads a stream: first the newest record of every key, then what is appended. It starts over when records were
+// dropped before it read them. It is not safe for concurrent use.
+type Cursor struct {
+	Stream Stream
+	loaded bool
+	next   int64
+}
+
+// Update is what one read of a cursor returned.
+type Update struct {
+	Records []Record
+	// StartedAt is the start of the read on the boot clock. Complete reports that all that was stored before it is included.
+	StartedAt time.Duration
+	Complete  bool
+	// Loaded reports that Records are the newest of every key; keys that are missing have been dropped.
+	Loaded bool
+	// Expired reports that the cursor had to start over.
+	Expired bool
+	// Next is the offset of the next read.
+	Next int64
+}
+
+// Read returns the next records. It waits up to wait for the first one, but not for the newest of every key.
+func (c *Cursor) Read(ctx context.Context, log Log, wait time.Duration) (*Update, error) {
+	if !c.loaded {
+		return c.load(ctx, log)
+	}
+	startedAt := boottime.Now()
+	batch, err := log.Read(ctx, c.Stream, c.next, wait)
+	if errors.Is(err, ErrExpired) {
+		update, err := c.load(ctx, log)
+		if err == nil {
+			update.Expired = true
+		}
+		return update, err
+	}
+	if err != nil {
+		return nil, err
+	}
+	c.next += int64(len(batch.Records))
+	return &Update{Records: batch.Records, StartedAt: startedAt, Complete: c.next >= batch.End, Next: c.next}, nil
+}
+
+// load reads the newest record of each key. The pages are read at different times; reading on from the end that the first
+// one states repeats what changed meanwhile.
+func (c *Cursor) load(ctx context.Context, log Log) (*Update, error) {
+	update := &Update{StartedAt: boottime.Now(), Complete: true, Loaded: true}
+	after := ""
+	for first := true; ; first = false {
+		page, err := log.Newest(ctx, c.Stream, after)
+		if err != nil {
+			return nil, err
+		}
+		if first {
+			update.Next = page.End
+		}
+		update.Records = append(update.Records, page.Records...)
+		if !page.More || len(page.Records) == 0 {
+			c.next = update.Next
+			c.loaded = true
+			return update, nil
+		}
+		after = page.Records[len(page.Records)-1].Key
+	}
+}
--- a/store/store.go
+++ b/store/store.go
@@ -114,23 +114,3 @@
 	// Holder returns the member that holds the group's only part, empty if none does.
 	Holder(ctx context.Context, group string) (member string, err error)
 }
-
-// ReadNewest returns the newest record of each key and the offset to read on from. The pages are read at different times;
-// reading on from the end that the first one states repeats what changed meanwhile.
-func ReadNewest(ctx context.Context, log Log, stream Stream) (records []Record, next int64, err error) {
-	after := ""
-	for first := true; ; first = false {
-		page, err := log.Newest(ctx, stream, after)
-		if err != nil {
-			return nil, 0, err
-		}
-		if first {
-			next = page.End
-		}
-		records = append(records, page.Records...)
-		if !page.More || len(page.Records) == 0 {
-			return records, next, nil
-		}
-		after = page.Records[len(page.Records)-1].Key
-	}
-}
--- /dev/null
+++ b/tcpopt/doc.go
@@ -0,0 +1,2 @@
+// Package tcpopt sets socket options that package net does not offer.
+package tcpopt
