leader: number a holder's first append beyond those of the holders before it

Cause: a holder does not know the store's sequence number and made its first attempt with number 0. The store answers a repeat of one of the last five appends with its first response, told by the number. After a holder that made fewer than six appends, the next holder's first states would be taken for a repeat: acknowledged and not stored. Ruled out: reading the number from the refusal of the empty append that raises the epoch; it is accepted, not refused.

--- a/leader/journal.go
+++ b/leader/journal.go
@@ -19,6 +19,9 @@
 	journalRetry   = 30 * time.Millisecond
 	// maxBatchBytes bounds the states of one append.
 	maxBatchBytes = 1 << 20
+	// unnumbered is the sequence number of a holder's first attempt, which the store refuses with the number it expects. It
+	// is beyond any real number: the store takes an append under the number of a recent one for a repeat.
+	unnumbered = 1 << 40
 )
 
 // journal appends job states in order, one append at a time.
@@ -72,7 +75,7 @@
 	// uncertain reports that an attempt under the current number had no answer.
 	uncertain := false
 	for ctx.Err() == nil {
-		producer := &store.Producer{Name: producerName, Epoch: j.epoch, Sequence: j.sequence}
+		producer := &store.Producer{Name: producerName, Epoch: j.epoch, Sequence: j.number()}
 		startedAt := boottime.Now()
 		err := j.log.Append(ctx, store.States, records, producer, journalTimeout)
 		observe(timerAppend, boottime.Now()-startedAt)
@@ -80,7 +83,7 @@
 		var wrong *store.SequenceError
 		switch {
 		case err == nil:
-			j.sequence++
+			j.sequence = producer.Sequence + 1
 			j.numbered = true
 			return nil
 		case errors.Is(err, store.ErrFenced):
@@ -105,6 +108,14 @@
 	return ctx.Err()
 }
 
+// number returns the sequence number of the next attempt.
+func (j *journal) number() int64 {
+	if !j.numbered {
+		return unnumbered
+	}
+	return j.sequence
+}
+
 func stateRecords(changes []dispatch.Change) []store.Record {
 	records := make([]store.Record, len(changes))
 	for i, change := range changes {
--- a/leader/journal_test.go
+++ b/leader/journal_test.go
@@ -49,6 +49,26 @@
 	}
 }
 
+// TestFirstAppendOfTheNextHolderIsNoRepeat guards against states that are lost because the store takes the first append of
+// a holder for a repeat of one of the few appends of the holder before it, under the same number.
+func TestFirstAppendOfTheNextHolderIsNoRepeat(t *testing.T) {
+	log := storetest.New()
+	ctx := context.Background()
+	for epoch := range int64(3) {
+		j := newJournal(log, epoch+1)
+		if err := j.open(ctx); err != nil {
+			t.Fatal(err)
+		}
+		value := strconv.FormatInt(epoch, 10)
+		if err := j.write(ctx, record("j/a", value)); err != nil {
+			t.Fatal(err)
+		}
+		if got := string(log.Value(store.States, "j/a")); got != value {
+			t.Fatalf("the store holds %q after holder %d wrote %q", got, epoch+1, value)
+		}
+	}
+}
+
 // TestJournalKeepsOrderUnderLostAnswers guards against a state that is lost, or overwritten by an older one, when answers
 // of the store are lost or calls are refused.
 func TestJournalKeepsOrderUnderLostAnswers(t *testing.T) {
--- a/store/storetest/fake.go
+++ b/store/storetest/fake.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -35,13 +36,16 @@
 }
 
 // producer is the state of a fenced writer. As in the platform's store, an append without records raises the epoch and
-// leaves the sequence as it was.
+// leaves the sequence as it was. Repeats are told by the number alone, whichever epoch used it.
 type producer struct {
-	epoch int64
-	next  int64
-	seen  map[int64]bool
+	epoch  int64
+	next   int64
+	recent []int64
 }
 
+// recentAppends is how many of the last appends are recognised when they are repeated.
+const recentAppends = 5
+
 type group struct {
 	generation int64
 	holder     string
@@ -122,7 +126,7 @@
 func (f *Fake) admit(p *store.Producer, records int) (repeat bool, err error) {
 	state := f.producers[p.Name]
 	if state == nil {
-		state = &producer{epoch: p.Epoch, seen: map[int64]bool{}}
+		state = &producer{epoch: p.Epoch}
 		f.producers[p.Name] = state
 	}
 	if p.Epoch < state.epoch {
@@ -130,18 +134,18 @@
 	}
 	if p.Epoch > state.epoch {
 		state.epoch = p.Epoch
-		state.seen = map[int64]bool{}
 		if records > 0 {
 			state.next = p.Sequence
 		}
 	}
-	if records == 0 || state.seen[p.Sequence] {
+	if records == 0 || slices.Contains(state.recent, p.Sequence) {
 		return true, nil
 	}
 	if p.Sequence != state.next {
 		return false, &store.SequenceError{Expected: state.next}
 	}
-	state.seen[p.Sequence] = true
+	state.recent = append(state.recent, p.Sequence)
+	state.recent = state.recent[max(0, len(state.recent)-recentAppends):]
 	state.next++
 	return false, nil
 }
@@ -282,6 +286,26 @@
 	return nil
 }
 
+// Redeal deals the group's part anew, as the platform's store does at times without being asked.
+func (f *Fake) Redeal(name string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	g := f.group(name)
+	g.generation++
+	g.holder = ""
+	f.assign(g)
+}
+
+// Streams returns the streams that hold records.
+func (f *Fake) Streams() (streams []store.Stream) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for stream := range f.topics {
+		streams = append(streams, stream)
+	}
+	return streams
+}
+
 // Holder implements store.Log.
 func (f *Fake) Holder(_ context.Context, name string) (string, error) {
 	if fault, execute := f.check("holder"); !execute || fault != nil {
