--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -144,7 +144,8 @@
 	member int
 	ref    workload.RunRef
 	worker *worker
-	// confirmedAt is when the worker answered the start or a stop; negative before that.
+	// confirmedAt is when the worker answered the start or a stop; negative before that. A list that shows the run is no
+	// such answer: another attempt of the start may arrive after the worker's process has restarted.
 	confirmedAt time.Duration
 	// unverified placements were restored after a takeover and not seen since.
 	unverified bool
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -166,7 +166,7 @@
 	if p.stopping && (p.unverified || c.now-p.stoppedAt > c.params.StopTimeout+stopPatience) {
 		c.repeatStop(p)
 	}
-	if p.unverified || p.confirmedAt < 0 {
+	if p.unverified {
 		p.unverified = false
 		p.confirmedAt = c.now
 	}
