leader: do not repeat the start of a run that is being stopped

Cause: an unanswered start was repeated as long as its run was known, also after the job was cancelled. When a worker came back after 5 s, attempt 110 of the start reached it before the stop, whose pause had grown: a task of a cancelled job began 5.0 s after the acknowledged cancelling (4 s are allowed). Ruled out: an order carried out late by the worker; the log shows attempt 110 answered at 9.045 s, the job ended at 4.060 s. TestStorm now fails if a start is sent more than 100 ms after its job was cancelled: seeds 1, 9, 12 and 240 of the first 100 did. A second form, members of a gang that is done, failed with seeds 329 and 877 of 1,000. Conclusion: the stop alone does not guard a worker that neither order has reached.

--- a/dispatch/random_test.go
+++ b/dispatch/random_test.go
@@ -40,6 +40,8 @@
 	state  map[string]*stormWorker
 	runs   map[workload.TaskID][]*stormRun
 	jobs   []*workload.Job
+	// cancelledAt is when the core was told that a job is cancelled.
+	cancelledAt map[workload.JobID]time.Duration
 }
 
 type stormWorker struct {
@@ -81,6 +83,7 @@
 	s := &storm{
 		cluster: newCluster(t, stormWorkers), rng: rand.New(rand.NewPCG(seed, 1)), fence: 1,
 		state: map[string]*stormWorker{}, runs: map[workload.TaskID][]*stormRun{},
+		cancelledAt: map[workload.JobID]time.Duration{},
 	}
 	for _, id := range s.order {
 		s.state[id] = newStormWorker(s.now)
@@ -152,6 +155,9 @@
 
 // depart puts an attempt on its way.
 func (s *storm) depart(o *stormOrder) {
+	if at, cancelled := s.cancelledAt[o.ref().Task.Job]; cancelled && o.start != nil && s.now > at+stormStep {
+		s.t.Fatalf("attempt %d of the start of %v is sent %s after its job was cancelled", o.attempt, o.start.Ref, s.now-at)
+	}
 	o.arrivesAt = s.now + time.Duration(s.rng.IntN(3))*stormStep
 	o.leaseEnd = s.grant(o.worker())
 	s.orders = append(s.orders, o)
@@ -177,6 +183,7 @@
 	case 4:
 		job := s.jobs[s.rng.IntN(len(s.jobs))]
 		s.core.CancelJob(job.ID)
+		s.cancelledAt[job.ID] = s.now
 	}
 }
 
@@ -318,7 +325,7 @@
 	for _, o := range orders {
 		switch {
 		case o.arrivesAt == 0 && s.now >= o.sendAt:
-			if o.fence == s.fence && s.core.HasRun(o.worker(), o.ref()) {
+			if o.fence == s.fence && s.wants(o) {
 				s.depart(o)
 			}
 		case o.arrivesAt == 0 || s.now < o.arrivesAt:
@@ -329,6 +336,14 @@
 	}
 }
 
+// wants asks the core whether another attempt is of use.
+func (s *storm) wants(o *stormOrder) bool {
+	if o.start != nil {
+		return s.core.WantsStart(o.worker(), o.ref())
+	}
+	return s.core.WantsStop(o.worker(), o.ref())
+}
+
 func (s *storm) arrive(o *stormOrder) {
 	id := o.worker()
 	if s.cut(id) || !s.calm && s.rng.IntN(10) == 0 {
@@ -522,6 +537,8 @@
 	240: "the same with an unanswered attempt that was carried out late",
 	338: "the same after two unanswered attempts",
 	456: "the same with the new run started first",
+	1:   "the start of a cancelled run, repeated until its worker was back and began it before the stop arrived",
+	329: "the same for a member of a gang that was done",
 }
 
 // TestStorm guards against runs that overlap, start after the task is done, before their step's turn or beyond a bound, and
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -218,7 +218,14 @@
 // HasWorker reports whether the worker is in the list, or has runs.
 func (c *Core) HasWorker(id string) bool { return c.workers[id] != nil }
 
-// HasRun reports whether the run is not known to have ended on the worker.
-func (c *Core) HasRun(workerID string, ref workload.RunRef) bool {
+// WantsStart reports whether the run should begin on the worker. A start of a run that is being stopped, or whose gang is
+// done, must not be sent again: it could arrive before the stop.
+func (c *Core) WantsStart(workerID string, ref workload.RunRef) bool {
+	p := c.placement(workerID, ref)
+	return p != nil && !p.stopping && !p.finished
+}
+
+// WantsStop reports whether the run is not known to have ended on the worker.
+func (c *Core) WantsStop(workerID string, ref workload.RunRef) bool {
 	return c.placement(workerID, ref) != nil
 }
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -373,7 +373,7 @@
 	}
 	for _, start := range l.flight.starts {
 		s := l.byID[start.Worker]
-		if s == nil {
+		if s == nil || !l.core.WantsStart(start.Worker, start.Ref) {
 			continue
 		}
 		l.send(func() { s.start(ctx, start) })
@@ -386,15 +386,15 @@
 	l.listed[s] = mark{incarnation: s.currentIncarnation(), noted: noted}
 }
 
-// wanted reports whether an order for the run is still of use.
-func (l *Leader) wanted(ctx context.Context, worker string, ref workload.RunRef) bool {
+// ask returns the core's answer to a question of another goroutine, false once ctx has ended.
+func (l *Leader) ask(ctx context.Context, question func(*dispatch.Core) bool) bool {
 	answer := make(chan bool, 1)
-	l.post(func(c *dispatch.Core) { answer <- c.HasRun(worker, ref) })
+	l.post(func(c *dispatch.Core) { answer <- question(c) })
 	select {
 	case <-ctx.Done():
 		return false
-	case wanted := <-answer:
-		return wanted
+	case yes := <-answer:
+		return yes
 	}
 }
 
--- a/leader/session.go
+++ b/leader/session.go
@@ -233,7 +233,7 @@
 			s.leader.post(func(c *dispatch.Core) { c.AbandonStart(s.id, o.Ref, "the worker has another address") })
 			return
 		}
-		if !s.leader.wanted(ctx, s.id, o.Ref) {
+		if !s.leader.ask(ctx, func(c *dispatch.Core) bool { return c.WantsStart(s.id, o.Ref) }) {
 			return
 		}
 	}
@@ -289,7 +289,7 @@
 			s.leader.post(func(c *dispatch.Core) { c.StopUnanswered(s.id, o.Ref) })
 			return
 		}
-		if !s.leader.wanted(ctx, s.id, o.Ref) {
+		if !s.leader.ask(ctx, func(c *dispatch.Core) bool { return c.WantsStop(s.id, o.Ref) }) {
 			return
 		}
 	}
