--- a/cmd/redwing-node/main.go
+++ b/cmd/redwing-node/main.go
@@ -29,13 +29,15 @@
 )
 
 func main() {
+	// A signal that arrives while the process starts must not end it.
+	hangup := takeHangups()
 	check := flag.Bool("check", false, "read and check the settings, then exit")
 	level := flag.String("log", "info", "least level of log lines: debug, info, warn or error")
 	flag.Parse()
-	os.Exit(daemon.Main(func(ctx context.Context) error { return run(ctx, *check, *level) }))
+	os.Exit(daemon.Main(func(ctx context.Context) error { return run(ctx, hangup, *check, *level) }))
 }
 
-func run(ctx context.Context, check bool, level string) error {
+func run(ctx context.Context, hangup <-chan os.Signal, check bool, level string) error {
 	path, err := platform.SettingsPath()
 	if err != nil {
 		return err
@@ -52,7 +54,7 @@
 	debug.SetMemoryLimit(int64(memoryShare * float64(settings.MemoryMB) * mebibyte))
 	out.Info().Str("address", settings.CallerListen).Str("store", settings.StoreAddress).Msg("process started")
 	log := platform.NewStore(settings.StoreAddress)
-	go (&reloader{path: path, settings: settings, store: log, out: out}).run(ctx)
+	go (&reloader{path: path, settings: settings, store: log, out: out}).run(ctx, hangup)
 	n := node.New(node.Options{
 		Settings: settings,
 		Log:      log,
--- a/cmd/redwing-node/reload.go
+++ b/cmd/redwing-node/reload.go
@@ -25,9 +25,15 @@
 	out      zerolog.Logger
 }
 
-func (r *reloader) run(ctx context.Context) {
+// takeHangups makes the process take the signal for a reload instead of ending on it.
+func takeHangups() <-chan os.Signal {
 	hangup := make(chan os.Signal, 1)
 	signal.Notify(hangup, syscall.SIGHUP)
+	return hangup
+}
+
+// run reloads at each signal and looks for changes in between until ctx ends.
+func (r *reloader) run(ctx context.Context, hangup <-chan os.Signal) {
 	ticker := time.NewTicker(reloadInterval)
 	defer ticker.Stop()
 	for {
