joblog: keep trying an append of unknown outcome while the caller waits

A submission was given up after two appends without an answer, which took 13 ms; callers got 504, which some cannot follow with another try. Ruled out: the store being out of reach; most calls of the same second were answered. The number of attempts is replaced by 1.8 s from the first one, with a pause of 60 ms between two. Silent connections are given up as before: two attempts of 1.1 s. The new test failed before and passes. Conclusion: attempts are the wrong unit where a failure takes no time.

--- a/joblog/joblog_test.go
+++ b/joblog/joblog_test.go
@@ -188,3 +188,25 @@
 		t.Errorf("unknown, then stored: %v", err)
 	}
 }
+
+// TestWriterKeepsTryingWhileTheCallerWaits guards against a job that is given up within milliseconds, with an unknown outcome,
+// because connections to the store are reset for a moment: callers cannot always hand such a job in again.
+func TestWriterKeepsTryingWhileTheCallerWaits(t *testing.T) {
+	log := storetest.New()
+	w := NewWriter(log)
+	var calls atomic.Int64
+	log.SetFault(func(string) (error, bool) {
+		switch n := calls.Add(1); {
+		case n <= 3:
+			return store.ErrUnknown, false
+		case n <= 8:
+			return store.ErrNotDone, false
+		}
+		return nil, true
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+	defer cancel()
+	if err := w.Submit(ctx, job("a")); err != nil {
+		t.Errorf("3 appends without answer and 5 refused within half a second: %v", err)
+	}
+}
--- a/joblog/writer.go
+++ b/joblog/writer.go
@@ -13,10 +13,10 @@
 const (
 	// appendTimeout bounds one append of callers' records.
 	appendTimeout = 1100 * time.Millisecond
-	// maxUnknown is how often an append without an answer is repeated before the caller is told that the outcome is
-	// unknown. The caller then has time to send the same request to another VM.
-	maxUnknown = 2
-	// appendRetryInterval is the pause before a refused append is tried again.
+	// unknownPatience is how long after its first attempt a record whose outcome is unknown is tried again. Callers wait for 3 s;
+	// another attempt that takes appendTimeout would end after them.
+	unknownPatience = 1800 * time.Millisecond
+	// appendRetryInterval is the pause before an append is tried again.
 	appendRetryInterval = 60 * time.Millisecond
 	// refusedAttempts is how often an append that the store refuses is tried before the caller is told.
 	refusedAttempts = 4
@@ -75,15 +75,15 @@
 	ctx    context.Context
 	// uncertain writes were part of an append without an answer: they may be stored, now or later.
 	uncertain bool
-	unknown   int
 	refused   int
+	startedAt time.Time
 	done      chan error
 }
 
 // write stores the record. It returns nil once it is stored, an error that matches store.ErrNotDone if it is not stored
 // and never will be, or one that matches store.ErrUnknown if the outcome was not known when ctx ended.
 func (w *partWriter) write(ctx context.Context, record store.Record) error {
-	item := &write{record: record, ctx: ctx, done: make(chan error, 1)}
+	item := &write{record: record, ctx: ctx, startedAt: time.Now(), done: make(chan error, 1)}
 	w.mu.Lock()
 	w.pending = append(w.pending, item)
 	w.dispatch()
@@ -117,7 +117,7 @@
 	for len(batch) > 0 {
 		err := w.append(batch)
 		batch = settle(batch, err)
-		if len(batch) > 0 && errors.Is(err, store.ErrNotDone) {
+		if len(batch) > 0 {
 			time.Sleep(appendRetryInterval)
 		}
 	}
@@ -157,10 +157,9 @@
 		i.refused++
 	} else {
 		i.uncertain = true
-		i.unknown++
 	}
 	if i.uncertain {
-		return errors.Join(store.ErrUnknown, err), i.ctx.Err() != nil || i.unknown >= maxUnknown || i.refused >= refusedAttempts
+		return errors.Join(store.ErrUnknown, err), i.ctx.Err() != nil || time.Since(i.startedAt) > unknownPatience
 	}
 	return err, i.ctx.Err() != nil || i.refused >= refusedAttempts
 }
