dispatch: workers kept for urgent work still count as workers of their rack

Cause, found when the diff was read: a worker that is kept for urgent work for 0.4 s did not count as usable, and a rack of such workers as one that will never serve the step; a task with data there went to another rack at once, where it takes three times as long. Now only the worker's free room is withheld, not the worker. Ruled out: no effect on the choice for urgent work itself. TestTaskWaitsForItsRackBehindUrgentWork failed before ("runs in rack r1") and passes. Conclusion: what is closed for a moment must not look closed for good.

--- a/dispatch/patterns_test.go
+++ b/dispatch/patterns_test.go
@@ -311,3 +311,31 @@
 		}
 	}
 }
+
+// TestTaskWaitsForItsRackBehindUrgentWork guards against a task that runs far from its data, where it takes three times as long,
+// because the workers of its rack are kept for urgent work for a moment.
+func TestTaskWaitsForItsRackBehindUrgentWork(t *testing.T) {
+	p := play(t, 2*workersPerRack)
+	blocked := tasks(workersPerRack, 8)
+	blocked.DataRack = "r1"
+	p.hand("other", "normal", "small", blocked)
+	urgent := tasks(workersPerRack, 8)
+	urgent.DataRack = "r0"
+	p.hand("urgent", "urgent", "large", urgent)
+	p.run(1900 * time.Millisecond)
+	p.endAll("other", workload.EndDone)
+	p.listAll()
+	p.run(200 * time.Millisecond)
+	near := tasks(1, 1)
+	near.DataRack = "r0"
+	p.hand("near", "normal", "small", near)
+	p.run(time.Second)
+	for ref, id := range p.placed("near") {
+		if rack := p.workers[id].info.Rack; rack != "r0" {
+			t.Errorf("%v runs in rack %s", ref, rack)
+		}
+	}
+	if wait := p.wait("near"); wait > time.Second {
+		t.Errorf("the task waited %v", wait)
+	}
+}
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -59,7 +59,15 @@
 	if s.spec.RequiredLabel != "" && !w.info.HasLabel(s.spec.RequiredLabel) {
 		return false
 	}
-	return !c.quarantined(w) && !c.keptForUrgent(w, s)
+	return !c.quarantined(w)
+}
+
+// freeFor returns what is free on the worker for the step now.
+func (c *Core) freeFor(w *worker, s *step) resource.Resources {
+	if c.keptForUrgent(w, s) {
+		return resource.Resources{}
+	}
+	return w.free()
 }
 
 // keptForUrgent reports whether urgent work has just ended on the worker and the step is less urgent. More urgent work is
@@ -143,7 +151,8 @@
 	impatient := c.impatient(s)
 	home := s.homeRack()
 	for _, w := range c.order {
-		if !charge(s.spec).Fits(w.free()) || !c.usable(w, s) || s.roomFor(w, w.free()) == 0 {
+		free := c.freeFor(w, s)
+		if !charge(s.spec).Fits(free) || !c.usable(w, s) || s.roomFor(w, free) == 0 {
 			continue
 		}
 		remote := home != "" && w.info.Rack != home
@@ -236,7 +245,7 @@
 
 // rackRooms returns what each rack offers the gang now.
 func (c *Core) rackRooms(u *unit) []*rackRoom {
-	return c.roomsWith(u, func(w *worker) resource.Resources { return w.free() })
+	return c.roomsWith(u, func(w *worker) resource.Resources { return c.freeFor(w, u.step) })
 }
 
 func (c *Core) roomsWith(u *unit, free func(*worker) resource.Resources) []*rackRoom {
