--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -48,9 +48,12 @@
 
 func (w *worker) free() resource.Resources { return w.info.Capacity.Sub(w.used).Sub(w.claimed) }
 
+// takesWork reports whether the worker is in the list, answers and stays.
+func (w *worker) takesWork() bool { return w.registered && w.listed && w.reachable && !w.info.Draining }
+
 // usable reports whether the worker may take new tasks of the step at all.
 func (c *Core) usable(w *worker, s *step) bool {
-	if !w.registered || !w.listed || !w.reachable || w.info.Draining {
+	if !w.takesWork() {
 		return false
 	}
 	if w.info.Service != s.job.queue.Service {
@@ -377,7 +380,7 @@
 func (c *Core) countFree() {
 	c.freeAccelerators = 0
 	for _, w := range c.order {
-		if w.registered && w.listed && w.reachable && !w.info.Draining && !c.quarantined(w) {
+		if w.takesWork() && !c.quarantined(w) {
 			c.freeAccelerators += max(0, w.free().Accelerators)
 		}
 	}
--- a/leader/journal.go
+++ b/leader/journal.go
@@ -5,10 +5,13 @@
 	"errors"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/redwingthread/redwingthread/boottime"
 	"github.com/redwingthread/redwingthread/dispatch"
 	"github.com/redwingthread/redwingthread/joblog"
 	"github.com/redwingthread/redwingthread/store"
+	"github.com/redwingthread/redwingthread/telemetry"
 )
 
 const (
@@ -26,19 +29,20 @@
 
 // journal appends job states in order, one append at a time.
 type journal struct {
-	log      store.Log
-	epoch    int64
+	log   store.Log
+	epoch int64
+	// sequence is the number of the next append; unnumbered until the store has told the number that it expects. Raising the
+	// epoch leaves the previous holder's numbers in force.
 	sequence int64
-	// numbered reports that sequence follows the store's. Raising the epoch leaves the previous holder's numbers in force.
-	numbered bool
 	// retry is the pause before the next attempt.
-	retry time.Duration
-	// working is told whether appends succeed.
-	working func(error)
+	retry      time.Duration
+	out        zerolog.Logger
+	dependency telemetry.Dependency
 }
 
 // open shuts out the holders before this one.
 func (j *journal) open(ctx context.Context) error {
+	j.sequence = unnumbered
 	for ctx.Err() == nil {
 		err := j.log.Append(ctx, store.States, nil, &store.Producer{Name: producerName, Epoch: j.epoch}, journalTimeout)
 		if err == nil || errors.Is(err, store.ErrFenced) {
@@ -75,22 +79,20 @@
 	// uncertain reports that an attempt under the current number had no answer.
 	uncertain := false
 	for ctx.Err() == nil {
-		producer := &store.Producer{Name: producerName, Epoch: j.epoch, Sequence: j.number()}
+		producer := &store.Producer{Name: producerName, Epoch: j.epoch, Sequence: j.sequence}
 		startedAt := boottime.Now()
 		err := j.log.Append(ctx, store.States, records, producer, journalTimeout)
 		observe(timerAppend, boottime.Now()-startedAt)
-		j.working(err)
+		j.dependency.Note(j.out, "store", err)
 		var wrong *store.SequenceError
 		switch {
 		case err == nil:
-			j.sequence = producer.Sequence + 1
-			j.numbered = true
+			j.sequence++
 			return nil
 		case errors.Is(err, store.ErrFenced):
 			return err
-		case errors.As(err, &wrong) && !j.numbered:
+		case errors.As(err, &wrong) && j.sequence == unnumbered:
 			j.sequence = wrong.Expected
-			j.numbered = true
 			uncertain = false
 			continue
 		case errors.As(err, &wrong):
@@ -108,14 +110,6 @@
 	return ctx.Err()
 }
 
-// number returns the sequence number of the next attempt.
-func (j *journal) number() int64 {
-	if !j.numbered {
-		return unnumbered
-	}
-	return j.sequence
-}
-
 func stateRecords(changes []dispatch.Change) []store.Record {
 	records := make([]store.Record, len(changes))
 	for i, change := range changes {
--- a/leader/journal_test.go
+++ b/leader/journal_test.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"testing"
 
+	"github.com/rs/zerolog"
 	"pgregory.net/rapid"
 
 	"github.com/redwingthread/redwingthread/store"
@@ -13,7 +14,7 @@
 )
 
 func newJournal(log store.Log, epoch int64) *journal {
-	return &journal{log: log, epoch: epoch, working: func(error) {}}
+	return &journal{log: log, epoch: epoch, out: zerolog.Nop()}
 }
 
 func record(key, value string) []store.Record {
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -165,7 +165,7 @@
 	ctx, l.cancel = context.WithCancel(ctx)
 	defer l.cancel()
 	l.startedAt = boottime.Now()
-	l.journal = &journal{log: l.Log, epoch: l.Epoch, retry: journalRetry, working: l.noteJournal()}
+	l.journal = &journal{log: l.Log, epoch: l.Epoch, retry: journalRetry, out: l.out.With().Stringer("stream", store.States).Logger()}
 	if err := l.journal.open(ctx); err != nil {
 		l.out.Warn().Err(err).Msg("schedule not taken")
 		return
@@ -413,22 +413,6 @@
 	}
 }
 
-// noteJournal returns a function that logs when appends begin to fail and when they work again.
-func (l *Leader) noteJournal() func(error) {
-	failing := false
-	return func(err error) {
-		if (err != nil) == failing {
-			return
-		}
-		failing = err != nil
-		if failing {
-			l.out.Warn().Err(err).Str("dependency", "store").Msg("dependency lost: job states are not stored")
-			return
-		}
-		l.out.Info().Str("dependency", "store").Msg("dependency regained: job states are stored")
-	}
-}
-
 // dropEnded removes the records of jobs whose state need not be readable any more.
 func (l *Leader) dropEnded(ctx context.Context) {
 	if l.journalDone != nil {
--- a/leader/session.go
+++ b/leader/session.go
@@ -10,6 +10,7 @@
 
 	"github.com/redwingthread/redwingthread/boottime"
 	"github.com/redwingthread/redwingthread/dispatch"
+	"github.com/redwingthread/redwingthread/telemetry"
 	"github.com/redwingthread/redwingthread/workload"
 )
 
@@ -77,8 +78,8 @@
 func (s *session) watch(ctx context.Context) {
 	defer s.conn.Close()
 	pause := watchRetry
-	failing := false
 	first := true
+	var dependency telemetry.Dependency
 	for ctx.Err() == nil {
 		listing, sentAt, err := s.watchOnce(ctx, first)
 		if ctx.Err() != nil {
@@ -88,20 +89,13 @@
 			s.leader.deposed("worker " + s.id)
 			return
 		}
+		dependency.Note(s.log, "worker", err)
 		if err != nil {
-			if !failing {
-				s.log.Warn().Err(err).Str("dependency", "worker").Msg("dependency lost")
-			}
-			failing = true
 			s.failed()
 			boottime.Sleep(ctx, pause)
 			pause = min(2*pause, maxWatchRetry)
 			continue
 		}
-		if failing {
-			s.log.Info().Str("dependency", "worker").Msg("dependency regained")
-		}
-		failing = false
 		first = false
 		pause = watchRetry
 		s.leader.post(func(c *dispatch.Core) { s.leader.noteListing(s, c.Listing(s.id, sentAt, listing)) })
--- a/node/node.go
+++ b/node/node.go
@@ -28,8 +28,6 @@
 	// headerTimeout bounds the reading of a request's header, idleTimeout the pause between two requests.
 	headerTimeout = 3 * time.Second
 	idleTimeout   = 15 * time.Second
-	// metricsPortOffset is the place of the metrics address in the internal ports.
-	metricsPortOffset = 0
 )
 
 // Node is one VM's process.
@@ -136,12 +134,13 @@
 	return nil
 }
 
+// metricsAddress returns where metrics are served: on the first internal port.
 func (n *Node) metricsAddress() string {
 	port := n.Settings.InternalPorts[0]
 	if port == 0 || n.Settings.Address == "" {
 		return ""
 	}
-	return net.JoinHostPort(n.Settings.Address, strconv.Itoa(port+metricsPortOffset))
+	return net.JoinHostPort(n.Settings.Address, strconv.Itoa(port))
 }
 
 // serveReady answers the balancer.
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -148,16 +148,21 @@
 	}
 }
 
-// TestUnknownOutcomeIsNoRefusal guards against a refusal of a job that was stored although the store's answer was lost.
-func TestUnknownOutcomeIsNoRefusal(t *testing.T) {
-	log, v := calm(t)
-	access := v.access()
+// failAppends makes the store execute no append and answer err.
+func failAppends(log *storetest.Fake, err error) {
 	log.SetFault(func(call string) (error, bool) {
 		if call == "append" {
-			return store.ErrUnknown, false
+			return err, false
 		}
 		return nil, true
 	})
+}
+
+// TestUnknownOutcomeIsNoRefusal guards against a refusal of a job that was stored although the store's answer was lost.
+func TestUnknownOutcomeIsNoRefusal(t *testing.T) {
+	log, v := calm(t)
+	access := v.access()
+	failAppends(log, store.ErrUnknown)
 	ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
 	defer cancel()
 	err := v.Submit(ctx, access, testJob())
@@ -170,12 +175,7 @@
 func TestRefusedAppendIsARefusal(t *testing.T) {
 	log, v := calm(t)
 	access := v.access()
-	log.SetFault(func(call string) (error, bool) {
-		if call == "append" {
-			return store.ErrNotDone, false
-		}
-		return nil, true
-	})
+	failAppends(log, store.ErrNotDone)
 	startedAt := time.Now()
 	if err := v.Submit(t.Context(), access, testJob()); !errkind.Is(err, errkind.Unavailable) {
 		t.Fatalf("got %v, want unavailable", err)
