control: do not receive from a timer that is due at once

In a synctest bubble a receive from a timer that is already due fires it in the receiving goroutine with the race context that all timers of the bubble share; two such receives at once corrupt the race detector. The loop of Control began with time.NewTimer(0), and the scenarios start two schedulers at once.

Conclusion: the loop settles first and then waits, which is what the zero timer was for. No other receive from a timer that can be due at once was found in the packages that make race runs with synctest.

--- a/control/control.go
+++ b/control/control.go
@@ -173,7 +173,7 @@
 }
 
 func (c *Control) loop(ctx, workCtx context.Context) {
-	timer := time.NewTimer(0)
+	timer := time.NewTimer(c.settle(workCtx, time.Now()))
 	defer timer.Stop()
 	for {
 		select {
@@ -190,8 +190,7 @@
 			q.reply <- c.answer(q.request)
 		case <-c.ConfigChanged:
 		}
-		wait := c.settle(workCtx, time.Now())
-		timer.Reset(wait)
+		timer.Reset(c.settle(workCtx, time.Now()))
 	}
 }
 
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -174,3 +174,19 @@
 		s.end()
 	})
 }
+
+// TestStartsTogether guards against a loop that receives from a timer which is due already: two such receives at once
+// in a synctest bubble corrupt the state of the race detector, which then ends the test program.
+func TestStartsTogether(t *testing.T) {
+	const starts = 3000
+	synctest.Test(t, func(t *testing.T) {
+		s := newScenario(1)
+		for range starts {
+			s.launch(t, 0)
+			s.launch(t, 1)
+			time.Sleep(time.Millisecond)
+			s.stop(0, true)
+			s.stop(1, true)
+		}
+	})
+}
