leader: a refused sequence number is an answer of the store, not its loss

Cause: each takeover logged "dependency lost" and "regained" for the store.

Ruled out: real failures at takeovers; the lines came within one round trip and named the refusal. store.Failure now tells refusals that prove the store works (epoch, sequence) from failures.

TestRefusedNumberIsNoLostDependency fails without the change for the refused number and still sees an append that was not executed.

--- a/leader/journal.go
+++ b/leader/journal.go
@@ -83,7 +83,7 @@
 		startedAt := boottime.Now()
 		err := j.log.Append(ctx, store.States, records, producer, journalTimeout)
 		observe(timerAppend, boottime.Now()-startedAt)
-		j.dependency.Note(j.out, "store", err)
+		j.dependency.Note(j.out, "store", store.Failure(err))
 		var wrong *store.SequenceError
 		switch {
 		case err == nil:
--- a/leader/journal_test.go
+++ b/leader/journal_test.go
@@ -1,6 +1,7 @@
 package leader
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"strconv"
@@ -70,6 +71,43 @@
 	}
 }
 
+// TestRefusedNumberIsNoLostDependency guards against log lines that report the store as lost at each takeover: the refusal
+// of a holder's first number is an answer. An append that the store does not execute is a failure.
+func TestRefusedNumberIsNoLostDependency(t *testing.T) {
+	cases := map[string]struct {
+		fault error
+		lost  bool
+	}{
+		"refused number": {nil, false},
+		"not executed":   {store.ErrNotDone, true},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			var lines bytes.Buffer
+			log := storetest.New()
+			j := newJournal(log, 1)
+			j.out = zerolog.New(&lines)
+			if err := j.open(t.Context()); err != nil {
+				t.Fatal(err)
+			}
+			failed := false
+			log.SetFault(func(string) (error, bool) {
+				if c.fault == nil || failed {
+					return nil, true
+				}
+				failed = true
+				return c.fault, false
+			})
+			if err := j.write(t.Context(), record("j/a", "1")); err != nil {
+				t.Fatal(err)
+			}
+			if got := bytes.Contains(lines.Bytes(), []byte("dependency lost")); got != c.lost {
+				t.Errorf("dependency reported as lost: %t, want %t; lines: %s", got, c.lost, lines.String())
+			}
+		})
+	}
+}
+
 // TestJournalKeepsOrderUnderLostAnswers guards against a state that is lost, or overwritten by an older one, when answers
 // of the store are lost or calls are refused.
 func TestJournalKeepsOrderUnderLostAnswers(t *testing.T) {
--- a/store/store.go
+++ b/store/store.go
@@ -33,6 +33,16 @@
 	return "store: the next sequence number is " + strconv.FormatInt(e.Expected, 10)
 }
 
+// Failure returns err unless the store answered the call and refused it for its epoch or sequence number, which says
+// that the store works.
+func Failure(err error) error {
+	var wrong *SequenceError
+	if errors.Is(err, ErrFenced) || errors.As(err, &wrong) {
+		return nil
+	}
+	return err
+}
+
 // Topic names a keyed topic.
 type Topic string
 
