dispatch: leave slow workers out, move checkpoints off them, judge progress by the workers' clocks

Cause: nothing noticed workers that turn slow.

Change: rate.go measures each run's progress between two lists. A run that is slower than 0.45 of its own earlier rate, of its siblings or of its queue's usual rate makes its worker slow: no work for 2 s, then 4 s in which only single tasks that are not urgent try it. At most 0.4 of the workers are left out. move.go moves checkpointing runs off slow workers if there is room. Members of a gang progress each by itself (seen in the workers' lists), so that the slow member and the hanging member are told from the others.

Found on the way: the time without progress was taken from the scheduler's clock, so that a list that came 4 s late made runs look stalled and stopped them.

--- a/dispatch/cluster_test.go
+++ b/dispatch/cluster_test.go
@@ -172,7 +172,7 @@
 // list reports a worker's list to the core.
 func (c *cluster) list(worker string) {
 	w := c.workers[worker]
-	listing := &workload.Listing{Incarnation: w.info.Incarnation, Ended: w.ended}
+	listing := &workload.Listing{Incarnation: w.info.Incarnation, ClockMS: c.now.Milliseconds(), Ended: w.ended}
 	for ref, run := range w.running {
 		listing.Running = append(listing.Running, workload.RunningRun{RunRef: ref, Percent: run.percent, Checkpoint: run.checkpoint})
 	}
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -12,6 +12,8 @@
 //   - search.go: searches for room that are known to fail
 //   - reclaim.go: which work is stopped for urgent work
 //   - watch.go: workers that fail or hang what they run
+//   - rate.go: workers that run tasks slowly
+//   - move.go: runs that are taken off slow workers
 package dispatch
 
 import (
@@ -86,6 +88,10 @@
 	racks int
 	// manySuspects reports that quarantine is lifted, because too many workers would be left out.
 	manySuspects bool
+	// manySlow reports that slow workers take work all the same, because too many would be left out.
+	manySlow bool
+	// typical holds what the runs of each queue usually do.
+	typical map[string]*typicalRate
 	// failed remembers the searches of the current plan that found no room.
 	failed failedSearches
 	events []Event
@@ -158,8 +164,14 @@
 	finished bool
 	orphan   resource.Resources
 
+	// percent is the progress last listed, percentAt when it was first listed, on the worker's clock; negative before that.
 	percent   int
 	percentAt time.Duration
+	// window begins the measurement of the run's rate; rate is the last normal one, in percent a second, 0 if unknown.
+	window rateWindow
+	rate   float64
+	// slowRate is the present rate of a slow run, usualRate what it should be; slowRate is 0 for other runs.
+	slowRate, usualRate float64
 }
 
 // never stands for a time that has not come.
@@ -175,6 +187,7 @@
 		ended:      map[workload.JobID]time.Duration{},
 		changed:    map[workload.JobID]*job{},
 		accountUse: map[string]int{},
+		typical:    map[string]*typicalRate{},
 	}
 }
 
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -62,7 +62,7 @@
 	if s.spec.RequiredLabel != "" && !w.info.HasLabel(s.spec.RequiredLabel) {
 		return false
 	}
-	return !c.quarantined(w)
+	return !c.quarantined(w) && c.triedBy(w, s)
 }
 
 // freeFor returns what is free on the worker for the step now.
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -38,6 +38,7 @@
 	if c.now-c.stallsCheckedAt >= stallInterval {
 		c.stallsCheckedAt = c.now
 		c.moveStalled()
+		c.moveSlow()
 	}
 	ready := c.readySteps()
 	c.expireClaims(ready)
--- a/dispatch/watch.go
+++ b/dispatch/watch.go
@@ -62,28 +62,38 @@
 // quarantined reports whether the worker is left out now. Quarantine is lifted when too many workers are suspect, since
 // then the jobs are more likely at fault.
 func (c *Core) quarantined(w *worker) bool {
-	return w.health.until > c.now && !c.manySuspects
+	return w.health.until > c.now && !c.manySuspects || c.slow(w)
 }
 
-// countSuspects decides whether quarantine is in force.
+// countSuspects decides whether workers are left out.
 func (c *Core) countSuspects() {
-	suspects := 0
+	suspects, slow := 0, 0
 	for _, w := range c.order {
 		if w.health.until > c.now {
 			suspects++
 		}
+		if w.trialUntil > c.now {
+			slow++
+		}
 	}
 	c.manySuspects = float64(suspects) > maxQuarantinedShare*float64(len(c.order))
+	c.manySlow = float64(slow) > maxSlowShare*float64(len(c.order))
 }
 
-// progress notes how far a run has come.
+// progress notes how far a run has come by the time of its worker's newest list.
 func (c *Core) progress(p *placement, percent int) {
 	if p.percentAt < 0 || percent != p.percent {
 		p.percent = percent
-		p.percentAt = c.now
+		p.percentAt = p.worker.clock
 	}
 }
 
+// standsStill reports whether the lists have shown no progress of the run for stallTime of the worker's clock. The time
+// here says less: lists may be late, and this VM may have been suspended.
+func (p *placement) standsStill() bool {
+	return p.percentAt >= 0 && p.worker.clock-p.percentAt >= stallTime && p.percent < 100
+}
+
 // moveStalled stops runs whose progress stands still while their worker answers.
 func (c *Core) moveStalled() {
 	for _, w := range c.order {
@@ -97,13 +107,10 @@
 }
 
 func (c *Core) moveIfStalled(p *placement) {
-	if p.unit == nil || p.stopping || p.finished || p.percentAt < 0 || p.unit.step.spec.LongRunning {
-		return
-	}
-	if c.now-p.percentAt < stallTime || p.percent >= 100 {
+	if p.unit == nil || p.stopping || p.finished || p.unit.step.spec.LongRunning || !p.standsStill() {
 		return
 	}
-	if p.unit.size > 1 && c.gangStall(p.unit) != p {
+	if p.unit.size > 1 && p.unit.leastMember() != p {
 		return
 	}
 	p.unit.shun(p.worker.id)
@@ -115,16 +122,17 @@
 	c.collapse(p.unit, "run stalled")
 }
 
-// gangStall returns the member of a stalled gang that has come least far.
-func (c *Core) gangStall(u *unit) *placement {
-	slowest := u.placements[0]
+// leastMember returns the member of a gang that has come least far, nil while one is not listed yet. Members progress each
+// by itself, so that one that stands still behind the others is held back by its worker.
+func (u *unit) leastMember() *placement {
+	least := u.placements[0]
 	for _, p := range u.placements {
-		if p.percentAt < 0 || c.now-p.percentAt < stallTime {
+		if p.percentAt < 0 {
 			return nil
 		}
-		if p.percent < slowest.percent {
-			slowest = p
+		if p.percent < least.percent {
+			least = p
 		}
 	}
-	return slowest
+	return least
 }
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -26,6 +26,10 @@
 	// noted is the highest end of this incarnation that was taken into account.
 	noted  int64
 	health health
+	// clock is the worker's clock at its newest list.
+	clock time.Duration
+	// slowUntil is when a worker that ran tasks slowly is tried again, trialUntil when it counts as any other.
+	slowUntil, trialUntil time.Duration
 	// urgentEndedAt is when urgent work last ended on the worker.
 	urgentEndedAt time.Duration
 }
@@ -46,12 +50,18 @@
 func (c *Core) SetWorker(info workload.WorkerInfo) {
 	w := c.workerOf(info.ID)
 	if w.info.Incarnation != info.Incarnation {
-		w.health = health{}
+		w.forgetJudgement()
 	}
 	w.info = info
 	w.registered = true
 }
 
+// forgetJudgement clears what was learnt of an earlier incarnation.
+func (w *worker) forgetJudgement() {
+	w.health = health{}
+	w.slowUntil, w.trialUntil = 0, 0
+}
+
 // DropWorker notes that the worker's entry is gone. What runs there stays until its lease ends.
 func (c *Core) DropWorker(id string) {
 	w := c.workers[id]
@@ -133,7 +143,7 @@
 	if w.incarnation != listing.Incarnation {
 		w.incarnation = listing.Incarnation
 		w.noted = 0
-		w.health = health{}
+		w.forgetJudgement()
 	}
 	for i := range listing.Ended {
 		end := &listing.Ended[i]
@@ -143,6 +153,7 @@
 		c.runEnded(w, end)
 		w.noted = end.Sequence
 	}
+	w.clock = time.Duration(listing.ClockMS) * time.Millisecond
 	present := make(map[workload.RunRef]bool, len(listing.Running))
 	for i := range listing.Running {
 		present[listing.Running[i].RunRef] = true
@@ -179,6 +190,7 @@
 		p.unit.state.Checkpoint = r.Checkpoint
 	}
 	c.progress(p, r.Percent)
+	c.measureRate(p, r.Percent)
 }
 
 // adoptOrphan stops a run that belongs to no unit here: its job has ended, or the run was given up.
