store: send calls again while there is no answer, so that lost answers do not cost the schedule

Cause: while the store executes calls and loses a third of the answers, the holder waited 1 s for each lost append and 1.2 s for each lost sign of life; its membership of 1.3 s ended and the schedule changed hands twice in 4.5 s.

Change: store.Hedge sends idempotent calls (appends under a sequence number, callers' keyed records, signs of life) again in parallel when no answer came in three times the usual time, at least 0.1 s, 0.4 s before any answer is known; the first answer counts.

--- a/httpconn/conn.go
+++ b/httpconn/conn.go
@@ -184,12 +184,13 @@
 	p.closeIdleLocked()
 }
 
-// Do carries one call on an idle or new connection.
+// Do carries one call on an idle or new connection. A call that fails, other than with its context, says that the other
+// connections may be silent as well.
 func (p *Pool) Do(ctx context.Context, r Request, timeout time.Duration) (*Response, error) {
 	conn := p.take()
 	response, err := conn.Do(ctx, r, timeout)
 	p.give(conn)
-	if err != nil {
+	if err != nil && ctx.Err() == nil {
 		p.closeIdle()
 	}
 	return response, err
@@ -216,7 +217,7 @@
 	p.idle = append(p.idle, conn)
 }
 
-// closeIdle drops the idle connections after a failure: those opened before it may be silent as well.
+// closeIdle drops the idle connections.
 func (p *Pool) closeIdle() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/joblog/joblog_test.go
+++ b/joblog/joblog_test.go
@@ -143,7 +143,7 @@
 		time.Sleep(50 * time.Millisecond)
 		return nil, true
 	})
-	w := NewWriter(log)
+	w := NewWriter(log, &store.Hedge{})
 	var callers sync.WaitGroup
 	for i := range 200 {
 		callers.Go(func() {
@@ -162,7 +162,7 @@
 // makes the outcome unknown, whatever comes after it.
 func TestWriterTellsRefusedFromUnknown(t *testing.T) {
 	log := storetest.New()
-	w := NewWriter(log)
+	w := NewWriter(log, &store.Hedge{})
 	log.SetFault(func(string) (error, bool) { return store.ErrNotDone, false })
 	if err := w.Submit(t.Context(), job("a")); !errors.Is(err, store.ErrNotDone) || errors.Is(err, store.ErrUnknown) {
 		t.Errorf("refused: %v", err)
@@ -193,7 +193,7 @@
 // because connections to the store are reset for a moment: callers cannot always hand such a job in again.
 func TestWriterKeepsTryingWhileTheCallerWaits(t *testing.T) {
 	log := storetest.New()
-	w := NewWriter(log)
+	w := NewWriter(log, &store.Hedge{})
 	var calls atomic.Int64
 	log.SetFault(func(string) (error, bool) {
 		switch n := calls.Add(1); {
--- a/joblog/writer.go
+++ b/joblog/writer.go
@@ -11,7 +11,7 @@
 )
 
 const (
-	// appendTimeout bounds one append of callers' records.
+	// appendTimeout bounds the attempts of one append of callers' records.
 	appendTimeout = 1100 * time.Millisecond
 	// unknownPatience is how long after its first attempt a record whose outcome is unknown is tried again. Callers wait for 3 s;
 	// another attempt that takes appendTimeout would end after them.
@@ -32,10 +32,11 @@
 }
 
 // NewWriter returns a writer to the log.
-func NewWriter(log store.Log) *Writer {
+func NewWriter(log store.Log, hedge *store.Hedge) *Writer {
 	w := &Writer{}
 	for part := range w.parts {
 		w.parts[part].log = log
+		w.parts[part].hedge = hedge
 		w.parts[part].stream = store.Stream{Topic: store.TopicIntake, Part: part}
 	}
 	return w
@@ -64,6 +65,7 @@
 type partWriter struct {
 	log    store.Log
 	stream store.Stream
+	hedge  *store.Hedge
 
 	mu      sync.Mutex
 	pending []*write
@@ -132,7 +134,10 @@
 	for i, item := range batch {
 		records[i] = item.record
 	}
-	return w.log.Append(context.Background(), w.stream, records, nil, appendTimeout)
+	_, _, err := store.Do(context.Background(), w.hedge, appendTimeout, func(ctx context.Context) (struct{}, error) {
+		return struct{}{}, w.log.Append(ctx, w.stream, records, nil, appendTimeout)
+	})
+	return err
 }
 
 // settle gives the outcome to the writes that have one and returns the others.
--- a/leader/journal.go
+++ b/leader/journal.go
@@ -17,7 +17,7 @@
 const (
 	// producerName names the writer of job states; the epoch of the newest holder shuts out the others.
 	producerName = "schedule"
-	// journalTimeout bounds one attempt of an append, journalRetry is the pause before the next one.
+	// journalTimeout bounds the attempts of an append, journalRetry is the pause before the next ones.
 	journalTimeout = time.Second
 	journalRetry   = 30 * time.Millisecond
 	// maxBatchBytes bounds the states of one append.
@@ -38,13 +38,14 @@
 	retry      time.Duration
 	out        zerolog.Logger
 	dependency telemetry.Dependency
+	hedge      *store.Hedge
 }
 
 // open shuts out the holders before this one.
 func (j *journal) open(ctx context.Context) error {
 	j.sequence = unnumbered
 	for ctx.Err() == nil {
-		err := j.log.Append(ctx, store.States, nil, &store.Producer{Name: producerName, Epoch: j.epoch}, journalTimeout)
+		_, err := j.send(ctx, nil, &store.Producer{Name: producerName, Epoch: j.epoch})
 		if err == nil || errors.Is(err, store.ErrFenced) {
 			return err
 		}
@@ -76,12 +77,13 @@
 
 // append repeats the append under its sequence number until its outcome is known.
 func (j *journal) append(ctx context.Context, records []store.Record) error {
-	// uncertain reports that an attempt under the current number had no answer.
+	// uncertain reports that an attempt under the current number may have been executed without answer.
 	uncertain := false
 	for ctx.Err() == nil {
 		producer := &store.Producer{Name: producerName, Epoch: j.epoch, Sequence: j.sequence}
 		startedAt := boottime.Now()
-		err := j.log.Append(ctx, store.States, records, producer, journalTimeout)
+		attempts, err := j.send(ctx, records, producer)
+		uncertain = uncertain || attempts > 1
 		observe(timerAppend, boottime.Now()-startedAt)
 		j.dependency.Note(j.out, "store", store.Failure(err))
 		var wrong *store.SequenceError
@@ -110,6 +112,14 @@
 	return ctx.Err()
 }
 
+// send makes the attempts of one append; their number is returned.
+func (j *journal) send(ctx context.Context, records []store.Record, producer *store.Producer) (attempts int, err error) {
+	_, attempts, err = store.Do(ctx, j.hedge, journalTimeout, func(ctx context.Context) (struct{}, error) {
+		return struct{}{}, j.log.Append(ctx, store.States, records, producer, journalTimeout)
+	})
+	return attempts, err
+}
+
 func stateRecords(changes []dispatch.Change) []store.Record {
 	records := make([]store.Record, len(changes))
 	for i, change := range changes {
--- a/leader/journal_test.go
+++ b/leader/journal_test.go
@@ -5,7 +5,10 @@
 	"context"
 	"errors"
 	"strconv"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/rs/zerolog"
 	"pgregory.net/rapid"
@@ -15,7 +18,7 @@
 )
 
 func newJournal(log store.Log, epoch int64) *journal {
-	return &journal{log: log, epoch: epoch, out: zerolog.Nop()}
+	return &journal{log: log, hedge: &store.Hedge{}, epoch: epoch, out: zerolog.Nop()}
 }
 
 func record(key, value string) []store.Record {
@@ -143,3 +146,46 @@
 		}
 	})
 }
+
+// stalled is a store that executes appends and answers only every second one.
+type stalled struct {
+	*storetest.Fake
+	calls atomic.Int64
+}
+
+func (s *stalled) Append(ctx context.Context, stream store.Stream, records []store.Record, p *store.Producer, timeout time.Duration) error {
+	err := s.Fake.Append(ctx, stream, records, p, timeout)
+	if s.calls.Add(1)%2 == 0 {
+		return err
+	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(timeout):
+	}
+	return store.ErrUnknown
+}
+
+// TestLostAnswersHoldUpTheJournalBriefly guards against a schedule that stands still for the timeout of each lost answer,
+// and against appends that are taken for refused because an earlier attempt was executed.
+func TestLostAnswersHoldUpTheJournalBriefly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := &stalled{Fake: storetest.New()}
+		j := newJournal(log, 1)
+		startedAt := time.Now()
+		if err := j.open(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		const appends = 10
+		for i := range appends {
+			if err := j.write(t.Context(), record("j/a", strconv.Itoa(i))); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if got := string(log.Value(store.States, "j/a")); got != strconv.Itoa(appends-1) {
+			t.Errorf("the store holds %q", got)
+		}
+		if took := time.Since(startedAt); took > (appends+2)*150*time.Millisecond {
+			t.Errorf("%d appends with lost answers took %v", appends, took)
+		}
+	})
+}
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -44,6 +44,7 @@
 type Options struct {
 	Epoch    int64
 	Log      store.Log
+	Hedge    *store.Hedge
 	Follower *joblog.Follower
 	View     *joblog.View
 	Workers  Workers
@@ -165,7 +166,7 @@
 	ctx, l.cancel = context.WithCancel(ctx)
 	defer l.cancel()
 	l.startedAt = boottime.Now()
-	l.journal = &journal{log: l.Log, epoch: l.Epoch, retry: journalRetry, out: l.out.With().Stringer("stream", store.States).Logger()}
+	l.journal = &journal{log: l.Log, hedge: l.Hedge, epoch: l.Epoch, retry: journalRetry, out: l.out.With().Stringer("stream", store.States).Logger()}
 	if err := l.journal.open(ctx); err != nil {
 		l.out.Warn().Err(err).Msg("schedule not taken")
 		return
--- a/node/membership.go
+++ b/node/membership.go
@@ -8,6 +8,7 @@
 
 	"github.com/redwingthread/redwingthread/boottime"
 	"github.com/redwingthread/redwingthread/leader"
+	"github.com/redwingthread/redwingthread/store"
 	"github.com/redwingthread/redwingthread/workload"
 )
 
@@ -17,6 +18,8 @@
 	// memberTTL is how long the group keeps a silent member; joinInterval is the time between two signs of life.
 	memberTTL    = 1300 * time.Millisecond
 	joinInterval = 350 * time.Millisecond
+	// joinTimeout bounds the attempts of one sign of life.
+	joinTimeout = 1200 * time.Millisecond
 	// standbySteps and standbyStep spread the VMs' candidacies for a free schedule.
 	standbySteps = 12
 	standbyStep  = 30 * time.Millisecond
@@ -130,7 +133,10 @@
 // keep joins the group or stays in it, and leads while the group gives the schedule to this VM.
 func (m *membership) keep(ctx context.Context, config *workload.Config) {
 	startedAt := boottime.Now()
-	assignment, err := m.node.Log.Join(ctx, scheduleGroup, m.member, m.ttl(), m.generation)
+	ttl, generation := m.ttl(), m.generation
+	assignment, _, err := store.Do(ctx, &m.node.hedge, joinTimeout, func(ctx context.Context) (store.Assignment, error) {
+		return m.node.Log.Join(ctx, scheduleGroup, m.member, ttl, generation)
+	})
 	if ctx.Err() != nil {
 		return
 	}
@@ -185,7 +191,7 @@
 func (m *membership) lead(ctx context.Context, config *workload.Config) {
 	n := m.node
 	l := leader.New(leader.Options{
-		Epoch: m.generation, Log: n.Log, Follower: n.follower, View: n.view, Workers: n.Workers,
+		Epoch: m.generation, Log: n.Log, Hedge: &n.hedge, Follower: n.follower, View: n.view, Workers: n.Workers,
 		DecodeWorker: n.Decoder.WorkerRecord, Params: n.dispatchParams(), MaxLease: n.Settings.Bounds.MaxLease,
 		HeartbeatInterval: n.Settings.Bounds.HeartbeatInterval,
 		StatusRetention:   n.Settings.Bounds.StatusRetention, Out: n.Out,
--- a/node/node.go
+++ b/node/node.go
@@ -37,6 +37,7 @@
 	view     *joblog.View
 	follower *joblog.Follower
 	writer   *joblog.Writer
+	hedge    store.Hedge
 
 	leaderMu sync.Mutex
 	leader   *leader.Leader
@@ -45,7 +46,8 @@
 
 // New returns a node.
 func New(o Options) *Node {
-	n := &Node{Options: o, view: joblog.NewView(), writer: joblog.NewWriter(o.Log)}
+	n := &Node{Options: o, view: joblog.NewView()}
+	n.writer = joblog.NewWriter(o.Log, &n.hedge)
 	n.follower = joblog.NewFollower(o.Log, n.view, o.Out)
 	n.config = &configWatch{
 		log: o.Log, cursor: store.Cursor{Stream: store.Config}, decoder: o.Decoder, changed: n.configChanged,
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/redwingthread/redwingthread/errkind"
+	"github.com/redwingthread/redwingthread/leader"
 	"github.com/redwingthread/redwingthread/resource"
 	"github.com/redwingthread/redwingthread/store"
 	"github.com/redwingthread/redwingthread/store/storetest"
@@ -250,10 +251,12 @@
 	return stop
 }
 
-func (v *vm) leads() bool {
+func (v *vm) leads() bool { return v.heldLeader() != nil }
+
+func (v *vm) heldLeader() *leader.Leader {
 	v.leaderMu.Lock()
 	defer v.leaderMu.Unlock()
-	return v.leader != nil
+	return v.leader
 }
 
 // TestForeignJobIsHidden guards against an account that reads or cancels another account's job.
@@ -330,3 +333,36 @@
 		t.Fatalf("after the cut the first VM leads: %v, the second: %v", first.leads(), second.leads())
 	}
 }
+
+// forgetful is a way to the store on which two of three answers to a member's sign of life is lost.
+type forgetful struct {
+	store.Log
+	joins atomic.Int64
+}
+
+func (f *forgetful) Join(ctx context.Context, group, member string, ttl time.Duration, generation int64) (store.Assignment, error) {
+	assignment, err := f.Log.Join(ctx, group, member, ttl, generation)
+	if f.joins.Add(1)%3 == 0 {
+		return assignment, err
+	}
+	<-ctx.Done()
+	return store.Assignment{}, store.ErrUnknown
+}
+
+// TestLostAnswersKeepTheSchedule guards against a schedule that changes hands, and stands still meanwhile, because an
+// answer of the store to its holder is lost: the holder has to learn within the life of its membership that it is kept.
+func TestLostAnswersKeepTheSchedule(t *testing.T) {
+	log, first := calm(t)
+	way := &forgetful{Log: log}
+	first.Log = way
+	takePart(t, first, "a")
+	eventually(t, "the VM holds the schedule", func() bool { return first.leads() })
+	takePart(t, newVM(t, log), "b")
+	held := first.heldLeader()
+	for range 30 {
+		time.Sleep(100 * time.Millisecond)
+		if first.heldLeader() != held {
+			t.Fatal("the schedule was given up")
+		}
+	}
+}
