dispatch: assert inside the program what each start relies on

Cause: the promises on starts were checked by tests only; a fault in the field would have shown itself by its effects. Each start now asserts that the run is whole, that no other run of the unit exists, that the work is still wanted and that no worker is leaving; redwing-node logs a failed assertion and goes on, every test of dispatch and the soak fail with it.

Before: no assertion in package dispatch.

--- a/cmd/redwing-node/main.go
+++ b/cmd/redwing-node/main.go
@@ -17,6 +17,7 @@
 	"github.com/redwingthread/redwingthread/errkind"
 	"github.com/redwingthread/redwingthread/node"
 	"github.com/redwingthread/redwingthread/platform"
+	"github.com/redwingthread/redwingthread/telemetry"
 	"github.com/redwingthread/redwingthread/vmsettings"
 )
 
@@ -51,6 +52,7 @@
 		return err
 	}
 	defer closeLog()
+	defer telemetry.LogViolations(out)()
 	debug.SetMemoryLimit(int64(memoryShare * float64(settings.MemoryMB) * mebibyte))
 	out.Info().Str("address", settings.CallerListen).Str("store", settings.StoreAddress).Msg("process started")
 	log := platform.NewStore(settings.StoreAddress)
--- /dev/null
+++ b/dispatch/assert_test.go
@@ -0,0 +1,57 @@
+package dispatch
+
+import (
+	"testing"
+
+	"github.com/redwingthread/redwingthread/invariant"
+	"github.com/redwingthread/redwingthread/workload"
+)
+
+// collectViolations records the failed assertions of a test.
+func collectViolations(t testing.TB) *invariant.Log {
+	log := &invariant.Log{}
+	t.Cleanup(invariant.SetRecorder(log.Record))
+	return log
+}
+
+// TestAssertions guards against assertions that notice nothing: each case breaks what one of them states.
+func TestAssertions(t *testing.T) {
+	cases := map[string]struct {
+		promise invariant.ID
+		violate func(c *Core, u *unit, w *worker)
+	}{
+		"start of a part of a gang": {invariant.GangWhole, func(c *Core, u *unit, w *worker) { c.start(u, []*worker{w}) }},
+		"start beside a run": {invariant.AtMostOnce, func(c *Core, u *unit, w *worker) {
+			c.start(u, []*worker{w, w})
+			c.start(u, []*worker{w, w})
+		}},
+		"start after the end": {invariant.AtMostOnce, func(c *Core, u *unit, w *worker) {
+			u.step.job.phase = workload.PhaseCancelled
+			c.start(u, []*worker{w, w})
+		}},
+		"start on a leaving worker": {invariant.LeavingGetsNoWork, func(c *Core, u *unit, w *worker) {
+			w.info.Draining = true
+			c.start(u, []*worker{w, w})
+		}},
+		"placement twice": {invariant.AtMostOnce, func(c *Core, u *unit, w *worker) {
+			c.attach(u.newPlacement(0, w))
+			c.attach(u.newPlacement(0, w))
+		}},
+	}
+	for name, test := range cases {
+		t.Run(name, func(t *testing.T) {
+			c := newCluster(t, 1)
+			log := collectViolations(t)
+			c.submit("a", "normal", "large", gangOf(2, 4))
+			c.core.readySteps()
+			test.violate(c.core, c.core.jobs["a"].runs[0][0].units[0], c.core.workers["w00"])
+			found := false
+			for _, v := range log.Violations() {
+				found = found || v.ID == test.promise
+			}
+			if !found {
+				t.Errorf("no violation of %s among %v", test.promise, log.Violations())
+			}
+		})
+	}
+}
--- a/dispatch/cluster_test.go
+++ b/dispatch/cluster_test.go
@@ -45,7 +45,14 @@
 
 const workersPerRack = 8
 
+// newCluster returns a cluster; a failed assertion of its core fails the test.
 func newCluster(t testing.TB, workers int) *cluster {
+	log := collectViolations(t)
+	t.Cleanup(func() {
+		for _, v := range log.Violations() {
+			t.Errorf("assertion failed: %v", v)
+		}
+	})
 	c := &cluster{
 		t: t, core: New(Params{StopTimeout: time.Second}),
 		epoch: time.Unix(1_700_000_000, 0), now: time.Hour,
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -11,6 +11,7 @@
 //   - place.go: where the tasks of a step fit
 //   - search.go: searches for room that are known to fail
 //   - reclaim.go: which work is stopped for urgent work
+//   - assert.go: assertions on starts
 //   - watch.go: workers that fail or hang what they run
 //   - rate.go: workers that run tasks slowly
 //   - move.go: runs that are taken off slow workers
--- a/dispatch/units.go
+++ b/dispatch/units.go
@@ -42,6 +42,7 @@
 
 // attach counts the placement against its worker and account.
 func (c *Core) attach(p *placement) {
+	assertNew(p)
 	p.worker.runs[p.ref] = p
 	p.worker.used = p.worker.used.Add(p.demand())
 	if p.unit == nil {
@@ -75,6 +76,7 @@
 
 // start begins a new run of the unit on the given workers, one a member.
 func (c *Core) start(u *unit, workers []*worker) {
+	c.assertStart(u, workers)
 	j := u.step.job
 	u.state.Run++
 	u.state.Status = workload.UnitActive
