--- a/boottime/boottime.go
+++ b/boottime/boottime.go
@@ -3,16 +3,16 @@
 package boottime
 
 import (
+	"context"
 	"time"
-
-	"golang.org/x/sys/unix"
 )
 
-// Now returns the time since some fixed point in the past.
-func Now() time.Duration {
-	var ts unix.Timespec
-	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
-		panic("boottime: the kernel lacks CLOCK_BOOTTIME: " + err.Error())
+// Sleep returns after d, or earlier when ctx ends.
+func Sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
 	}
-	return time.Duration(ts.Nano())
 }
--- /dev/null
+++ b/boottime/boottime_linux.go
@@ -0,0 +1,16 @@
+package boottime
+
+import (
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Now returns the time since some fixed point in the past.
+func Now() time.Duration {
+	var ts unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &ts); err != nil {
+		panic("boottime: the kernel lacks CLOCK_BOOTTIME: " + err.Error())
+	}
+	return time.Duration(ts.Nano())
+}
--- /dev/null
+++ b/boottime/boottime_other.go
@@ -0,0 +1,11 @@
+//go:build !linux
+
+package boottime
+
+import "time"
+
+var startedAt = time.Now()
+
+// Now returns the time since the process started. It stands still during suspension: the daemons run on Linux, and the
+// operator command measures no ages.
+func Now() time.Duration { return time.Since(startedAt) }
--- a/configlog/catchup.go
+++ b/configlog/catchup.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/redwingthread/redwingthread/boottime"
 	"github.com/redwingthread/redwingthread/config"
 	"github.com/redwingthread/redwingthread/errkind"
 	"github.com/redwingthread/redwingthread/infra"
@@ -173,7 +174,7 @@
 		} else {
 			f.askState(ctx)
 		}
-		sleep(ctx, f.settings.PeerPeriod/2)
+		boottime.Sleep(ctx, f.settings.PeerPeriod/2)
 	}
 }
 
--- a/configlog/fake_test.go
+++ b/configlog/fake_test.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/redwingthread/redwingthread/boottime"
 	"github.com/redwingthread/redwingthread/errkind"
 	"github.com/redwingthread/redwingthread/infra"
 	"github.com/redwingthread/redwingthread/inner"
@@ -81,7 +82,7 @@
 func (p *port) delay(ctx context.Context) {
 	var d time.Duration
 	p.log.locked(func() { d = p.log.slow + time.Duration(1+p.log.rng.Int64N(30))*time.Millisecond })
-	sleep(ctx, d)
+	boottime.Sleep(ctx, d)
 }
 
 func (p *port) Append(ctx context.Context, _ string, records [][]byte) (uint64, error) {
@@ -186,7 +187,7 @@
 
 // Call answers as the other node's follower does, after the network delay.
 func (l link) Call(ctx context.Context, _ string, req *inner.Request) (*inner.Response, error) {
-	sleep(ctx, time.Duration(1+l.from.cluster.roll(5))*time.Millisecond)
+	boottime.Sleep(ctx, time.Duration(1+l.from.cluster.roll(5))*time.Millisecond)
 	f := l.to.current()
 	if f == nil || !l.from.cluster.connected(l.from, l.to) {
 		<-ctx.Done()
--- a/configlog/follower.go
+++ b/configlog/follower.go
@@ -9,6 +9,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/redwingthread/redwingthread/boottime"
 	"github.com/redwingthread/redwingthread/config"
 	"github.com/redwingthread/redwingthread/errkind"
 	"github.com/redwingthread/redwingthread/infra"
@@ -221,7 +222,7 @@
 			continue
 		}
 		f.askPeersSoon()
-		sleep(ctx, backoff/2+f.random.duration(backoff))
+		boottime.Sleep(ctx, backoff/2+f.random.duration(backoff))
 		backoff = min(2*backoff, maxBackoff)
 	}
 }
@@ -231,7 +232,7 @@
 func (f *Follower) followSlowLog(ctx context.Context) {
 	const patience = 30 * time.Second
 	for ctx.Err() == nil {
-		sleep(ctx, f.settings.PollWait+f.settings.ReadMargin)
+		boottime.Sleep(ctx, f.settings.PollWait+f.settings.ReadMargin)
 		f.mu.Lock()
 		failing := f.logError != nil
 		f.mu.Unlock()
@@ -306,7 +307,7 @@
 	stop := f.state.Stopped
 	f.mu.Unlock()
 	if stop != nil {
-		sleep(ctx, f.settings.PollWait)
+		boottime.Sleep(ctx, f.settings.PollWait)
 	}
 	return nil
 }
@@ -429,12 +430,3 @@
 	f.publish()
 	return true
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/configlog/scenario_test.go
+++ b/configlog/scenario_test.go
@@ -9,6 +9,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/redwingthread/redwingthread/boottime"
 	"github.com/redwingthread/redwingthread/config"
 	"github.com/redwingthread/redwingthread/errkind"
 	"github.com/redwingthread/redwingthread/infra"
@@ -106,7 +107,7 @@
 func (c *cluster) initialise() {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 	defer cancel()
-	sleep(ctx, 5*time.Second)
+	boottime.Sleep(ctx, 5*time.Second)
 	d := c.nodes[0].current().Initialise(ctx, Initialise{ID: "init", Author: "ana", Reason: "start", Document: testDocument()})
 	if d.Outcome != Accepted {
 		c.violate("initialise was %s: %v", d.Outcome, d.Err())
@@ -136,7 +137,7 @@
 func (d *driver) operate(ctx context.Context, seed uint64, who int, end time.Time) {
 	rng := rand.New(rand.NewPCG(seed, uint64(100+who)))
 	for time.Now().Before(end) {
-		sleep(ctx, exponential(rng, 3*changeEvery))
+		boottime.Sleep(ctx, exponential(rng, 3*changeEvery))
 		f := d.pick(rng)
 		if f == nil {
 			continue
@@ -157,7 +158,7 @@
 func (d *driver) bursts(ctx context.Context, seed uint64, end time.Time) {
 	rng := rand.New(rand.NewPCG(seed, 99))
 	for time.Now().Before(end) {
-		sleep(ctx, exponential(rng, 5*time.Minute))
+		boottime.Sleep(ctx, exponential(rng, 5*time.Minute))
 		stop := time.Now().Add(20 * time.Second)
 		var group sync.WaitGroup
 		for i := range 10 {
@@ -167,7 +168,7 @@
 					if f := d.pick(own); f != nil {
 						d.submit(ctx, own, f, burst)
 					}
-					sleep(ctx, exponential(own, 2*time.Second))
+					boottime.Sleep(ctx, exponential(own, 2*time.Second))
 				}
 			})
 		}
@@ -244,7 +245,7 @@
 	c := d.cluster
 	for time.Now().Before(end) {
 		c.heal(rng)
-		sleep(ctx, exponential(rng, 40*time.Second))
+		boottime.Sleep(ctx, exponential(rng, 40*time.Second))
 		for range 1 + rng.IntN(2) {
 			d.fault(ctx, group, rng)
 		}
@@ -252,7 +253,7 @@
 		if rng.IntN(10) == 0 {
 			length = testRetention + exponential(rng, time.Minute) // records expire meanwhile
 		}
-		sleep(ctx, min(length, 8*time.Minute))
+		boottime.Sleep(ctx, min(length, 8*time.Minute))
 	}
 }
 
@@ -290,7 +291,7 @@
 	for range 1 + rng.IntN(3) {
 		n := d.cluster.nodes[rng.IntN(len(d.cluster.nodes))]
 		d.cluster.kill(n)
-		sleep(ctx, exponential(rng, 3*time.Second))
+		boottime.Sleep(ctx, exponential(rng, 3*time.Second))
 		if n.current() == nil {
 			d.cluster.start(ctx, group, n)
 		}
@@ -307,7 +308,7 @@
 			c.start(ctx, group, n)
 		}
 	}
-	sleep(ctx, quiet)
+	boottime.Sleep(ctx, quiet)
 	f := c.nodes[0].current()
 	d.mu.Lock()
 	operations := append([]operation(nil), d.result.operations...)
@@ -319,5 +320,5 @@
 		}
 	}
 	d.read(ctx, f)
-	sleep(ctx, 10*time.Second)
+	boottime.Sleep(ctx, 10*time.Second)
 }
--- a/control/append.go
+++ b/control/append.go
@@ -7,6 +7,7 @@
 
 	"golang.org/x/time/rate"
 
+	"github.com/redwingthread/redwingthread/boottime"
 	"github.com/redwingthread/redwingthread/infra"
 	"github.com/redwingthread/redwingthread/jobs"
 )
@@ -104,7 +105,7 @@
 				continue
 			}
 			a.giveBack(records, generation)
-			if !sleep(ctx, backoff) {
+			if boottime.Sleep(ctx, backoff); ctx.Err() != nil {
 				return
 			}
 			backoff = min(2*backoff, maxAppendBackoff)
@@ -135,15 +136,3 @@
 	_, err := a.log.Append(appendCtx, a.stream, data)
 	return err
 }
-
-// sleep waits and reports false if ctx ended first.
-func sleep(ctx context.Context, wait time.Duration) bool {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/dispatch/rate.go
+++ b/dispatch/rate.go
@@ -189,7 +189,7 @@
 	return c.typical[name]
 }
 
-// slowRun notes that the run is slow.
+// slowRun leaves the worker of a slow run out for a while.
 func (c *Core) slowRun(p *placement) {
 	w := p.worker
 	if w.slowUntil <= c.now {
--- a/node/membership.go
+++ b/node/membership.go
@@ -134,7 +134,7 @@
 func (m *membership) keep(ctx context.Context, config *workload.Config) {
 	startedAt := boottime.Now()
 	ttl, generation := m.ttl(), m.generation
-	assignment, _, err := store.Do(ctx, &m.node.hedge, joinTimeout, func(ctx context.Context) (store.Assignment, error) {
+	assignment, _, err := store.Hedged(ctx, &m.node.hedge, joinTimeout, func(ctx context.Context) (store.Assignment, error) {
 		return m.node.Log.Join(ctx, scheduleGroup, m.member, ttl, generation)
 	})
 	if ctx.Err() != nil {
--- a/store/hedge.go
+++ b/store/hedge.go
@@ -37,10 +37,10 @@
 	err   error
 }
 
-// Do calls f, and calls it again in parallel while there is no answer. It returns the first answer and the number of
+// Hedged calls f, and calls it again in parallel while there is no answer. It returns the first answer and the number of
 // attempts, or an error that matches ErrUnknown once no attempt is left. f must be idempotent and end with its context,
 // which ends after timeout.
-func Do[T any](ctx context.Context, h *Hedge, timeout time.Duration, f func(context.Context) (T, error)) (value T, attempts int, err error) {
+func Hedged[T any](ctx context.Context, h *Hedge, timeout time.Duration, f func(context.Context) (T, error)) (value T, attempts int, err error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	answers := make(chan attempt[T], maxAttempts)
--- a/store/hedge_test.go
+++ b/store/hedge_test.go
@@ -26,7 +26,7 @@
 func hedged(t *testing.T, h *store.Hedge, answers ...answer) (took time.Duration, attempts int, err error) {
 	startedAt := time.Now()
 	var sent atomic.Int64
-	_, attempts, err = store.Do(t.Context(), h, callTimeout, func(ctx context.Context) (struct{}, error) {
+	_, attempts, err = store.Hedged(t.Context(), h, callTimeout, func(ctx context.Context) (struct{}, error) {
 		a := answers[min(int(sent.Add(1)), len(answers))-1]
 		if errors.Is(a.err, errNone) {
 			a = answer{2 * callTimeout, store.ErrUnknown}
