dispatch: say plainly that members of a gang progress independently

Read-through of the whole change as a newcomer: comments only. Ruled out: any change of code; go vet and the tests of the package pass. Before: "progress each by itself". After: "progress independently".

--- a/dispatch/rate.go
+++ b/dispatch/rate.go
@@ -101,8 +101,8 @@
 	}
 }
 
-// measurable reports whether the run's progress says something of its worker. The members of a gang progress each by
-// itself, and wait for the slowest at the end.
+// measurable reports whether the run's progress says something of its worker. The members of a gang progress
+// independently, and wait for the slowest at the end.
 func measurable(p *placement, percent int) bool {
 	if p.unit == nil || p.stopping || p.finished {
 		return false
--- a/dispatch/slow_test.go
+++ b/dispatch/slow_test.go
@@ -17,7 +17,7 @@
 	guess = 3 * time.Second
 )
 
-// paced is a cluster whose workers work at different speeds. Members of a gang progress each by itself and end together.
+// paced is a cluster whose workers work at different speeds. Members of a gang progress independently and end together.
 type paced struct {
 	*cluster
 	// length is the run time of each job's tasks at full speed.
--- a/dispatch/watch.go
+++ b/dispatch/watch.go
@@ -122,8 +122,8 @@
 	c.collapse(p.unit, "run stalled")
 }
 
-// leastMember returns the member of a gang that has come least far, nil while one is not listed yet. Members progress each
-// by itself, so that one that stands still behind the others is held back by its worker.
+// leastMember returns the member of a gang that has come least far, nil while one is not listed yet. Members progress
+// independently, so that one that stands still behind the others is held back by its worker.
 func (u *unit) leastMember() *placement {
 	least := u.placements[0]
 	for _, p := range u.placements {
