Call what exists: one room search, one test of a live placement, one repeated append

Read-through of the whole change. fitsElsewhere repeated the search of reserve: both call largestRoom now. Four places tested unit, stopping and finished: placement.live. Dropped as they could not matter: the test for ErrExpired of calls that never read, the second look at manySlow, the state of a unit whose placements are all being stopped, a placement built for the text of an assertion. In the tests one listing and one record of ends serve both harnesses; played.done was read by nothing.

Ruled out: a change of behaviour. Three mutants (no bound of slow workers, the scheduler's clock, moves without room) still fail the tests of slow workers.

--- a/dispatch/assert.go
+++ b/dispatch/assert.go
@@ -9,7 +9,7 @@
 // and no worker is about to leave.
 func (c *Core) assertStart(u *unit, workers []*worker) {
 	s := u.step
-	task := u.newPlacement(0, workers[0]).ref.Task
+	task := u.task(0)
 	invariant.Check(len(workers) == u.size, invariant.GangWhole, "%v starts %d of %d members", task, len(workers), u.size)
 	invariant.Check(len(u.placements) == 0 && u.state.Status == workload.UnitWaiting && !u.collapsing, invariant.AtMostOnce,
 		"%v starts beside %d placements, status %v", task, len(u.placements), u.state.Status)
--- a/dispatch/cluster_test.go
+++ b/dispatch/cluster_test.go
@@ -23,8 +23,10 @@
 	stored map[workload.JobID][]byte
 	specs  map[workload.JobID]*workload.Job
 	phases map[workload.JobID]workload.Phase
-	starts []Start
-	stops  []Stop
+	// handed and ends hold when each job was handed in and was seen to have ended.
+	handed, ends map[workload.JobID]time.Duration
+	starts       []Start
+	stops        []Stop
 }
 
 // simWorker is what one worker runs.
@@ -58,6 +60,7 @@
 		epoch: time.Unix(1_700_000_000, 0), now: time.Hour,
 		workers: map[string]*simWorker{}, stored: map[workload.JobID][]byte{},
 		specs: map[workload.JobID]*workload.Job{}, phases: map[workload.JobID]workload.Phase{},
+		handed: map[workload.JobID]time.Duration{}, ends: map[workload.JobID]time.Duration{},
 	}
 	c.config = &workload.Config{
 		Version: 1,
@@ -106,6 +109,7 @@
 		c.t.Fatal(err)
 	}
 	c.specs[job.ID] = job
+	c.handed[job.ID] = c.now
 	c.core.AddJob(job, nil)
 }
 
@@ -140,6 +144,9 @@
 	for _, change := range c.core.TakeChanges() {
 		c.stored[change.ID] = change.State
 		c.phases[change.ID] = change.Phase
+		if _, known := c.ends[change.ID]; change.Phase.Final() && !known {
+			c.ends[change.ID] = c.now
+		}
 	}
 	c.core.TakeEvents()
 }
@@ -178,12 +185,17 @@
 
 // list reports a worker's list to the core.
 func (c *cluster) list(worker string) {
+	c.core.Listing(worker, c.now, c.listing(worker))
+}
+
+// listing returns what a worker says of its runs now.
+func (c *cluster) listing(worker string) *workload.Listing {
 	w := c.workers[worker]
 	listing := &workload.Listing{Incarnation: w.info.Incarnation, ClockMS: c.now.Milliseconds(), Ended: w.ended}
 	for ref, run := range w.running {
 		listing.Running = append(listing.Running, workload.RunningRun{RunRef: ref, Percent: run.percent, Checkpoint: run.checkpoint})
 	}
-	c.core.Listing(worker, c.now, listing)
+	return listing
 }
 
 func (c *cluster) listAll() {
--- a/dispatch/move.go
+++ b/dispatch/move.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/redwingthread/redwingthread/resource"
-	"github.com/redwingthread/redwingthread/workload"
 )
 
 const (
@@ -17,9 +16,6 @@
 // moveSlow stops checkpointing runs on slow workers that would be done earlier elsewhere, if there is room for them now.
 // Runs without checkpoint stay: under load, starting them anew costs others more than it saves.
 func (c *Core) moveSlow() {
-	if c.manySlow {
-		return
-	}
 	for _, w := range c.order {
 		if !c.slow(w) {
 			continue
@@ -32,10 +28,7 @@
 
 func (c *Core) moveIfSlow(p *placement) {
 	u := p.unit
-	if p.slowRate == 0 || u == nil || p.stopping || p.finished {
-		return
-	}
-	if u.state.Status != workload.UnitActive || u.collapsing || !u.step.spec.Checkpointing {
+	if p.slowRate == 0 || !p.live() || !u.step.spec.Checkpointing {
 		return
 	}
 	if p.remaining() < p.elsewhere()+moveGain || !c.fitsElsewhere(u) {
@@ -69,16 +62,8 @@
 	for _, p := range u.placements {
 		own[p.worker]++
 	}
-	racks := c.roomsWith(u, func(w *worker) resource.Resources {
+	room := c.largestRoom(u, func(w *worker) resource.Resources {
 		return c.freeFor(w, u.step).Add(charge(u.step.spec).Times(own[w]))
 	})
-	if !u.step.spec.SameRack {
-		racks = []*rackRoom{merge(racks)}
-	}
-	for _, r := range racks {
-		if r.total >= u.size {
-			return true
-		}
-	}
-	return false
+	return room != nil && room.total >= u.size
 }
--- a/dispatch/patterns_test.go
+++ b/dispatch/patterns_test.go
@@ -15,8 +15,6 @@
 	length map[string]time.Duration
 	began  map[workload.RunRef]time.Duration
 	first  map[workload.JobID]time.Duration
-	done   map[workload.JobID]time.Duration
-	handed map[workload.JobID]time.Duration
 	// lost is the time that stopped runs had worked, in accelerator seconds.
 	lost float64
 }
@@ -28,14 +26,12 @@
 		cluster: newCluster(t, workers),
 		length:  map[string]time.Duration{"urgent": 2 * time.Second, "normal": 6 * time.Second, "batch": 6 * time.Second},
 		began:   map[workload.RunRef]time.Duration{}, first: map[workload.JobID]time.Duration{},
-		done: map[workload.JobID]time.Duration{}, handed: map[workload.JobID]time.Duration{},
 	}
 }
 
 func (p *played) hand(id, queue, account string, step workload.Step) {
 	step.Estimate = p.length[queue]
 	p.submit(id, queue, account, step)
-	p.handed[workload.JobID(id)] = p.now
 }
 
 // run lets the time pass; each tick ends what is due, lists the changed workers and plans.
@@ -57,11 +53,6 @@
 			}
 			p.list(stop.Worker)
 		}
-		for id, phase := range p.phases {
-			if _, known := p.done[id]; phase.Final() && !known {
-				p.done[id] = p.now
-			}
-		}
 		p.advance(playTick)
 	}
 }
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -269,6 +269,21 @@
 	return racks
 }
 
+// largestRoom returns the largest room in which the unit may run together: a rack, or everything; nil if there is none.
+func (c *Core) largestRoom(u *unit, free func(*worker) resource.Resources) *rackRoom {
+	racks := c.roomsWith(u, free)
+	if !u.step.spec.SameRack {
+		return merge(racks)
+	}
+	var largest *rackRoom
+	for _, r := range racks {
+		if largest == nil || r.total > largest.total {
+			largest = r
+		}
+	}
+	return largest
+}
+
 func (r *rackRoom) add(u *unit, w *worker, free resource.Resources) {
 	room := u.step.roomFor(w, free)
 	r.accelerators += max(0, free.Accelerators)
@@ -342,16 +357,7 @@
 		return
 	}
 	u := s.units[0]
-	racks := c.rackRooms(u)
-	if !s.spec.SameRack {
-		racks = []*rackRoom{merge(racks)}
-	}
-	var best *rackRoom
-	for _, r := range racks {
-		if best == nil || r.total > best.total {
-			best = r
-		}
-	}
+	best := c.largestRoom(u, func(w *worker) resource.Resources { return c.freeFor(w, s) })
 	if best == nil || best.total == 0 {
 		return
 	}
--- a/dispatch/rate.go
+++ b/dispatch/rate.go
@@ -65,15 +65,15 @@
 	return w.trialUntil <= c.now || c.manySlow || !s.spec.Gang && s.job.queue.Priority > 0
 }
 
-// measureRate takes in the progress of a run, and judges its worker once enough time has passed.
-func (c *Core) measureRate(p *placement, percent int) {
-	if !measurable(p, percent) {
+// measureRate takes in the listed progress of a run, and judges its worker once enough time has passed.
+func (c *Core) measureRate(p *placement) {
+	if !p.measurable() {
 		p.window = rateWindow{}
 		return
 	}
 	from := p.window
 	if !from.open {
-		p.window = rateWindow{open: true, at: p.worker.clock, percent: percent}
+		p.window = rateWindow{open: true, at: p.worker.clock, percent: p.percent}
 		return
 	}
 	span := (p.worker.clock - from.at).Seconds()
@@ -84,12 +84,12 @@
 		p.window = rateWindow{}
 		return
 	}
-	rate := float64(percent-from.percent) / span
+	rate := float64(p.percent-from.percent) / span
 	expected, known := c.expectedRate(p)
 	if known && expected*span < ratePoints {
 		return
 	}
-	p.window = rateWindow{open: true, at: p.worker.clock, percent: percent}
+	p.window = rateWindow{open: true, at: p.worker.clock, percent: p.percent}
 	switch {
 	case !known:
 		c.learnRate(p, rate)
@@ -103,12 +103,12 @@
 
 // measurable reports whether the run's progress says something of its worker. The members of a gang progress
 // independently, and wait for the slowest at the end.
-func measurable(p *placement, percent int) bool {
-	if p.unit == nil || p.stopping || p.finished {
+func (p *placement) measurable() bool {
+	if !p.live() {
 		return false
 	}
 	s := p.unit.step.spec
-	return !s.Filler && !s.LongRunning && percent > 0 && percent < 100
+	return !s.Filler && !s.LongRunning && p.percent > 0 && p.percent < 100
 }
 
 // expectedRate returns the rate that the run should have, false if nothing tells.
--- a/dispatch/reclaim.go
+++ b/dispatch/reclaim.go
@@ -214,7 +214,7 @@
 	var candidates []victim
 	for _, placed := range w.sortedRuns() {
 		u := placed.unit
-		if u == nil || placed.stopping || placed.finished || u.collapsing || slices.Contains(p.result.victims, u) || !p.core.mayStop(u, p.step) {
+		if !placed.live() || u.collapsing || slices.Contains(p.result.victims, u) || !p.core.mayStop(u, p.step) {
 			continue
 		}
 		at := slices.IndexFunc(candidates, func(v victim) bool { return v.unit == u })
--- a/dispatch/slow_test.go
+++ b/dispatch/slow_test.go
@@ -26,9 +26,8 @@
 	done     map[workload.RunRef]float64
 	listedAt map[string]time.Duration
 	// listDelay holds the next lists of workers back, with what they said; the ones after them follow at once.
-	listDelay    map[string]time.Duration
-	late         []lateList
-	handed, ends map[workload.JobID]time.Duration
+	listDelay map[string]time.Duration
+	late      []lateList
 	// startsOn counts the starts on each worker.
 	startsOn map[string]int
 }
@@ -42,7 +41,6 @@
 func newPaced(t testing.TB, workers int) *paced {
 	p := &paced{
 		cluster: newCluster(t, workers), length: map[workload.JobID]time.Duration{}, speed: map[string]float64{},
-		handed: map[workload.JobID]time.Duration{}, ends: map[workload.JobID]time.Duration{},
 		done: map[workload.RunRef]float64{}, listedAt: map[string]time.Duration{}, startsOn: map[string]int{},
 	}
 	for i, id := range p.order {
@@ -55,7 +53,6 @@
 func (p *paced) hand(id, queue string, length time.Duration, step workload.Step) {
 	step.Estimate = guess
 	p.length[workload.JobID(id)] = length
-	p.handed[workload.JobID(id)] = p.now
 	p.submit(id, queue, "small", step)
 }
 
@@ -84,11 +81,6 @@
 		for _, start := range p.plan().Starts {
 			p.startsOn[start.Worker]++
 		}
-		for id, phase := range p.phases {
-			if _, known := p.ends[id]; phase.Final() && !known {
-				p.ends[id] = p.now
-			}
-		}
 		p.advance(playTick)
 	}
 }
@@ -139,12 +131,7 @@
 		p.list(id)
 		return
 	}
-	w := p.workers[id]
-	listing := &workload.Listing{Incarnation: 1, ClockMS: p.now.Milliseconds(), Ended: slices.Clone(w.ended)}
-	for ref, run := range w.running {
-		listing.Running = append(listing.Running, workload.RunningRun{RunRef: ref, Percent: run.percent})
-	}
-	p.late = append(p.late, lateList{at: p.now + delay, worker: id, listing: listing})
+	p.late = append(p.late, lateList{at: p.now + delay, worker: id, listing: p.listing(id)})
 }
 
 // slowWorkers returns the workers that the core leaves out as slow.
--- a/dispatch/units.go
+++ b/dispatch/units.go
@@ -27,19 +27,26 @@
 	return charge(p.unit.step.spec)
 }
 
-func (u *unit) newPlacement(member int, w *worker) *placement {
+// task names the task of a member.
+func (u *unit) task(member int) workload.TaskID {
 	s := u.step
 	index := u.index
 	if s.spec.Gang {
 		index = member
 	}
-	task := workload.TaskID{Job: s.job.spec.ID, Repetition: s.repetition, Step: s.index, Index: index}
+	return workload.TaskID{Job: s.job.spec.ID, Repetition: s.repetition, Step: s.index, Index: index}
+}
+
+func (u *unit) newPlacement(member int, w *worker) *placement {
 	return &placement{
 		unit: u, member: member, worker: w, confirmedAt: never, percentAt: never,
-		ref: workload.RunRef{Task: task, Run: u.state.Run},
+		ref: workload.RunRef{Task: u.task(member), Run: u.state.Run},
 	}
 }
 
+// live reports whether the placement belongs to a unit that still needs it.
+func (p *placement) live() bool { return p.unit != nil && !p.stopping && !p.finished }
+
 // attach counts the placement against its worker and account.
 func (c *Core) attach(p *placement) {
 	assertNew(p)
--- a/dispatch/watch.go
+++ b/dispatch/watch.go
@@ -107,7 +107,7 @@
 }
 
 func (c *Core) moveIfStalled(p *placement) {
-	if p.unit == nil || p.stopping || p.finished || p.unit.step.spec.LongRunning || !p.standsStill() {
+	if !p.live() || p.unit.step.spec.LongRunning || !p.standsStill() {
 		return
 	}
 	if p.unit.size > 1 && p.unit.leastMember() != p {
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -190,7 +190,7 @@
 		p.unit.state.Checkpoint = r.Checkpoint
 	}
 	c.progress(p, r.Percent)
-	c.measureRate(p, r.Percent)
+	c.measureRate(p)
 }
 
 // adoptOrphan stops a run that belongs to no unit here: its job has ended, or the run was given up.
--- a/joblog/writer.go
+++ b/joblog/writer.go
@@ -134,9 +134,7 @@
 	for i, item := range batch {
 		records[i] = item.record
 	}
-	_, _, err := store.Hedged(context.Background(), w.hedge, appendTimeout, func(ctx context.Context) (struct{}, error) {
-		return struct{}{}, w.log.Append(ctx, w.stream, records, nil, appendTimeout)
-	})
+	_, err := w.hedge.Append(context.Background(), w.log, w.stream, records, nil, appendTimeout)
 	return err
 }
 
--- a/leader/journal.go
+++ b/leader/journal.go
@@ -114,10 +114,7 @@
 
 // send makes the attempts of one append; their number is returned.
 func (j *journal) send(ctx context.Context, records []store.Record, producer *store.Producer) (attempts int, err error) {
-	_, attempts, err = store.Hedged(ctx, j.hedge, journalTimeout, func(ctx context.Context) (struct{}, error) {
-		return struct{}{}, j.log.Append(ctx, store.States, records, producer, journalTimeout)
-	})
-	return attempts, err
+	return j.hedge.Append(ctx, j.log, store.States, records, producer, journalTimeout)
 }
 
 func stateRecords(changes []dispatch.Change) []store.Record {
--- a/store/hedge.go
+++ b/store/hedge.go
@@ -72,10 +72,10 @@
 			}
 		case a := <-answers:
 			open--
-			err = worse(err, a.err)
-			if a.err == nil || answered(a.err) {
+			if Failure(a.err) == nil {
 				return a.value, attempts, a.err
 			}
+			err = worse(err, a.err)
 			if open == 0 {
 				return value, attempts, err
 			}
@@ -83,12 +83,17 @@
 	}
 }
 
-// answered reports whether the store executed the call or refused it for its content.
-func answered(err error) bool { return Failure(err) == nil || errors.Is(err, ErrExpired) }
+// Append appends the records as Hedged calls do; they need a key or a sequence number. It returns the number of attempts.
+func (h *Hedge) Append(ctx context.Context, log Log, stream Stream, records []Record, producer *Producer, timeout time.Duration) (attempts int, err error) {
+	_, attempts, err = Hedged(ctx, h, timeout, func(ctx context.Context) (struct{}, error) {
+		return struct{}{}, log.Append(ctx, stream, records, producer, timeout)
+	})
+	return attempts, err
+}
 
 // worse returns the error that says less of the call: an attempt of unknown outcome makes the call's outcome unknown.
 func worse(a, b error) error {
-	if a == nil || b != nil && errors.Is(b, ErrUnknown) {
+	if a == nil || errors.Is(b, ErrUnknown) {
 		return b
 	}
 	return a
