scheduler: return a claim to its class when its cell is unbound

Cause: Core.unbind released the hold of a claim that waits for its victims without returning the job to its class. A claim whose worker became unreachable had neither class nor hold and never started.

Change: endClaim abandons the hold, which enqueues the job again. TestClaimOutlivesItsWorker failed before and passes now. "claim" in TestMechanismsMatter also matched "reclaim" in other violations; both cases now want "not started within", which only the check of claims prints.

--- a/scheduler/guarantee.go
+++ b/scheduler/guarantee.go
@@ -107,14 +107,9 @@
 }
 
 // unbind removes the binding of a cell and ends its claim. A running claim becomes ordinary work. A claim that waits
-// for its victims loses its hold; unbind does not return it to its class.
+// for its victims loses its hold and returns to its class.
 func (c *Core) unbind(cl *cell) {
-	if j := cl.claim; j != nil {
-		if j.hold != nil {
-			c.removeHold(j)
-		}
-		c.detach(j)
-	}
+	c.endClaim(cl)
 	for _, w := range cl.workers {
 		w.bound = w.bound.Sub(cl.shape.PerMember)
 		w.unclaimed = w.unclaimed.Sub(cl.shape.PerMember)
@@ -125,6 +120,17 @@
 	cl.workers = nil
 }
 
+// endClaim ends the claim of a cell, if it has one.
+func (c *Core) endClaim(cl *cell) {
+	switch j := cl.claim; {
+	case j == nil:
+	case j.hold != nil:
+		c.abandonHold(j)
+	default:
+		c.detach(j)
+	}
+}
+
 // setClaim makes j the claim of a bound cell.
 func (c *Core) setClaim(j *job, cl *cell) {
 	j.cell, cl.claim = cl, j
--- a/scheduler/guarantee_test.go
+++ b/scheduler/guarantee_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"testing"
+	"time"
 
+	"github.com/redwingthread/redwingthread/jobs"
 	"github.com/redwingthread/redwingthread/resource"
 )
 
@@ -25,3 +27,27 @@
 		t.Errorf("guarantees are still degraded after the worker is up again: %+v", d)
 	}
 }
+
+// TestClaimOutlivesItsWorker guards against a claim that never starts: it waits for its victims when the worker of its
+// hold becomes unreachable and its cell is unbound, and it must then wait in its class like any other job.
+func TestClaimOutlivesItsWorker(t *testing.T) {
+	f := newFixture(t, 2, withGuarantee("a", 1, shape(1, 8, resource.AdjacencyNone)))
+	f.submit("x", "b", shape(1, 8, resource.AdjacencyNone))
+	f.submit("y", "b", shape(1, 8, resource.AdjacencyNone))
+	f.planAndStart()
+	f.submit("claim", "a", shape(1, 8, resource.AdjacencyNone))
+	f.plan()
+	hold := f.core.jobs["claim"].hold
+	if hold == nil {
+		t.Fatal("the claim does not wait for a victim")
+	}
+	f.core.SetWorkerHealth(hold.placement[0].id, HealthUnreachable, f.now)
+	f.plan()
+	f.endAttempt("x", Result{Kind: ResultCompleted})
+	f.endAttempt("y", Result{Kind: ResultCompleted})
+	f.planAndStart()
+	f.wantState("claim", jobs.StateRunning)
+	if waited := f.now.Sub(testStart); waited > time.Duration(f.doc.Policy.ReclaimBoundMS)*time.Millisecond {
+		t.Errorf("the claim started after %s", waited)
+	}
+}
--- a/scheduler/scenario_test.go
+++ b/scheduler/scenario_test.go
@@ -343,8 +343,8 @@
 	}{
 		"lending":       {options{lendToUnstoppable: true}, "P1"},
 		"rebinding":     {options{noRebinding: true}, "P1"},
-		"reclaim":       {options{noReclaim: true}, "claim"},
-		"holding":       {options{ignoreClaimHolds: true}, "claim"},
+		"reclaim":       {options{noReclaim: true}, "not started within"},
+		"holding":       {options{ignoreClaimHolds: true}, "not started within"},
 		"reservations":  {options{noReservations: true}, "waits"},
 		"quota":         {options{noQuota: true}, "quota"},
 		"run once":      {options{restartRunOnce: true}, "run once"},
