inner, httpconn: deliver responses before Close, report oversize bodies

Cause: Server.Close returned when the handlers had written their responses, and then closed the socket, which loses what is not sent yet: of 20 requests in progress during a Close, 5 ended with "deadline exceeded" after 5 s.

Change: the client closes its side of the stream once it has the response, and the server counts a request until then, for 1 s at most. inflight replaces the WaitGroup. ErrResponseTooLarge reports an oversize body.

The cause is read from the code, and the WaitGroup is gone.

--- a/httpconn/conn.go
+++ b/httpconn/conn.go
@@ -28,7 +28,7 @@
 	keepAliveInterval = 2 * time.Second
 	// unackedTimeout is the time after which a connection with unacknowledged sent data is closed.
 	unackedTimeout = 2500 * time.Millisecond
-	// maxResponseBytes bounds a response body, which is truncated above it without an error.
+	// maxResponseBytes bounds a response body.
 	maxResponseBytes = 8 << 20
 	// readBufferBytes is the size of a connection's read buffer; most responses fit in it.
 	readBufferBytes = 4 << 10
@@ -37,6 +37,9 @@
 // ErrNotSent marks a request of which no byte can have reached the peer.
 var ErrNotSent = errors.New("httpconn: request was not sent")
 
+// ErrResponseTooLarge marks a response whose body exceeds maxResponseBytes.
+var ErrResponseTooLarge = errors.New("httpconn: response body is too large")
+
 // Request is an HTTP request.
 type Request struct {
 	Method string
@@ -157,10 +160,13 @@
 		return nil, err
 	}
 	defer httpResponse.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(httpResponse.Body, maxResponseBytes))
+	body, err := io.ReadAll(io.LimitReader(httpResponse.Body, maxResponseBytes+1))
 	if err != nil {
 		return nil, err
 	}
+	if len(body) > maxResponseBytes {
+		return nil, ErrResponseTooLarge
+	}
 	if httpResponse.Close {
 		defer c.Close()
 	}
--- a/httpconn/conn_test.go
+++ b/httpconn/conn_test.go
@@ -118,3 +118,23 @@
 		t.Fatal("connection from before the failure was reused")
 	}
 }
+
+// TestOversizeBodyIsAnError guards against a body that is cut at the limit and then decoded as if it were complete.
+func TestOversizeBodyIsAnError(t *testing.T) {
+	size := maxResponseBytes
+	address := startServer(t, func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write(make([]byte, size))
+	})
+	conn := &Conn{Address: address}
+	defer conn.Close()
+	if response, err := conn.Do(t.Context(), post("/a"), 5*time.Second); err != nil || len(response.Body) != size {
+		t.Fatalf("a body of the largest size was rejected: %v", err)
+	}
+	size++
+	if _, err := conn.Do(t.Context(), post("/a"), 5*time.Second); !errors.Is(err, ErrResponseTooLarge) {
+		t.Fatalf("a body over the limit returned %v, want ErrResponseTooLarge", err)
+	}
+	if conn.Reusable() {
+		t.Error("the connection stays open with unread bytes of the body")
+	}
+}
--- a/inner/client.go
+++ b/inner/client.go
@@ -153,9 +153,8 @@
 		return nil, err
 	}
 	c.meter.sent(kind, sent)
-	if err := stream.Close(); err != nil {
-		return nil, err
-	}
+	// The server takes the end of the stream as the acknowledgement of its response.
+	defer stream.Close()
 	var resp Response
 	received, err := readFrame(stream, &resp)
 	if err != nil {
--- a/inner/inner_test.go
+++ b/inner/inner_test.go
@@ -161,6 +161,49 @@
 	}
 }
 
+// TestCloseWaitsForRequests guards against a Close that cuts a request which is still being handled, or that loses its
+// response between the write and its delivery.
+func TestCloseWaitsForRequests(t *testing.T) {
+	ca := newTestCA(t)
+	for range 20 {
+		closeDuringRequest(t, ca)
+	}
+}
+
+// closeDuringRequest closes a server while it handles a request. The request must complete.
+func closeDuringRequest(t *testing.T, ca *testCA) {
+	t.Helper()
+	handling, finish := make(chan struct{}), make(chan struct{})
+	server := startServer(t, mustKeys(t, ca.files("server")), handlerFunc(func(context.Context, Member, *Request) (*Response, error) {
+		close(handling)
+		<-finish
+		return &Response{}, nil
+	}))
+	client := NewClient(mustKeys(t, ca.files("vm-1")))
+	defer client.Close()
+	result := make(chan error, 1)
+	go func() {
+		_, err := client.Call(t.Context(), server.Address(), &Request{JobQuery: &JobQuery{ID: "x"}})
+		result <- err
+	}()
+	<-handling
+	closed := make(chan struct{})
+	go func() {
+		server.Close(t.Context())
+		close(closed)
+	}()
+	select {
+	case <-closed:
+		t.Fatal("Close returned while a request was being handled")
+	case <-time.After(50 * time.Millisecond):
+	}
+	close(finish)
+	if err := <-result; err != nil {
+		t.Errorf("the request in progress was cut: %v", err)
+	}
+	<-closed
+}
+
 // TestOversizeFrameIsRejected guards against a peer that makes the receiver allocate without bound.
 func TestOversizeFrameIsRejected(t *testing.T) {
 	ca := newTestCA(t)
--- a/inner/server.go
+++ b/inner/server.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
+	"io"
 	"net"
-	"sync"
 	"time"
 
 	"github.com/quic-go/quic-go"
@@ -21,6 +21,8 @@
 	maxStreams = 512
 	// requestReadTimeout bounds the time a peer may take to send its request.
 	requestReadTimeout = 10 * time.Second
+	// responseAckTimeout bounds the time until a peer closes a stream whose response it has received.
+	responseAckTimeout = time.Second
 )
 
 // quicConfig returns the QUIC parameters that client and server use.
@@ -39,7 +41,7 @@
 	packetConn net.PacketConn
 	handler    Handler
 	meter      *meter
-	exchanges  sync.WaitGroup
+	exchanges  inflight
 }
 
 // Listen opens address (host:port, UDP) and authenticates with the keys of the store. It returns an Unavailable error
@@ -71,15 +73,11 @@
 	}
 }
 
-// Close waits for the requests in progress until ctx ends, then closes all connections.
+// Close waits until the peers have received the responses to the requests in progress, or until ctx ends. It then closes
+// all connections.
 func (s *Server) Close(ctx context.Context) {
-	done := make(chan struct{})
-	go func() {
-		s.exchanges.Wait()
-		close(done)
-	}()
 	select {
-	case <-done:
+	case <-s.exchanges.idle():
 	case <-ctx.Done():
 	}
 	s.listener.Close()
@@ -94,9 +92,9 @@
 		if err != nil {
 			return
 		}
-		s.exchanges.Add(1)
+		s.exchanges.begin()
 		go func() {
-			defer s.exchanges.Done()
+			defer s.exchanges.end()
 			s.serveStream(conn.Context(), from, stream)
 		}()
 	}
@@ -111,6 +109,7 @@
 	return Member{VM: chain[0].Subject.CommonName}
 }
 
+// serveStream handles the request on a stream and returns when the peer has received the response.
 func (s *Server) serveStream(ctx context.Context, from Member, stream *quic.Stream) {
 	defer stream.Close()
 	stream.SetReadDeadline(time.Now().Add(requestReadTimeout))
@@ -132,4 +131,15 @@
 		return
 	}
 	s.meter.sent(kind, sent)
+	stream.Close()
+	awaitAck(stream)
+}
+
+// awaitAck waits until the peer closes its side of the stream, which it does once it has read the response. A response that
+// is only written would be lost if the server closed its socket at that moment.
+func awaitAck(stream *quic.Stream) {
+	stream.SetReadDeadline(time.Now().Add(responseAckTimeout))
+	if _, err := io.Copy(io.Discard, stream); err != nil {
+		stream.CancelRead(0)
+	}
 }
