Mend known red: settings read during a rewrite, a freeze that lags its signal, endpoint pools

Cause: the soak rewrote settings files in place, and redwing-node exits or runs with default bounds when it reads such a file half written. SIGSTOP takes effect after the call returns, so that a busy machine still handles requests.

Change: AwaitSettings reads the file until two reads 20 ms apart give the same valid settings, for 2 s at most, at start and at reload; -check still reads once.

--- a/cmd/redwing-node/main.go
+++ b/cmd/redwing-node/main.go
@@ -45,8 +45,12 @@
 	if err != nil {
 		return err
 	}
-	settings, err := platform.LoadSettings(path)
-	if err != nil || check {
+	if check {
+		_, err := platform.LoadSettings(path)
+		return err
+	}
+	settings, err := platform.AwaitSettings(ctx, path)
+	if err != nil {
 		return err
 	}
 	logger, closeLog, err := newLogger(settings, level)
--- a/cmd/redwing-node/reload.go
+++ b/cmd/redwing-node/reload.go
@@ -43,17 +43,17 @@
 			return
 		case <-reloadSignal:
 			r.logger.Info().Msg("settings reload requested by SIGHUP")
-			r.reload()
+			r.reload(ctx)
 		case <-ticker.C:
-			r.reload()
+			r.reload(ctx)
 		}
 	}
 }
 
 // reload reads the settings file and applies its changes. If the file cannot be read or is not valid, the previous settings
 // stay in force.
-func (r *reloader) reload() {
-	settings, err := platform.LoadSettings(r.path)
+func (r *reloader) reload(ctx context.Context) {
+	settings, err := platform.AwaitSettings(ctx, r.path)
 	if err != nil {
 		r.logger.Error().Err(err).Msg("settings reload failed; the previous settings stay in force")
 		return
--- a/endpoint/exchange.go
+++ b/endpoint/exchange.go
@@ -112,10 +112,11 @@
 func (p *Pools) Attempt(ctx context.Context, address string, maxOpen int, r *Request) Result {
 	start := time.Now()
 	result := Result{Inflight: -1}
-	pool := p.pool(address)
+	pool := p.acquire(address)
 	if pool == nil {
 		return withFailure(result, Busy, errBusy)
 	}
+	defer p.release(pool)
 	c, err := pool.get(ctx, maxOpen, r.NewConnection)
 	if err != nil {
 		kind := NoConnection
--- a/endpoint/pool.go
+++ b/endpoint/pool.go
@@ -81,6 +81,9 @@
 	timeouts int
 	// closed is set by Pools.Close; guarded by mu.
 	closed bool
+	// users is the number of attempts and probes that hold this pool; guarded by Pools.mu. A pool with users stays in
+	// Pools.pools, so that all connections to an address count against one limit.
+	users int
 }
 
 // conn is one connection with its buffers. It is used by one goroutine at a time.
@@ -116,8 +119,8 @@
 	return n, err
 }
 
-// pool returns the pool of an address, nil after Close.
-func (p *Pools) pool(address string) *pool {
+// acquire returns the pool of an address, nil after Close. The caller must release it.
+func (p *Pools) acquire(address string) *pool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed {
@@ -128,9 +131,17 @@
 		entry = &pool{owner: p, address: address}
 		p.pools[address] = entry
 	}
+	entry.users++
 	return entry
 }
 
+// release ends the use of a pool that acquire returned.
+func (p *Pools) release(entry *pool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	entry.users--
+}
+
 // errBusy is the error if all connections allowed to an address are in use or the pool is closed.
 var errBusy = errkind.New(errkind.Overloaded, "retry later with backoff", "all connections to the endpoint are in use")
 
@@ -283,17 +294,21 @@
 	return total
 }
 
-// CloseIdle closes connections that were not used for idleTimeout.
+// CloseIdle closes connections that were not used for idleTimeout, and forgets addresses without connections.
 func (p *Pools) CloseIdle() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, entry := range p.pools {
-		entry.closeIdle(idleTimeout)
+	for address, entry := range p.pools {
+		open := entry.closeIdle(idleTimeout)
+		if open == 0 && entry.users == 0 {
+			delete(p.pools, address)
+		}
 	}
 }
 
-// closeIdle closes idle connections that were not used for at least age.
-func (p *pool) closeIdle(age time.Duration) {
+// closeIdle closes idle connections that were not used for at least age. It returns the number of connections that
+// remain open.
+func (p *pool) closeIdle(age time.Duration) int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	kept := p.idle[:0]
@@ -305,6 +320,7 @@
 		p.closeConnLocked(c)
 	}
 	p.idle = kept
+	return p.open
 }
 
 // Close closes all idle connections. Connections in use are closed at the end of their exchange. Further attempts fail
--- a/endpoint/pool_test.go
+++ b/endpoint/pool_test.go
@@ -11,6 +11,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 )
 
@@ -176,3 +177,41 @@
 		}
 	}
 }
+
+// TestIdleAddressesAreForgotten guards against an entry for each address that an endpoint ever had, and against the loss of
+// one whose connections are still counted.
+func TestIdleAddressesAreForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var peers []net.Conn
+		pools := NewPools(func(context.Context, string) (net.Conn, error) {
+			own, peer := net.Pipe()
+			peers = append(peers, peer)
+			return own, nil
+		})
+		held := pools.acquire("held:1")
+		for i := range 100 {
+			address := fmt.Sprintf("host-%d:1", i)
+			pool := pools.acquire(address)
+			c, err := pool.get(t.Context(), 1, false)
+			if err != nil {
+				t.Fatal(err)
+			}
+			pool.putUnused(c)
+			pools.release(pool)
+		}
+		if pools.CloseIdle(); len(pools.pools) != 101 {
+			t.Errorf("%d addresses are known, want the 101 in use", len(pools.pools))
+		}
+		time.Sleep(idleTimeout)
+		if pools.CloseIdle(); len(pools.pools) != 1 || pools.pools["held:1"] != held {
+			t.Errorf("%d addresses are known, want only the held one", len(pools.pools))
+		}
+		pools.release(held)
+		if pools.CloseIdle(); len(pools.pools) != 0 {
+			t.Errorf("%d addresses are known after the last use", len(pools.pools))
+		}
+		for _, peer := range peers {
+			peer.Close()
+		}
+	})
+}
--- a/endpoint/probe.go
+++ b/endpoint/probe.go
@@ -30,10 +30,11 @@
 	if queryIncarnation {
 		return p.queryIncarnation(ctx, address, maxOpen)
 	}
-	pool := p.pool(address)
+	pool := p.acquire(address)
 	if pool == nil {
 		return ProbeResult{}
 	}
+	defer p.release(pool)
 	c, err := pool.get(ctx, maxOpen, true)
 	if err != nil {
 		// If all connections are in use, the endpoint does accept connections.
--- a/processtest/control_test.go
+++ b/processtest/control_test.go
@@ -77,7 +77,7 @@
 		recover func(*vm)
 	}{
 		{"kill", func(v *vm) { kill(v.scheduler) }, func(v *vm) { s.startScheduler(v) }},
-		{"freeze", func(v *vm) { v.scheduler.Process.Signal(syscall.SIGSTOP) },
+		{"freeze", func(v *vm) { stopProcess(t, v.scheduler.Process) },
 			func(v *vm) { v.scheduler.Process.Signal(syscall.SIGCONT) }},
 	}
 	for _, fault := range faults {
--- a/processtest/requests_test.go
+++ b/processtest/requests_test.go
@@ -190,7 +190,7 @@
 		})
 	}
 	time.Sleep(100 * time.Millisecond)
-	frozen.gateway.Process.Signal(syscall.SIGSTOP)
+	stopProcess(t, frozen.gateway.Process)
 	notUnknown := 0
 	for i := range keys {
 		err := send(other, i)
