Read large responses over thin links to their end, skip obsolete configurations

The VMs of a failure domain that was cut off while 1,400 routes and a storm of changes arrived fetched up to 1 MB a read, which must have ended 0.8 s after its wait. Over 10 Mbit/s it never did: each read was thrown away and sent again, for the configuration and for the states of jobs.

Change: the timeout of a request bounds the time until its response begins; while parts keep arriving the deadline moves on (httpconn timedConn). The cursor of the configuration continues with the newest record when it is more than one read behind.

Ruled out: hedged requests, which the readers do not use.

Tests that fail without the change: TestSlowResponseIsReadToItsEnd, TestCursorSkipsObsoleteRecords.

--- a/httpconn/conn.go
+++ b/httpconn/conn.go
@@ -28,6 +28,10 @@
 	keepAliveInterval = 2 * time.Second
 	// unackedTimeout is the time after which a connection with unacknowledged sent data is closed.
 	unackedTimeout = 2500 * time.Millisecond
+	// stallTimeout is the longest pause between two parts of a response. A response that keeps arriving over a slow link may
+	// take longer than the timeout of its request, up to maxTransferTime in total.
+	stallTimeout    = 800 * time.Millisecond
+	maxTransferTime = 30 * time.Second
 	// maxResponseBytes bounds a response body.
 	maxResponseBytes = 8 << 20
 	// readBufferBytes is the size of a connection's read buffer; most responses fit in it.
@@ -66,7 +70,7 @@
 	// Address is the host:port of the peer.
 	Address string
 	// conn is nil while the connection is closed.
-	conn   net.Conn
+	conn   *timedConn
 	reader *bufio.Reader
 	// responses counts the complete responses on conn.
 	responses int
@@ -87,16 +91,17 @@
 	c.responses = 0
 }
 
-// Do sends the request and reads the complete response within timeout or until ctx ends. Any error closes the connection.
-// An error that matches ErrNotSent means that the peer has received no part of the request.
+// Do sends the request and reads the complete response. The response must begin within timeout; after that, it may take
+// longer as long as parts of it keep arriving. Do returns early when ctx ends. Any error closes the connection. An error that
+// matches ErrNotSent means that the peer has received no part of the request.
 func (c *Conn) Do(ctx context.Context, r Request, timeout time.Duration) (*Response, error) {
 	deadline := time.Now().Add(timeout)
 	if err := c.connect(ctx, deadline); err != nil {
 		return nil, errors.Join(ErrNotSent, err)
 	}
-	stop := context.AfterFunc(ctx, c.interrupt(c.conn))
+	c.conn.begin(deadline)
+	stop := context.AfterFunc(ctx, c.conn.interrupt)
 	defer stop()
-	_ = c.conn.SetDeadline(deadline)
 	if _, err := c.conn.Write(c.encodeRequest(r)); err != nil {
 		c.Close()
 		return nil, err
@@ -110,11 +115,6 @@
 	return response, nil
 }
 
-// interrupt returns a function that makes pending reads and writes on conn fail.
-func (c *Conn) interrupt(conn net.Conn) func() {
-	return func() { _ = conn.SetDeadline(time.Unix(1, 0)) }
-}
-
 // connect dials Address unless the connection is open.
 func (c *Conn) connect(ctx context.Context, deadline time.Time) error {
 	if c.conn != nil {
@@ -130,8 +130,8 @@
 		return err
 	}
 	DialCount.Add(1)
-	c.conn = conn
-	c.reader = bufio.NewReaderSize(conn, readBufferBytes)
+	c.conn = &timedConn{Conn: conn}
+	c.reader = bufio.NewReaderSize(c.conn, readBufferBytes)
 	c.responses = 0
 	return nil
 }
--- a/httpconn/conn_test.go
+++ b/httpconn/conn_test.go
@@ -119,6 +119,67 @@
 	}
 }
 
+// TestSlowResponseIsReadToItsEnd guards against a response over a slow link that is thrown away and requested again for
+// ever, because it takes longer than the timeout of its request although it keeps arriving.
+func TestSlowResponseIsReadToItsEnd(t *testing.T) {
+	const parts, pause = 10, 50 * time.Millisecond
+	address := startServer(t, func(w http.ResponseWriter, _ *http.Request) {
+		for range parts {
+			_, _ = w.Write(make([]byte, 1000))
+			w.(http.Flusher).Flush()
+			time.Sleep(pause)
+		}
+	})
+	conn := &Conn{Address: address}
+	defer conn.Close()
+	response, err := conn.Do(t.Context(), post("/a"), 2*pause)
+	if err != nil || len(response.Body) != parts*1000 {
+		t.Fatalf("the response was not read to its end: %v", err)
+	}
+}
+
+// TestStalledResponseFails guards against a wait for the rest of a response whose connection has gone silent.
+func TestStalledResponseFails(t *testing.T) {
+	release := make(chan struct{})
+	address := startServer(t, func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write([]byte("part"))
+		w.(http.Flusher).Flush()
+		<-release
+	})
+	defer close(release)
+	conn := &Conn{Address: address}
+	defer conn.Close()
+	began := time.Now()
+	if _, err := conn.Do(t.Context(), post("/a"), 100*time.Millisecond); err == nil {
+		t.Fatal("a response without its end was accepted")
+	}
+	if took := time.Since(began); took > 2*stallTimeout {
+		t.Errorf("the silent connection was given up after %s, want within %s", took, 2*stallTimeout)
+	}
+}
+
+// TestInterruptEndsASlowResponse guards against a cancelled request whose deadline the next part of the response moves on.
+func TestInterruptEndsASlowResponse(t *testing.T) {
+	address := startServer(t, func(w http.ResponseWriter, r *http.Request) {
+		for r.Context().Err() == nil {
+			_, _ = w.Write(make([]byte, 100))
+			w.(http.Flusher).Flush()
+			time.Sleep(time.Millisecond)
+		}
+	})
+	conn := &Conn{Address: address}
+	defer conn.Close()
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	began := time.Now()
+	if _, err := conn.Do(ctx, post("/a"), time.Second); err == nil {
+		t.Fatal("the endless response ended without an error")
+	}
+	if took := time.Since(began); took > time.Second {
+		t.Errorf("the request ended %s after its context", took)
+	}
+}
+
 // TestOversizeBodyIsAnError guards against a body that is cut at the limit and then decoded as if it were complete.
 func TestOversizeBodyIsAnError(t *testing.T) {
 	size := maxResponseBytes
--- a/node/node.go
+++ b/node/node.go
@@ -52,7 +52,7 @@
 	n.writer = joblog.NewWriter(o.Log, &n.hedge)
 	n.follower = joblog.NewFollower(o.Log, n.view, o.Logger)
 	n.config = &configWatch{
-		log: o.Log, cursor: store.Cursor{Stream: store.Config}, decoder: o.Decoder, onChange: n.configChanged,
+		log: o.Log, cursor: store.Cursor{Stream: store.Config, NewestOnly: true}, decoder: o.Decoder, onChange: n.configChanged,
 		logger: o.Logger.With().Stringer("stream", store.Config).Logger(),
 	}
 	return n
--- a/store/cursor.go
+++ b/store/cursor.go
@@ -12,6 +12,9 @@
 // has read them, it reads the newest record of every key again. It is not safe for concurrent use.
 type Cursor struct {
 	Stream Stream
+	// NewestOnly is set if a record makes all earlier ones of its key obsolete. A cursor that is more than one read behind
+	// then continues with the newest records, so that a VM on a slow link does not read what is obsolete.
+	NewestOnly bool
 	// loaded is true once the newest records were read; next is the offset of the next read then.
 	loaded bool
 	next   int64
@@ -51,7 +54,11 @@
 		return nil, err
 	}
 	c.next += int64(len(batch.Records))
-	return &Update{Records: batch.Records, StartedAt: startedAt, Complete: c.next >= batch.End, Next: c.next}, nil
+	complete := c.next >= batch.End
+	if c.NewestOnly && !complete {
+		c.loaded = false
+	}
+	return &Update{Records: batch.Records, StartedAt: startedAt, Complete: complete, Next: c.next}, nil
 }
 
 // load reads the newest record of each key. The pages are read at different times, so the next read continues from the end
--- /dev/null
+++ b/store/cursor_test.go
@@ -0,0 +1,61 @@
+package store_test
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/redwingthread/redwingthread/store"
+	"github.com/redwingthread/redwingthread/store/storetest"
+)
+
+// appendVersions appends the versions from first to last under one key.
+func appendVersions(t *testing.T, log store.Log, first, last int) {
+	t.Helper()
+	for version := first; version <= last; version++ {
+		record := store.Record{Key: "config", Value: []byte(strconv.Itoa(version))}
+		if err := log.Append(t.Context(), store.Config, []store.Record{record}, nil, time.Second); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// readToEnd reads until the cursor is complete, and returns the values in the order in which they were read.
+func readToEnd(t *testing.T, cursor *store.Cursor, log store.Log) (values []string) {
+	t.Helper()
+	for {
+		update, err := cursor.Read(t.Context(), log, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, record := range update.Records {
+			values = append(values, string(record.Value))
+		}
+		if update.Complete {
+			return values
+		}
+	}
+}
+
+// TestCursorSkipsObsoleteRecords guards against a VM that was cut off from the store and then reads every configuration
+// that was published meanwhile: over a slow link that takes longer than the configuration may be used unconfirmed.
+func TestCursorSkipsObsoleteRecords(t *testing.T) {
+	log := storetest.New()
+	log.BatchSize = 2
+	appendVersions(t, log, 1, 1)
+	newestOnly := store.Cursor{Stream: store.Config, NewestOnly: true}
+	every := store.Cursor{Stream: store.Config}
+	readToEnd(t, &newestOnly, log)
+	readToEnd(t, &every, log)
+	appendVersions(t, log, 2, 41)
+	if got := readToEnd(t, &newestOnly, log); len(got) != 3 || got[2] != "41" {
+		t.Errorf("read %v, want one batch of two versions and the newest one", got)
+	}
+	if got := readToEnd(t, &every, log); len(got) != 40 || got[39] != "41" {
+		t.Errorf("a cursor of all records read %d of 40 versions", len(got))
+	}
+	appendVersions(t, log, 42, 43)
+	if got := readToEnd(t, &newestOnly, log); len(got) != 2 || got[1] != "43" {
+		t.Errorf("read %v, want both versions: the cursor is only one read behind", got)
+	}
+}
--- a/store/storetest/fake.go
+++ b/store/storetest/fake.go
@@ -26,8 +26,8 @@
 	fault     Fault
 	// changed is closed and replaced after each append.
 	changed chan struct{}
-	// PageSize is the maximum number of records in a page of Newest.
-	PageSize int
+	// PageSize is the maximum number of records in a page of Newest, BatchSize that of a Read; 0 means no limit for a Read.
+	PageSize, BatchSize int
 	// now returns the time at which memberships expire.
 	now func() time.Time
 }
@@ -179,6 +179,9 @@
 		batch := &store.Batch{End: end, First: t.first}
 		if from < end {
 			batch.Records = append(batch.Records, t.records[from-t.first:]...)
+			if f.BatchSize > 0 && len(batch.Records) > f.BatchSize {
+				batch.Records = batch.Records[:f.BatchSize]
+			}
 		}
 		changed := f.changed
 		f.mu.Unlock()
