leader: a holder that may have been replaced extends no lease and stops nothing

Start requests renewed leases without asking whether the store still confirms the holder: a holder cut off from the store, or paused, that repeats a start could extend the lease of a worker after its successor had waited for that lease to end and started the tasks elsewhere. The check of a renewal and the computation of the extension read the clock twice, so that a pause between them extended a lease under a permission that had run out. Plans and stops went on without the store: work was stopped whose replacement could not be stored, or that a successor relied on.

Change: an extension is computed from the same reading of the clock as the check, for starts as well. A holder that the store has not confirmed within the time that the group keeps a member plans nothing and sends no stop.

--- a/leader/leader.go
+++ b/leader/leader.go
@@ -62,7 +62,9 @@
 	StatusRetention time.Duration
 	// ConfirmedAt returns the boot-clock time at which the store last confirmed that this VM holds the schedule.
 	ConfirmedAt func() time.Duration
-	Logger      zerolog.Logger
+	// MembershipTTL is the time after such a confirmation during which no other VM can hold the schedule.
+	MembershipTTL time.Duration
+	Logger        zerolog.Logger
 }
 
 // Leader holds the schedule for one epoch.
@@ -169,10 +171,17 @@
 	l.cancel()
 }
 
-// mayRenew reports whether leases may be renewed. A holder that the store has not confirmed for RenewalWithoutStore may
-// have a successor, which waits until the leases of workers that it cannot reach have expired.
-func (l *Leader) mayRenew() bool {
-	return boottime.Now()-l.ConfirmedAt() < RenewalWithoutStore
+// mayRenew reports whether a request may extend leases, as of now on the boot clock. A holder that the store has not
+// confirmed for RenewalWithoutStore may have a successor, which waits until the leases of workers that it cannot reach have
+// expired. The caller must compute the extension from the same now: the process may be paused before it sends the request.
+func (l *Leader) mayRenew(now time.Duration) bool {
+	return now-l.ConfirmedAt() < RenewalWithoutStore
+}
+
+// mayDecide reports whether this VM is certain to hold the schedule, as of now on the boot clock. A holder that may have been
+// replaced plans nothing and stops no run: its successor may need that run, and starts could not be stored.
+func (l *Leader) mayDecide(now time.Duration) bool {
+	return now-l.ConfirmedAt() < l.MembershipTTL
 }
 
 // Run holds the schedule until ctx ends or a newer holder exists.
@@ -328,21 +337,28 @@
 	return max(planInterval, min(idleInterval, time.Until(due)+planInterval))
 }
 
-// plan runs the planner, sends the stops, and begins an append unless one is in flight.
+// plan runs the planner if this VM is certain to hold the schedule, and begins an append unless one is in flight.
 func (l *Leader) plan(ctx context.Context) {
 	l.lastPlan = boottime.Now()
 	l.core.Advance(l.lastPlan, time.Now())
+	if l.mayDecide(l.lastPlan) {
+		l.decide(ctx)
+	}
+	l.logEvents()
+	l.flush(ctx)
+	l.planPause = max(planInterval, planPauseFactor*(boottime.Now()-l.lastPlan))
+}
+
+// decide runs the planner, sends the stops, and keeps the starts until their states are stored.
+func (l *Leader) decide(ctx context.Context) {
 	plan := l.core.Plan()
 	observe(timerPlan, boottime.Now()-l.lastPlan)
-	l.logEvents()
 	for _, stop := range plan.Stops {
 		if s := l.sessions[stop.Worker]; s != nil {
 			l.spawn(func() { s.stop(ctx, stop) })
 		}
 	}
 	l.starts = append(l.starts, plan.Starts...)
-	l.flush(ctx)
-	l.planPause = max(planInterval, planPauseFactor*(boottime.Now()-l.lastPlan))
 }
 
 // spawn runs f in a goroutine that Run waits for.
--- a/leader/session.go
+++ b/leader/session.go
@@ -37,6 +37,9 @@
 	maxRequests = 3
 )
 
+// errHolderUnconfirmed means that a request was not sent because another VM may hold the schedule.
+var errHolderUnconfirmed = errors.New("leader: the store has not confirmed that this VM holds the schedule")
+
 // session manages one worker: it renews the lease, watches the worker's runs, and sends start and stop requests.
 type session struct {
 	id      string
@@ -122,10 +125,8 @@
 		request.StoredEnd = s.storedEnd
 	}
 	s.mu.Unlock()
-	if s.leader.mayRenew() {
-		request.LeaseUntilMS = s.leaseUntil()
-	}
 	sentAt := boottime.Now()
+	request.LeaseUntilMS = s.leaseUntil(sentAt)
 	listing, err := s.conn.Watch(ctx, request, request.Wait+watchMargin)
 	if err != nil {
 		return nil, sentAt, err
@@ -146,11 +147,16 @@
 	}
 }
 
-// leaseUntil returns the expiry of a lease sent now, in milliseconds of the worker's clock; 0 while that clock is unknown.
-func (s *session) leaseUntil() int64 {
+// leaseUntil returns the expiry of a lease sent now, in milliseconds of the worker's clock; 0 while that clock is unknown. If
+// leases may not be extended, it is the expiry of the longest lease sent before.
+func (s *session) leaseUntil(now time.Duration) int64 {
+	mayRenew := s.leader.mayRenew(now)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.lease.renew(boottime.Now())
+	if !mayRenew {
+		return s.lease.untilMS
+	}
+	return s.lease.renew(now)
 }
 
 // recordNoResponse records a request without response: it reports the worker to the core as unreachable, and as gone
@@ -228,7 +234,7 @@
 	for attempt := 1; ctx.Err() == nil; attempt++ {
 		request := StartRequest{
 			Ref: planned.Ref, Specification: planned.Specification, Checkpoint: planned.Checkpoint,
-			LeaseUntilMS: s.leaseUntil(), Epoch: s.leader.Epoch,
+			LeaseUntilMS: s.leaseUntil(boottime.Now()), Epoch: s.leader.Epoch,
 		}
 		err := s.conn.Start(ctx, request, requestTimeout)
 		if s.reportStartOutcome(planned, err, attempt) {
@@ -273,13 +279,16 @@
 	return true
 }
 
-// stop sends a stop request until the worker confirms it or the core no longer wants it. It reports the stop as unconfirmed
-// if the address of the worker changes.
+// stop sends a stop request until the worker confirms it or the core no longer wants it. It sends nothing while this VM may
+// have been replaced as holder of the schedule. It reports the stop as unconfirmed if the address of the worker changes.
 func (s *session) stop(ctx context.Context, planned dispatch.Stop) {
 	s.requestSlots <- struct{}{}
 	defer func() { <-s.requestSlots }()
 	for attempt := 1; ctx.Err() == nil; attempt++ {
-		err := s.conn.Stop(ctx, StopRequest{Ref: planned.Ref, Epoch: s.leader.Epoch}, requestTimeout)
+		err := errHolderUnconfirmed
+		if s.leader.mayDecide(boottime.Now()) {
+			err = s.conn.Stop(ctx, StopRequest{Ref: planned.Ref, Epoch: s.leader.Epoch}, requestTimeout)
+		}
 		if errors.Is(err, ErrStaleEpoch) {
 			s.leader.stepDown("worker " + s.id)
 			return
--- a/node/membership.go
+++ b/node/membership.go
@@ -206,7 +206,8 @@
 		DecodeWorker: n.Decoder.WorkerRecord, DispatchOptions: n.dispatchOptions(), MaxLease: n.Settings.Bounds.MaxLease,
 		HeartbeatInterval: n.Settings.Bounds.HeartbeatInterval,
 		StatusRetention:   n.Settings.Bounds.StatusRetention, Logger: n.Logger,
-		ConfirmedAt: func() time.Duration { return time.Duration(m.confirmedAt.Load()) },
+		ConfirmedAt:   func() time.Duration { return time.Duration(m.confirmedAt.Load()) },
+		MembershipTTL: m.ttl(),
 	}, config)
 	leaderCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	done := make(chan struct{})
