Refuse at once jobs whose state can't be stored, bound overlapping repetitions

A submission of 256 KB may ask for 10,000 tasks a step and 10,000 repetitions at once. A million tasks take the memory of each holder in turn. A submission whose record is too large made the store reject the whole batch, with other callers' submissions. The setting of the largest record was read and not used.

Change: CheckStateSize and Writer.Submit return TooLarge (413) before anything is written; the core begins a repetition only when the tasks of the earlier ones leave room in the record (MaxActiveTasks).

Measured: TestStateOfTheLargestJobFits, TestOversizeSubmissionIsRefusedAtOnce and TestOverlappingRepetitionsAreBounded; the largest accepted job's state fits.

--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -31,6 +31,9 @@
 type Options struct {
 	// StopTimeout is the longest time between a stop command and the end of the run.
 	StopTimeout time.Duration
+	// MaxActiveTasks bounds the tasks of one job whose repetitions overlap; 0 means no bound. A repetition that would exceed
+	// it waits until earlier ones have ended.
+	MaxActiveTasks int
 }
 
 // Start is a command that tells a worker to begin a run, from the checkpoint unless that is empty.
--- a/dispatch/lifecycle_test.go
+++ b/dispatch/lifecycle_test.go
@@ -194,6 +194,30 @@
 	}
 }
 
+// TestOverlappingRepetitionsAreBounded guards against a job whose many repetitions are due at once and whose tasks exhaust the
+// memory of every holder of the schedule, one after the other. Each repetition must run all the same.
+func TestOverlappingRepetitionsAreBounded(t *testing.T) {
+	c := newCluster(t, 2)
+	c.core.options.MaxActiveTasks = 20
+	c.submitJob(&workload.Job{
+		ID: "a", Queue: "normal", Service: "svc", Account: "large", Steps: []workload.Step{tasks(8, 1)},
+		AcceptedAt: c.wall(), Repetitions: 10, FirstRun: c.wall().Add(-time.Hour), Interval: time.Millisecond,
+	})
+	started := 0
+	for range 40 {
+		started += len(c.plan().Starts)
+		if active := c.core.jobs["a"]; active != nil && active.activeTasks() > 20 {
+			t.Fatalf("%d tasks of the job are active, at most 20 are allowed", active.activeTasks())
+		}
+		c.listAll()
+		c.endAll("a", workload.EndDone)
+		c.advance(50 * time.Millisecond)
+	}
+	if started != 80 {
+		t.Errorf("%d tasks were started, want the 80 of all repetitions", started)
+	}
+}
+
 // TestTakeoverStopsCancelledWork guards against tasks that keep running after their job was cancelled while there was no
 // schedule holder: the next holder issued the stops before it was connected to the workers, and never repeated them.
 func TestTakeoverStopsCancelledWork(t *testing.T) {
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -110,10 +110,32 @@
 		if j.spec.Scheduled() && c.wall.Before(j.spec.DueAt(k).Add(dueMargin)) {
 			return
 		}
+		if c.overlapsTooMuch(j) {
+			return
+		}
 		j.createRepetitions(k)
 	}
 }
 
+// overlapsTooMuch reports whether the job must end tasks of earlier repetitions before it may begin the next one.
+func (c *Core) overlapsTooMuch(j *job) bool {
+	active := j.activeTasks()
+	return c.options.MaxActiveTasks > 0 && active > 0 && active+j.spec.Tasks() > c.options.MaxActiveTasks
+}
+
+// activeTasks returns the number of tasks of the job's steps that have begun or may still begin in its current repetitions.
+func (j *job) activeTasks() int {
+	n := 0
+	for _, steps := range j.repetitions {
+		for _, s := range steps {
+			if !s.done {
+				n += s.spec.Tasks
+			}
+		}
+	}
+	return n
+}
+
 // appendReady appends to ready those of a repetition's steps that are ready, and records since when they are.
 func (c *Core) appendReady(ready []*step, steps []*step) []*step {
 	for _, s := range steps {
--- a/joblog/joblog_test.go
+++ b/joblog/joblog_test.go
@@ -144,7 +144,7 @@
 		time.Sleep(50 * time.Millisecond)
 		return nil, true
 	})
-	w := NewWriter(log, &store.Hedge{})
+	w := NewWriter(log, &store.Hedge{}, 1<<18)
 	var callers sync.WaitGroup
 	for i := range 200 {
 		callers.Go(func() {
@@ -163,7 +163,7 @@
 // after one attempt of unknown outcome, a later rejection leaves the outcome unknown.
 func TestWriterTellsRefusedFromUnknown(t *testing.T) {
 	log := storetest.New()
-	w := NewWriter(log, &store.Hedge{})
+	w := NewWriter(log, &store.Hedge{}, 1<<18)
 	log.SetFault(func(string) (error, bool) { return store.ErrNotExecuted, false })
 	if err := w.Submit(t.Context(), job("a")); !errors.Is(err, store.ErrNotExecuted) || errors.Is(err, store.ErrUnknown) {
 		t.Errorf("rejected: got %v, want only ErrNotExecuted", err)
@@ -194,7 +194,7 @@
 // connections to the store are reset briefly: callers cannot always submit such a job again.
 func TestWriterKeepsTryingWhileTheCallerWaits(t *testing.T) {
 	log := storetest.New()
-	w := NewWriter(log, &store.Hedge{})
+	w := NewWriter(log, &store.Hedge{}, 1<<18)
 	var calls atomic.Int64
 	log.SetFault(func(string) (error, bool) {
 		switch n := calls.Add(1); {
--- a/joblog/writer.go
+++ b/joblog/writer.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/redwingthread/redwingthread/errkind"
 	"github.com/redwingthread/redwingthread/store"
 	"github.com/redwingthread/redwingthread/workload"
 )
@@ -31,11 +32,16 @@
 // Writer stores callers' submissions and cancellations. It is safe for concurrent use.
 type Writer struct {
 	parts [IntakeParts]partWriter
+	// maxRecordBytes is the size of the largest record that the store accepts.
+	maxRecordBytes int
 }
 
-// NewWriter returns a writer that appends to log.
-func NewWriter(log store.Log, hedge *store.Hedge) *Writer {
-	w := &Writer{}
+// recordOverheadBytes bounds the bytes of a record beside its value.
+const recordOverheadBytes = 256
+
+// NewWriter returns a writer that appends to log, which accepts records of up to maxRecordBytes.
+func NewWriter(log store.Log, hedge *store.Hedge, maxRecordBytes int) *Writer {
+	w := &Writer{maxRecordBytes: maxRecordBytes}
 	for part := range w.parts {
 		w.parts[part].log = log
 		w.parts[part].hedge = hedge
@@ -46,12 +52,17 @@
 
 // Submit stores a submission. It returns nil once the submission is stored, an error that matches store.ErrNotExecuted
 // if it is not stored and never will be, or one that matches store.ErrUnknown if the outcome was still unknown when ctx
-// ended or the retries were exhausted.
+// ended or the retries were exhausted. A submission that exceeds the largest record returns a TooLarge error: in an append
+// it would make the store reject the submissions of other callers as well.
 func (w *Writer) Submit(ctx context.Context, job *workload.Job) error {
 	record, err := SubmissionRecord(job)
 	if err != nil {
 		return errors.Join(store.ErrNotExecuted, err)
 	}
+	if size := len(record.Value) + recordOverheadBytes; size > w.maxRecordBytes {
+		return errkind.New(errkind.TooLarge, "send a smaller submission", "the submission needs a record of %d bytes, at most %d can be stored",
+			size, w.maxRecordBytes)
+	}
 	return w.write(ctx, job.ID, record)
 }
 
--- a/node/frontend.go
+++ b/node/frontend.go
@@ -66,7 +66,7 @@
 }
 
 // Submit stores a job with the queue and account of access. It returns nil once the job is accepted, also if a job with its
-// id was accepted before. After a BadInput or Unavailable error the job never runs; after a DeadlineExceeded error it may
+// id was accepted before. After a BadInput, TooLarge or Unavailable error the job never runs; after a DeadlineExceeded error it may
 // run.
 func (n *Node) Submit(ctx context.Context, access Access, job *workload.Job) error {
 	job.Queue = access.Queue.Name
@@ -76,6 +76,9 @@
 	if err := job.Validate(); err != nil {
 		return err
 	}
+	if err := job.CheckStateSize(n.Settings.Store.MaxRecordBytes); err != nil {
+		return err
+	}
 	if _, known := n.view.Get(job.ID); known {
 		return nil
 	}
@@ -98,8 +101,8 @@
 // writeError returns the error to report for the outcome of a write; nil for a success. An unknown outcome of a submission
 // is a success if the view has the job; for a cancellation, id is empty.
 func (n *Node) writeError(id workload.JobID, err error) error {
-	if err == nil {
-		return nil
+	if err == nil || errkind.Is(err, errkind.TooLarge) {
+		return err
 	}
 	if errors.Is(err, store.ErrNotExecuted) && !errors.Is(err, store.ErrUnknown) {
 		return errkind.Wrap(err, errkind.Unavailable, "try again at another VM", "the store refused the write")
--- a/node/node.go
+++ b/node/node.go
@@ -49,7 +49,7 @@
 // New returns a node. Run starts it.
 func New(o Options) *Node {
 	n := &Node{Options: o, view: joblog.NewView()}
-	n.writer = joblog.NewWriter(o.Log, &n.hedge)
+	n.writer = joblog.NewWriter(o.Log, &n.hedge, o.Settings.Store.MaxRecordBytes)
 	n.follower = joblog.NewFollower(o.Log, n.view, o.Logger)
 	n.config = &configWatch{
 		log: o.Log, cursor: store.Cursor{Stream: store.Config, NewestOnly: true}, decoder: o.Decoder, onChange: n.configChanged,
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -188,6 +189,28 @@
 	}
 }
 
+// TestOversizeSubmissionIsRefusedAtOnce guards against a submission that is accepted although its state can never be stored,
+// and against one whose record makes the store reject the submissions of other callers in the same append.
+func TestOversizeSubmissionIsRefusedAtOnce(t *testing.T) {
+	_, v := newConfiguredVM(t)
+	access := v.access()
+	manyTasks := testJob()
+	manyTasks.Steps[0].Tasks = 10_000
+	manySteps := testJob()
+	manySteps.Steps = nil
+	for range 1000 {
+		manySteps.Steps = append(manySteps.Steps, workload.Step{Tasks: 1, Image: strings.Repeat("i", 300)})
+	}
+	for _, job := range []*workload.Job{manyTasks, manySteps} {
+		if err := v.Submit(t.Context(), access, job); !errkind.Is(err, errkind.TooLarge) {
+			t.Errorf("a job of %d steps and %d tasks returned %v, want a TooLarge error", len(job.Steps), job.Tasks(), err)
+		}
+	}
+	if err := v.Submit(t.Context(), access, testJob()); err != nil {
+		t.Errorf("the same job in an allowed size is rejected: %v", err)
+	}
+}
+
 // TestRevokedKeyStopsWithoutTheStore guards against a revoked key that stays valid on a VM that cannot reach the store and so
 // does not learn of the revocation.
 func TestRevokedKeyStopsWithoutTheStore(t *testing.T) {
--- a/node/options.go
+++ b/node/options.go
@@ -40,7 +40,10 @@
 }
 
 func (o *Options) dispatchOptions() dispatch.Options {
-	return dispatch.Options{StopTimeout: o.Settings.Bounds.StopTimeout}
+	return dispatch.Options{
+		StopTimeout:    o.Settings.Bounds.StopTimeout,
+		MaxActiveTasks: o.Settings.Store.MaxRecordBytes / workload.MaxTaskStateBytes,
+	}
 }
 
 const (
--- a/workload/job.go
+++ b/workload/job.go
@@ -18,6 +18,9 @@
 	maxRepetitions        = 10_000
 )
 
+// MaxTaskStateBytes bounds the encoded state of one task, with its share of the table of worker names.
+const MaxTaskStateBytes = 64
+
 // JobID identifies a job. The caller chooses it, and it is never used for another job.
 type JobID string
 
@@ -109,6 +112,27 @@
 	return nil
 }
 
+// Tasks returns the number of tasks of one repetition.
+func (j *Job) Tasks() int {
+	n := 0
+	for i := range j.Steps {
+		n += j.Steps[i].Tasks
+	}
+	return n
+}
+
+// CheckStateSize returns a TooLarge error if the state of the job might not fit into one record of maxBytes while one
+// repetition runs. Such a state could not be stored, and what is not stored is not started.
+func (j *Job) CheckStateSize(maxBytes int) error {
+	ended := j.RepetitionCount() * (len(j.Steps) + 1)
+	if size := ended + j.Tasks()*MaxTaskStateBytes; size > maxBytes {
+		return errkind.New(errkind.TooLarge, "split the job into several with fewer tasks or repetitions",
+			"the job of %d tasks and %d repetitions needs up to %d bytes of state, at most %d can be stored",
+			j.Tasks(), j.RepetitionCount(), size, maxBytes)
+	}
+	return nil
+}
+
 func (s *Step) validate(index int) error {
 	if s.Tasks < 1 || s.Tasks > maxTasksPerStep {
 		return invalid("step %d has %d tasks, 1 to %d are allowed", index, s.Tasks, maxTasksPerStep)
--- a/workload/state_test.go
+++ b/workload/state_test.go
@@ -1,10 +1,13 @@
 package workload
 
 import (
+	"fmt"
 	"reflect"
 	"testing"
 
 	"pgregory.net/rapid"
+
+	"github.com/redwingthread/redwingthread/errkind"
 )
 
 // TestStateEncodingRoundTrips guards against a takeover that reads a state that differs from the one that was stored.
@@ -21,6 +24,53 @@
 	})
 }
 
+// TestStateOfTheLargestJobFits guards against a job that is accepted although its state exceeds the largest record: the store
+// would reject each append with it, and the schedule of all jobs would stand still.
+func TestStateOfTheLargestJobFits(t *testing.T) {
+	const maxBytes = 1 << 18
+	largest := (maxBytes - 2) / MaxTaskStateBytes
+	for _, gang := range []bool{false, true} {
+		job := &Job{Steps: []Step{{Tasks: largest, Gang: gang}}}
+		if err := job.CheckStateSize(maxBytes); err != nil {
+			t.Fatalf("a job of %d tasks is rejected: %v", largest, err)
+		}
+		if size := len(busyState(job).Encode()); size > maxBytes {
+			t.Errorf("gang %v: the state of %d running tasks has %d bytes, at most %d can be stored", gang, largest, size, maxBytes)
+		}
+		job.Steps[0].Tasks++
+		if err := job.CheckStateSize(maxBytes); !errkind.Is(err, errkind.TooLarge) {
+			t.Errorf("a job of %d tasks returned %v, want a TooLarge error", job.Tasks(), err)
+		}
+	}
+	long := &Job{Steps: make([]Step, 100), Repetitions: maxRepetitions}
+	if err := long.CheckStateSize(maxBytes); !errkind.Is(err, errkind.TooLarge) {
+		t.Errorf("a job of 1,000,000 ended steps returned %v, want a TooLarge error", err)
+	}
+}
+
+// busyState returns the state of a job all of whose tasks run for the hundredth time, each on a worker of its own.
+func busyState(job *Job) *JobState {
+	run := UnitState{Status: UnitActive, Run: 1 << 34, LastCountedRun: 1 << 34, Failures: 100, Checkpoint: "00000bb87a21d94b"}
+	worker := func(i int) string { return fmt.Sprintf("i-%010x", i) }
+	steps := make([]StepState, len(job.Steps))
+	for i, step := range job.Steps {
+		if step.Gang {
+			gang := run
+			for member := range step.Tasks {
+				gang.Workers = append(gang.Workers, worker(member))
+			}
+			steps[i].Units = []UnitState{gang}
+			continue
+		}
+		for index := range step.Tasks {
+			unit := run
+			unit.Workers = []string{worker(index)}
+			steps[i].Units = append(steps[i].Units, unit)
+		}
+	}
+	return &JobState{Phase: PhaseRunning, Repetitions: [][]StepState{steps}}
+}
+
 func drawState(t *rapid.T) *JobState {
 	state := &JobState{Phase: Phase(rapid.IntRange(0, 4).Draw(t, "phase"))}
 	for range rapid.IntRange(0, 3).Draw(t, "runs") {
