Contain panics at the boundaries, log unreadable records, fuzz the decoders

A panic in a handler of the inner protocol, in the view of the jobs, in the decoder of the configuration or in the decision core ended the process; the records are read by every VM, so that one of them could end all. Records of jobs that can't be decoded were counted in a field that nothing read, without a log line.

A panic in the core ends the leader, not the process: the next holder starts from the stored states. The mux answers with an Internal error. Each unreadable record costs one error line and one count (jobs.unreadable_records); the test that read the field now asks for lines, count and the sound record behind them.

--- a/daemon/base.go
+++ b/daemon/base.go
@@ -48,7 +48,7 @@
 // newBase loads the keys and opens the listeners. It starts no goroutines; start does.
 func newBase(common settings.Common, self inner.Member, metricsAddress string, logger zerolog.Logger,
 	callbacks hooks) (*base, error) {
-	b := &base{self: self, logger: logger, mux: &Mux{}}
+	b := &base{self: self, logger: logger, mux: &Mux{Logger: logger}}
 	var err error
 	b.keys, err = inner.NewKeyStore(inner.KeyFiles{Certificate: common.TLS.Certificate, Key: common.TLS.Key,
 		CA: common.TLS.CA})
--- a/daemon/membership_test.go
+++ b/daemon/membership_test.go
@@ -31,6 +31,15 @@
 	}
 }
 
+// TestMuxContainsPanics guards against a peer's message that takes down the daemon.
+func TestMuxContainsPanics(t *testing.T) {
+	mux := &Mux{JobQuery: func(context.Context, *inner.JobQuery) (*inner.JobQueryResponse, error) { panic("nil pointer") }}
+	_, err := mux.Handle(t.Context(), inner.Member{VM: "vm-2"}, &inner.Request{JobQuery: &inner.JobQuery{}})
+	if !errkind.Is(err, errkind.Internal) {
+		t.Fatalf("got %v, want kind %q", err, errkind.Internal)
+	}
+}
+
 // TestHeartbeatResponseCarriesOwnState guards against a receiver that sees the sender live while the sender does not see
 // the receiver: one exchange must inform both ends. It also guards against a heartbeat without an address that is
 // accepted.
--- a/daemon/mux.go
+++ b/daemon/mux.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 
+	"github.com/rs/zerolog"
+
 	"github.com/redwingthread/redwingthread/errkind"
 	"github.com/redwingthread/redwingthread/inner"
+	"github.com/redwingthread/redwingthread/telemetry"
 )
 
 // Mux is an inner.Handler that dispatches each kind of request to its handler function. Each daemon sets the functions of
@@ -15,10 +18,21 @@
 	FetchRecords func(ctx context.Context, req *inner.FetchRecords) (*inner.FetchRecordsResponse, error)
 	FetchState   func(ctx context.Context, req *inner.FetchState) (*inner.FetchStateResponse, error)
 	JobQuery     func(ctx context.Context, req *inner.JobQuery) (*inner.JobQueryResponse, error)
+	// Logger logs panics of the handler functions.
+	Logger zerolog.Logger
+}
+
+// Handle implements inner.Handler. A handler function that panics returns an Internal error; the process continues.
+func (m *Mux) Handle(ctx context.Context, from inner.Member, req *inner.Request) (resp *inner.Response, err error) {
+	returned := telemetry.Contain(m.Logger, "handle a request of "+from.VM, func() { resp, err = m.dispatch(ctx, from, req) })
+	if !returned {
+		return nil, errkind.New(errkind.Internal, "read the log of the daemon and report the error", "the handler of the request has panicked")
+	}
+	return resp, err
 }
 
-// Handle implements inner.Handler.
-func (m *Mux) Handle(ctx context.Context, from inner.Member, req *inner.Request) (*inner.Response, error) {
+// dispatch passes the request to the handler function of its kind.
+func (m *Mux) dispatch(ctx context.Context, from inner.Member, req *inner.Request) (*inner.Response, error) {
 	var resp inner.Response
 	var err error
 	switch {
--- a/joblog/joblog_test.go
+++ b/joblog/joblog_test.go
@@ -1,14 +1,17 @@
 package joblog
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 
 	"github.com/redwingthread/redwingthread/store"
@@ -28,6 +31,14 @@
 	return r
 }
 
+// mustApply applies a record that can be decoded.
+func mustApply(t *testing.T, v *View, r store.Record) {
+	t.Helper()
+	if _, err := v.Apply(r); err != nil {
+		t.Fatal(err)
+	}
+}
+
 func state(id string, phase workload.Phase) store.Record {
 	return StateRecord(workload.JobID(id), (&workload.JobState{Phase: phase}).Encode())
 }
@@ -39,7 +50,7 @@
 	for _, order := range [][]int{{0, 1, 2}, {0, 2, 1}, {1, 0, 2}, {1, 2, 0}, {2, 0, 1}, {2, 1, 0}} {
 		v := NewView()
 		for _, i := range order {
-			v.Apply(records[i])
+			mustApply(t, v, records[i])
 		}
 		e, ok := v.Get("a")
 		if !ok || e.Phase != workload.PhaseCancelled || !e.Cancelled || !e.Job.AcceptedAt.Equal(job("a").AcceptedAt) {
@@ -56,15 +67,15 @@
 func TestFinalStateStays(t *testing.T) {
 	v := NewView()
 	for _, r := range []store.Record{submission(t, "a"), state("a", workload.PhaseCompleted), state("a", workload.PhaseRunning), CancelRecord("a"), submission(t, "a")} {
-		v.Apply(r)
+		mustApply(t, v, r)
 	}
 	if e, _ := v.Get("a"); e.Phase != workload.PhaseCompleted {
 		t.Fatalf("the job is %v, want completed", e.Phase)
 	}
 	for _, r := range IntakeTombstones("a") {
-		v.Apply(r)
+		mustApply(t, v, r)
 	}
-	v.Apply(StateTombstone("a"))
+	mustApply(t, v, StateTombstone("a"))
 	if _, known := v.Get("a"); known {
 		t.Fatal("the deleted job is still in the view")
 	}
@@ -75,29 +86,59 @@
 	v := NewView()
 	for range 2 {
 		for i := range 5 {
-			v.Apply(submission(t, fmt.Sprint(i)))
+			mustApply(t, v, submission(t, fmt.Sprint(i)))
 		}
 	}
-	v.Apply(state("0", workload.PhaseRunning))
-	v.Apply(CancelRecord("1"))
-	v.Apply(CancelRecord("1"))
+	mustApply(t, v, state("0", workload.PhaseRunning))
+	mustApply(t, v, CancelRecord("1"))
+	mustApply(t, v, CancelRecord("1"))
 	if n := v.Waiting("q"); n != 3 {
 		t.Fatalf("%d jobs wait, want 3", n)
 	}
 }
 
-// TestUnreadableRecordsAreCounted guards against a view that stops at records of other writers, or takes them for jobs.
-func TestUnreadableRecordsAreCounted(t *testing.T) {
+// TestUnreadableRecordsAreReported guards against a view that stops at records of other writers, takes them for jobs, or
+// ignores them without a log line and a count.
+func TestUnreadableRecordsAreReported(t *testing.T) {
+	records := []store.Record{{}, {Key: "x"}, {Key: "s/a", Value: []byte("junk")}, {Key: "j/a", Value: []byte{9}}, {Key: "z/a", Value: []byte{1}}}
+	counter := metrics.GetOrRegisterCounter(counterUnreadable, nil)
+	before := counter.Count()
+	var logged bytes.Buffer
 	v := NewView()
-	for _, r := range []store.Record{{}, {Key: "x"}, {Key: "s/a", Value: []byte("junk")}, {Key: "j/a", Value: []byte{9}}, {Key: "z/a", Value: []byte{1}}} {
-		v.Apply(r)
-	}
-	if v.Unreadable() != 5 {
-		t.Fatalf("%d of 5 records were unreadable", v.Unreadable())
+	r := newReader(storetest.New(), store.States, v, zerolog.New(&logged))
+	r.apply(append(records, submission(t, "b")))
+	if got := counter.Count() - before; got != 5 || strings.Count(logged.String(), "\n") != 5 {
+		t.Errorf("%d of 5 unreadable records were counted; the log has %q", got, logged.String())
 	}
 	if _, known := v.Get("a"); known {
-		t.Fatal("the view has a job for an unreadable submission")
+		t.Error("the view has a job for an unreadable submission")
+	}
+	if _, known := v.Get("b"); !known {
+		t.Error("the view lacks the job whose record follows the unreadable ones")
+	}
+}
+
+// FuzzRecord guards against a stored record that takes down every VM that reads it.
+func FuzzRecord(f *testing.F) {
+	sound, err := SubmissionRecord(job("a"))
+	if err != nil {
+		f.Fatal(err)
 	}
+	f.Add(sound.Key, sound.Value)
+	f.Add("s/a", (&workload.JobState{Phase: workload.PhaseRunning}).Encode())
+	f.Add("c/a", []byte{1})
+	f.Fuzz(func(t *testing.T, key string, value []byte) {
+		v := NewView()
+		if _, err := v.Apply(sound); err != nil {
+			t.Fatal(err)
+		}
+		_, _ = v.Apply(store.Record{Key: key, Value: value})
+		_, _ = v.Apply(store.Record{Key: key})
+		if n := v.Waiting("q"); n < 0 {
+			t.Fatalf("%d jobs wait", n)
+		}
+		v.Each(func(Entry) {})
+	})
 }
 
 // TestReaderSurvivesDroppedHistory guards against a VM that misses jobs when the store drops records before the VM has read
--- a/joblog/reader.go
+++ b/joblog/reader.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 
 	"github.com/redwingthread/redwingthread/store"
@@ -22,6 +23,9 @@
 	retryInterval = 100 * time.Millisecond
 )
 
+// counterUnreadable counts the records of jobs that could not be decoded.
+const counterUnreadable = "jobs.unreadable_records"
+
 // reader folds the records of one stream into a view.
 type reader struct {
 	log    store.Log
@@ -111,17 +115,32 @@
 	return nil
 }
 
-// apply applies the records to the view and returns the ids of their jobs.
+// apply applies the records to the view and returns the ids of their jobs. A record that cannot be decoded is logged and
+// has no effect.
 func (r *reader) apply(records []store.Record) []workload.JobID {
 	ids := make([]workload.JobID, 0, len(records))
 	for _, record := range records {
-		if id := r.view.Apply(record); id != "" {
+		id, err := r.applyOne(record)
+		if err != nil {
+			r.logger.Error().Err(err).Str("key", record.Key).Int64("offset", record.Offset).Msg("job record cannot be decoded")
+			metrics.GetOrRegisterCounter(counterUnreadable, nil).Inc(1)
+		}
+		if id != "" {
 			ids = append(ids, id)
 		}
 	}
 	return ids
 }
 
+// applyOne applies one record to the view.
+func (r *reader) applyOne(record store.Record) (id workload.JobID, err error) {
+	returned := telemetry.Contain(r.logger, "apply a job record", func() { id, err = r.view.Apply(record) })
+	if !returned {
+		return "", unreadable("the decoder has panicked")
+	}
+	return id, err
+}
+
 // publish wakes the waiters of await and calls the subscriber after a read. complete is true if the read reached the end of
 // the stream.
 func (r *reader) publish(startedAt time.Duration, complete bool, ids []workload.JobID) {
--- a/joblog/view.go
+++ b/joblog/view.go
@@ -17,6 +17,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/redwingthread/redwingthread/errkind"
 	"github.com/redwingthread/redwingthread/store"
 	"github.com/redwingthread/redwingthread/workload"
 )
@@ -114,8 +115,6 @@
 	entries map[workload.JobID]*entry
 	// waiting maps the name of each queue to its number of accepted jobs that have not started and are not cancelled.
 	waiting map[string]int
-	// unreadable counts the records that could not be decoded.
-	unreadable int
 }
 
 // NewView returns an empty view.
@@ -123,77 +122,88 @@
 	return &View{entries: map[workload.JobID]*entry{}, waiting: map[string]int{}}
 }
 
-// Apply folds one record and returns the id of its job; empty if the key has no id. Records that cannot be decoded have no
-// effect except that Unreadable counts them.
-func (v *View) Apply(r store.Record) workload.JobID {
+// Apply folds one record and returns the id of its job; empty if the key has no id. It returns a BadInput error for a record
+// that cannot be decoded, which has no effect.
+func (v *View) Apply(r store.Record) (workload.JobID, error) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if len(r.Key) <= len(keySubmission) {
-		v.unreadable++
-		return ""
+		return "", unreadable("the key names no job")
 	}
 	prefix, id := r.Key[:len(keySubmission)], workload.JobID(r.Key[len(keySubmission):])
 	e := v.entries[id]
 	if e == nil {
 		if len(r.Value) == 0 {
-			return id
+			return id, nil
 		}
 		e = &entry{}
 		v.entries[id] = e
 	}
 	v.adjustWaiting(e, -1)
-	if !v.fold(e, id, prefix, r) {
-		v.unreadable++
-	}
+	err := v.fold(e, id, prefix, r)
 	if v.entries[id] != nil {
 		v.adjustWaiting(e, 1)
 	}
-	return id
+	return id, err
+}
+
+// unreadable returns the error for a record that cannot be decoded.
+func unreadable(reason string) error {
+	return errkind.New(errkind.BadInput, "check which program wrote the record", "unreadable job record: %s", reason)
 }
 
-// fold applies a record to the entry of its job. It returns false if the record cannot be decoded. mu must be held.
-func (v *View) fold(e *entry, id workload.JobID, prefix string, r store.Record) bool {
+// fold applies a record to the entry of its job, or returns an error if it cannot be decoded. mu must be held.
+func (v *View) fold(e *entry, id workload.JobID, prefix string, r store.Record) error {
 	switch prefix {
 	case keySubmission:
 		if len(r.Value) == 0 {
 			delete(v.entries, id)
-			return true
+			return nil
 		}
 		return e.foldSubmission(id, r)
 	case keyCancel:
 		e.cancelRequested = e.cancelRequested || len(r.Value) > 0
-		return true
+		return nil
 	case keyState:
-		return len(r.Value) == 0 || e.foldState(r)
+		if len(r.Value) == 0 {
+			return nil
+		}
+		return e.foldState(r)
 	}
-	return false
+	return unreadable("the key is of an unknown kind")
 }
 
-// foldSubmission applies a submission unless the job has one already. It returns false if the record cannot be decoded.
-func (e *entry) foldSubmission(id workload.JobID, r store.Record) bool {
+// foldSubmission applies a submission unless the job has one already, or returns an error if it cannot be decoded.
+func (e *entry) foldSubmission(id workload.JobID, r store.Record) error {
 	if e.job != nil {
-		return true
+		return nil
 	}
 	job := &workload.Job{}
-	if err := cbor.Unmarshal(r.Value, job); err != nil || job.ID != id || job.Validate() != nil {
-		return false
+	if err := cbor.Unmarshal(r.Value, job); err != nil {
+		return unreadable(err.Error())
+	}
+	if job.ID != id {
+		return unreadable("the submission is that of another job")
+	}
+	if err := job.Validate(); err != nil {
+		return unreadable(err.Error())
 	}
 	e.job = job
-	return true
+	return nil
 }
 
-// foldState applies a state unless the job has ended. It returns false if the record cannot be decoded.
-func (e *entry) foldState(r store.Record) bool {
+// foldState applies a state unless the job has ended, or returns an error if it cannot be decoded.
+func (e *entry) foldState(r store.Record) error {
 	phase, err := workload.DecodePhase(r.Value)
 	if err != nil {
-		return false
+		return unreadable(err.Error())
 	}
 	if e.phase.Final() {
-		return true
+		return nil
 	}
 	e.phase = phase
 	e.state = r.Value
-	return true
+	return nil
 }
 
 // adjustWaiting adds sign to the number of waiting jobs of the job's queue if the job waits. mu must be held.
@@ -231,10 +241,3 @@
 		}
 	}
 }
-
-// Unreadable returns how many records could not be decoded.
-func (v *View) Unreadable() int {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	return v.unreadable
-}
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -12,6 +12,7 @@
 	"github.com/redwingthread/redwingthread/dispatch"
 	"github.com/redwingthread/redwingthread/joblog"
 	"github.com/redwingthread/redwingthread/store"
+	"github.com/redwingthread/redwingthread/telemetry"
 	"github.com/redwingthread/redwingthread/workload"
 )
 
@@ -199,12 +200,15 @@
 	}
 	l.Follower.Subscribe(l.jobsChanged)
 	defer l.Follower.Subscribe(nil)
-	l.load()
+	l.contain("load the stored jobs", l.load)
+	if ctx.Err() != nil {
+		return
+	}
 	l.logger.Info().Dur("took", boottime.Now()-l.startedAt).Int("unverified_workers", len(l.core.UnverifiedWorkers())).Msg("schedule taken")
 	l.goroutines.Add(1)
 	go func() {
 		defer l.goroutines.Done()
-		l.followWorkers(ctx)
+		l.contain("follow the worker list", func() { l.followWorkers(ctx) })
 	}()
 	l.loop(ctx)
 	l.ended.Store(true)
@@ -313,7 +317,15 @@
 // apply runs an event on the core at the current time.
 func (l *Leader) apply(f func(*dispatch.Core)) {
 	l.core.Advance(boottime.Now(), time.Now())
-	f(l.core)
+	l.contain("apply an event", func() { f(l.core) })
+}
+
+// contain calls f and ends the leader if f panics: the state of the core may be inconsistent then, and the next holder of
+// the schedule starts from the stored states. The process continues to serve callers. task says what f does, for the log.
+func (l *Leader) contain(task string, f func()) {
+	if !telemetry.Contain(l.logger, task, f) {
+		l.stepDown("a panic")
+	}
 }
 
 // applyPending applies the events that wait in the queue.
@@ -342,7 +354,7 @@
 	l.lastPlan = boottime.Now()
 	l.core.Advance(l.lastPlan, time.Now())
 	if l.mayDecide(l.lastPlan) {
-		l.decide(ctx)
+		l.contain("plan", func() { l.decide(ctx) })
 	}
 	l.logEvents()
 	l.flush(ctx)
@@ -366,7 +378,7 @@
 	l.goroutines.Add(1)
 	go func() {
 		defer l.goroutines.Done()
-		f()
+		l.contain("send a request to a worker", f)
 	}()
 }
 
--- a/leader/session.go
+++ b/leader/session.go
@@ -78,7 +78,7 @@
 	l.goroutines.Add(1)
 	go func() {
 		defer l.goroutines.Done()
-		s.watch(ctx)
+		l.contain("watch a worker", func() { s.watch(ctx) })
 	}()
 	return s
 }
--- a/node/configwatch.go
+++ b/node/configwatch.go
@@ -8,6 +8,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/redwingthread/redwingthread/boottime"
+	"github.com/redwingthread/redwingthread/errkind"
 	"github.com/redwingthread/redwingthread/store"
 	"github.com/redwingthread/redwingthread/telemetry"
 	"github.com/redwingthread/redwingthread/workload"
@@ -87,12 +88,21 @@
 	w.confirmedAt = max(w.confirmedAt, startedAt)
 }
 
+// decode decodes a configuration. A panic of the decoder is reported as an error.
+func (w *configWatch) decode(r store.Record) (config *workload.Config, err error) {
+	returned := telemetry.Contain(w.logger, "decode a configuration", func() { config, err = w.decoder.Config(r.Value) })
+	if !returned {
+		return nil, errkind.New(errkind.Internal, "publish the configuration without its last change", "the decoder of the configuration has panicked")
+	}
+	return config, err
+}
+
 // apply decodes a record and makes its configuration current. It ignores versions that are not newer than the current one.
 func (w *configWatch) apply(r store.Record) {
 	if !w.decoder.IsConfig(r) || len(r.Value) == 0 {
 		return
 	}
-	config, err := w.decoder.Config(r.Value)
+	config, err := w.decode(r)
 	if err != nil {
 		w.logger.Error().Err(err).Int64("offset", r.Offset).Msg("configuration cannot be decoded; the previous version stays in force")
 		return
--- a/workload/state_test.go
+++ b/workload/state_test.go
@@ -117,3 +117,19 @@
 		}
 	}
 }
+
+// FuzzState guards against a stored state that takes down the holder of the schedule.
+func FuzzState(f *testing.F) {
+	f.Add((&JobState{Phase: PhaseRunning, Repetitions: [][]StepState{{{Done: true}, {Units: []UnitState{{Status: UnitActive, Run: 3, Workers: []string{"w", ""}, Checkpoint: "c"}}}}}}).Encode())
+	f.Add([]byte{stateFormat, 1, 0xff, 0xff, 0xff, 0x7f})
+	f.Fuzz(func(t *testing.T, encoded []byte) {
+		state, err := DecodeState(encoded)
+		if err != nil {
+			return
+		}
+		again, err := DecodeState(state.Encode())
+		if err != nil || !reflect.DeepEqual(state, again) {
+			t.Fatalf("decoded %+v, and %+v after encoding it again (%v)", state, again, err)
+		}
+	})
+}
