dispatch: move runs off workers that are about to leave

The announced time (remaining_ms) was decoded and not used.

Change: shortly before the announced time the core stops runs on a leaving worker whose progress can be saved, unless they will probably end before it; runs without checkpoints only if they need 4 s longer than the worker has announced. They start again elsewhere at once.

--- /dev/null
+++ b/dispatch/evacuate_test.go
@@ -0,0 +1,146 @@
+package dispatch
+
+import (
+	"fmt"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/redwingthread/redwingthread/workload"
+)
+
+// The pattern of these tests: a quarter of the workers announces that it leaves, and is gone without a word two seconds
+// later, with everything that runs there.
+const (
+	leaveNotice = 2 * time.Second
+	// lostAfter is the time after which the runs of a worker that does not respond are known to have ended.
+	lostAfter = 6 * time.Second
+	leaving   = 4
+)
+
+// saveCheckpoints makes the runs of checkpointing steps save their progress, and new runs resume from it.
+func (p *pacedCluster) saveCheckpoints() {
+	for _, id := range p.workerIDs {
+		for ref, run := range p.workers[id].running {
+			if !p.specs[ref.Task.Job].Steps[0].Checkpointing {
+				continue
+			}
+			if saved, err := strconv.ParseFloat(run.checkpoint, 64); err == nil {
+				p.workDone[ref] = max(p.workDone[ref], saved)
+			}
+			run.checkpoint = strconv.FormatFloat(p.workDone[ref], 'f', -1, 64)
+		}
+	}
+}
+
+// runSaving is like runFor for runs that save their progress.
+func (p *pacedCluster) runSaving(d time.Duration) {
+	for end := p.now + d; p.now < end; {
+		p.saveCheckpoints()
+		p.runFor(simTick)
+	}
+}
+
+// announceLeave makes the first n workers announce that they leave after leaveNotice.
+func (p *pacedCluster) announceLeave(n int) {
+	for _, id := range p.workerIDs[:n] {
+		w := p.workers[id]
+		w.info.Draining, w.info.RemainingLife = true, leaveNotice
+		p.core.SetWorker(w.info)
+	}
+}
+
+// leave ends the first n workers without a listing of their runs.
+func (p *pacedCluster) leave(n int) {
+	for _, id := range p.workerIDs[:n] {
+		p.workers[id].running = map[workload.RunRef]*simRun{}
+		p.core.SetReachable(id, false)
+	}
+	gone := p.workerIDs[:n]
+	p.workerIDs = p.workerIDs[n:]
+	p.runSaving(lostAfter)
+	for _, id := range gone {
+		p.core.DropWorker(id)
+		p.core.MarkWorkerGone(id)
+	}
+}
+
+// runAtShortNotice submits jobs for which the remaining workers have room, lets the first ones leave, and returns how long the slowest job took.
+func runAtShortNotice(t *testing.T, step workload.Step, duration time.Duration) time.Duration {
+	const workers, jobs = 16, 12
+	p := newPacedCluster(t, workers)
+	for i := range jobs {
+		p.submitTimed(fmt.Sprintf("job%d", i), "urgent", duration, step)
+	}
+	p.runSaving(duration / 3)
+	p.announceLeave(leaving)
+	p.runSaving(leaveNotice)
+	p.leave(leaving)
+	p.runSaving(4 * duration)
+	slowest := time.Duration(0)
+	for id := range p.duration {
+		end, ended := p.endedAt[id]
+		if !ended {
+			t.Fatalf("%s has not ended", id)
+		}
+		slowest = max(slowest, end-p.submitted[id])
+	}
+	return slowest
+}
+
+// TestCheckpointsLeaveBeforeTheirWorker guards against runs that could save their progress but are lost with a worker that
+// has announced that it leaves, and whose jobs wait until the worker's lease has expired. The bound is the objective of the
+// queue: 1.5 times the run time and 250 ms.
+func TestCheckpointsLeaveBeforeTheirWorker(t *testing.T) {
+	step := tasks(4, 2)
+	step.Checkpointing = true
+	const duration = 6 * time.Second
+	if took, bound := runAtShortNotice(t, step, duration), duration*3/2+250*time.Millisecond; took > bound {
+		t.Errorf("the slowest job took %s, want at most %s", took, bound)
+	}
+}
+
+// TestHopelessRunsLeaveBeforeTheirWorker guards against runs without checkpoints that stay on a leaving worker although they
+// need longer than it can stay.
+func TestHopelessRunsLeaveBeforeTheirWorker(t *testing.T) {
+	const duration = 12 * time.Second
+	const startedAgain = duration/3 + leaveNotice + duration
+	if took, bound := runAtShortNotice(t, tasks(4, 2), duration), startedAgain+2*time.Second; took > bound {
+		t.Errorf("the slowest job took %s, want at most %s", took, bound)
+	}
+}
+
+// TestNearlyDoneRunsStay guards against runs that are stopped although they end before their worker leaves.
+func TestNearlyDoneRunsStay(t *testing.T) {
+	p := newPacedCluster(t, 4)
+	step := tasks(8, 2)
+	step.Checkpointing = true
+	p.submitTimed("a", "normal", 3*time.Second, step)
+	p.runFor(1800 * time.Millisecond)
+	p.announceLeave(4)
+	p.runFor(leaveNotice)
+	if len(p.stops) > 0 {
+		t.Errorf("%d runs were stopped", len(p.stops))
+	}
+	if _, ended := p.endedAt["a"]; !ended {
+		t.Error("the job has not ended before its workers leave")
+	}
+}
+
+// TestReturnedWorkerIsNotEvacuated guards against a worker that has restarted under its id and whose runs are stopped because
+// its predecessor was about to leave.
+func TestReturnedWorkerIsNotEvacuated(t *testing.T) {
+	p := newPacedCluster(t, 1)
+	p.announceLeave(1)
+	w := p.workers[p.workerIDs[0]]
+	w.info.Draining, w.info.RemainingLife, w.info.Incarnation = false, 0, 2
+	p.core.SetWorker(w.info)
+	p.list(w.info.ID)
+	step := tasks(1, 1)
+	step.Checkpointing = true
+	p.submitTimed("a", "normal", 6*time.Second, step)
+	p.runFor(7 * time.Second)
+	if len(p.stops) > 0 {
+		t.Errorf("%d runs were stopped on a worker that stays", len(p.stops))
+	}
+}
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -42,6 +42,7 @@
 		c.moveStalled()
 		c.moveSlow()
 	}
+	c.evacuate()
 	ready := c.readySteps()
 	c.expireClaims(ready)
 	c.updateFreeAccelerators()
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -16,6 +16,8 @@
 	registered bool
 	// listed workers have returned a listing of their runs since this core took over.
 	listed bool
+	// listedAt is when the request for the latest listing was sent.
+	listedAt time.Duration
 	// reachable workers responded to the last request.
 	reachable bool
 	runs      map[workload.RunRef]*placement
@@ -32,6 +34,8 @@
 	clock time.Duration
 	// slowUntil is the end of the time in which a slow worker gets no work, probationUntil that of the probation after it.
 	slowUntil, probationUntil time.Duration
+	// leavesAt is the earliest time at which a draining worker leaves; 0 if the worker does not drain or has not announced it.
+	leavesAt time.Duration
 	// urgentEndedAt is when work of priority 0 last ended on the worker; 0 if none has.
 	urgentEndedAt time.Duration
 }
@@ -56,6 +60,7 @@
 	}
 	w.info = info
 	w.registered = true
+	c.noteDraining(w)
 }
 
 // resetHealth clears the failures and slowness recorded for an earlier incarnation.
@@ -168,6 +173,7 @@
 		}
 	}
 	w.listed = true
+	w.listedAt = sentAt
 	w.reachable = true
 	return w.lastAppliedEnd
 }
