Tests of restarts: withdrawn keys and departed workers stay out

Cause: the report "after a restart, a server that had left or a key that had been withdrawn was in use again". On the platform no case was found: a process starts from the newest records of a linearizable store and serves nothing before it has them. Two tests show it with dropped histories.

--- a/leader/workers_test.go
+++ b/leader/workers_test.go
@@ -86,3 +86,24 @@
 		t.Fatal(err)
 	}
 }
+
+// TestDepartedWorkersStayOutAfterATakeover guards against a holder that takes over and places work on a worker that has left,
+// or that has announced that it leaves, because it reads old entries of the list again.
+func TestDepartedWorkersStayOutAfterATakeover(t *testing.T) {
+	log := storetest.New()
+	for _, id := range []string{"stays", "leaves", "left"} {
+		putWorker(t, log, id, "ready")
+	}
+	putWorker(t, log, "leaves", "draining")
+	putWorker(t, log, "left", "")
+	log.DropHistory(store.Workers)
+	l := newTestLeader(t, log, &bytes.Buffer{})
+	list := workerList{leader: l, cursor: store.Cursor{Stream: store.Workers}, known: map[string]workload.WorkerInfo{}, presence: newPresence(l.HeartbeatInterval)}
+	readList(t, &list)
+	if _, known := list.known["left"]; known {
+		t.Error("the worker that has left is known to the new holder")
+	}
+	if !list.known["leaves"].Draining || list.known["stays"].Draining {
+		t.Errorf("got %+v, want only the worker that leaves as draining", list.known)
+	}
+}
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -224,6 +224,23 @@
 	})
 }
 
+// TestRestartedVMRejectsAWithdrawnKey guards against a VM that uses a key again after a restart, because it starts from an
+// old record of the configuration: at no moment may the new process accept the withdrawn key.
+func TestRestartedVMRejectsAWithdrawnKey(t *testing.T) {
+	log, v := newConfiguredVM(t)
+	v.access()
+	publish(t, log, testConfig{Version: 2, Keys: map[string]string{"other-key": "acme"}})
+	log.DropHistory(store.Config)
+	restarted := newVM(t, log)
+	eventually(t, "the restarted VM has the configuration", func() bool {
+		_, err := restarted.Authorize(testHost, testPath, testKey)
+		if err == nil {
+			t.Fatal("the restarted VM accepted the withdrawn key")
+		}
+		return errkind.Is(err, errkind.Unauthenticated)
+	})
+}
+
 // TestConfigurationFollowsAndNeverGoesBack guards against a VM that misses a version when records expire before it reads
 // them, or that returns to an older version when an old record arrives late.
 func TestConfigurationFollowsAndNeverGoesBack(t *testing.T) {
