dispatch: only checkpointing runs move off leaving workers

Cause: moving runs without checkpoints as well, when they need 4 s longer than their worker has announced, served users worse: the restarts take room from work that is still in time.

Change: only runs that save their progress are moved. The margin covers the age of the entry, which is up to 1.2 s.

--- a/dispatch/evacuate.go
+++ b/dispatch/evacuate.go
@@ -6,13 +6,9 @@
 	"github.com/redwingthread/redwingthread/workload"
 )
 
-const (
-	// evacuationMargin is added to Options.StopTimeout for the time until a stop reaches the worker and its end is listed.
-	evacuationMargin = 700 * time.Millisecond
-	// stayAllowance is how long a draining worker may stay beyond the time that it has announced. A run without checkpoints
-	// that needs longer is started again elsewhere at once, since it is lost in any case.
-	stayAllowance = 4 * time.Second
-)
+// evacuationMargin is added to Options.StopTimeout: the announced time counts from the write of the entry, which is read up to
+// 1.2 s later, and the stop must reach the worker.
+const evacuationMargin = 1500 * time.Millisecond
 
 // noteDraining records when a worker leaves that has just announced it, or that it does not leave any more.
 func (c *Core) noteDraining(w *worker) {
@@ -24,8 +20,9 @@
 	}
 }
 
-// evacuate stops the runs on workers that are about to leave, while their checkpoints can still be saved: a run that is lost
-// with its worker starts again only once the worker's lease has expired.
+// evacuate stops checkpointing runs on workers that are about to leave, while their progress can still be saved: a run that is
+// lost with its worker starts again only once the worker's lease has expired. Runs without checkpoints stay, since their worker
+// may leave later than announced and a restart would only take room from other work.
 func (c *Core) evacuate() {
 	for _, w := range c.sortedWorkers {
 		if w.leavesAt == 0 || len(w.runs) == 0 || !w.reachable {
@@ -42,15 +39,10 @@
 
 // evacuateRun stops the run of the placement's unit unless it will probably end before the worker leaves.
 func (c *Core) evacuateRun(p *placement) {
-	if !p.live() || p.unit.state.Status != workload.UnitActive || p.unit.aborting {
+	if !p.live() || p.unit.state.Status != workload.UnitActive || p.unit.aborting || !p.unit.step.spec.Checkpointing {
 		return
 	}
-	spec := p.unit.step.spec
-	stays := p.worker.leavesAt - c.now
-	if !spec.Checkpointing && !spec.LongRunning {
-		stays += stayAllowance
-	}
-	if !spec.LongRunning && c.expectedRemaining(p) <= stays {
+	if c.expectedRemaining(p) <= p.worker.leavesAt-c.now {
 		return
 	}
 	c.event(Event{Name: "run moved off a leaving worker", Job: p.ref.Task.Job, Worker: p.worker.id, Detail: p.ref.Task.String()})
