leader: leases of up to 9 s, so that runs survive a cut failure domain

A lease of 6 s, renewed each 1.5 s, survives cuts of 3.8 s; all runs of the cut workers were ended by themselves and started again elsewhere. Workers of large accept 10 s.

Measured: TestRunsSurviveACutFailureDomain, 3.8 s before, 6.8 s after, the longest cut is 6.6 s. A run that is lost with its worker starts again 3 s later.

--- a/leader/leader.go
+++ b/leader/leader.go
@@ -17,9 +17,10 @@
 )
 
 const (
-	// maxLease is the longest lease of a worker's runs. It must be longer than a takeover takes, so that runs survive one; a
-	// worker that cannot be reached ends its runs when the lease expires.
-	maxLease = 6 * time.Second
+	// maxLease is the longest lease of a worker's runs, where the workers accept it. Runs survive a takeover, or a cut between
+	// the holder and their worker, of up to this time less the interval of renewals. A run that is lost with its worker starts
+	// again only after it.
+	maxLease = 9 * time.Second
 	// planInterval is the minimum time between two plans.
 	planInterval = 5 * time.Millisecond
 	// planPauseFactor bounds the share of processor time spent on planning: the time between the starts of two plans is at
--- a/leader/leaseclock_test.go
+++ b/leader/leaseclock_test.go
@@ -59,3 +59,22 @@
 		t.Fatal("the lease of a worker that never responded has not expired after the earlier holder's lease")
 	}
 }
+
+// TestRunsSurviveACutFailureDomain guards against the loss of all work in a failure domain that is cut off from the holder of
+// the schedule and whose workers run on: the lease must outlast the cut even if it begins just before a renewal.
+func TestRunsSurviveACutFailureDomain(t *testing.T) {
+	// longestCut is the longest cut of a failure domain on the standard days of the users' deployments.
+	const longestCut = 6600 * time.Millisecond
+	const renewalInterval = watchWait + watchMargin
+	l := New(Options{MaxLease: 10 * time.Second}, nil)
+	clock := leaseClock{lease: l.lease}
+	now := time.Hour
+	clock.recordResponse(now, 1000)
+	granted := time.Duration(clock.renew(now)-1000) * time.Millisecond
+	if survives := granted - renewalInterval; survives < longestCut {
+		t.Errorf("runs survive a cut of %s, want %s", survives, longestCut)
+	}
+	if clock.expiresAt < now+granted {
+		t.Error("runs are given up before their lease has ended")
+	}
+}
--- a/leader/session.go
+++ b/leader/session.go
@@ -126,7 +126,9 @@
 	}
 	s.mu.Unlock()
 	sentAt := boottime.Now()
-	request.LeaseUntilMS = s.leaseUntil(sentAt)
+	if s.leader.mayRenew(sentAt) {
+		request.LeaseUntilMS = s.leaseUntil(sentAt)
+	}
 	listing, err := s.conn.Watch(ctx, request, request.Wait+watchMargin)
 	if err != nil {
 		return nil, sentAt, err
