dispatch: runs of ended jobs keep their room after a takeover

A job that has ended is stored without its runs; a new holder listed a run of it as unknown, counted no resources for it, and started other work in its place while it was being stopped. Workers that guard their room refuse such starts. Second, the states of several jobs are not stored at once, so that a new holder may restore two runs on one worker of which only one has arrived; it sent the other again without looking at the room.

Change: the core keeps the submission of an ended job for as long as it keeps its id; a restored start is sent again only if the worker has room for all that was restored there.

--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -75,9 +75,9 @@
 	// sortedWorkers holds the same workers in order of id, so that equal inputs give equal plans.
 	sortedWorkers []*worker
 	jobs          map[workload.JobID]*job
-	// ended maps each ended job to the time at which the core learned of its end. It is kept because the job may still be
-	// added again with a state from before its end.
-	ended map[workload.JobID]time.Duration
+	// ended holds the ended jobs. They are kept because a job may still be added again with a state from before its end, and
+	// because workers may still list runs of it.
+	ended map[workload.JobID]endedJob
 	// sortedJobs holds the same jobs as jobs in order of acceptance.
 	sortedJobs []*job
 	// changed holds the jobs whose states have changed since the last call of TakeChanges.
@@ -124,6 +124,12 @@
 	placements int
 }
 
+// endedJob is a job that has ended. endedAt is when the core learned of it.
+type endedJob struct {
+	spec    *workload.Job
+	endedAt time.Duration
+}
+
 type step struct {
 	job        *job
 	spec       *workload.Step
@@ -206,7 +212,7 @@
 		config:       &workload.Config{},
 		workers:      map[string]*worker{},
 		jobs:         map[workload.JobID]*job{},
-		ended:        map[workload.JobID]time.Duration{},
+		ended:        map[workload.JobID]endedJob{},
 		changed:      map[workload.JobID]*job{},
 		accountUse:   map[string]int{},
 		typicalRates: map[string]*typicalRate{},
@@ -239,8 +245,8 @@
 // placements left are not included.
 func (c *Core) TakeEnded(before time.Duration) []workload.JobID {
 	var ids []workload.JobID
-	for id, at := range c.ended {
-		if at < before && c.jobs[id] == nil {
+	for id, job := range c.ended {
+		if job.endedAt < before && c.jobs[id] == nil {
 			ids = append(ids, id)
 			delete(c.ended, id)
 		}
@@ -254,7 +260,7 @@
 		return
 	}
 	if state != nil && state.Phase.Final() {
-		c.ended[spec.ID] = c.now
+		c.ended[spec.ID] = endedJob{spec: spec, endedAt: c.now}
 		return
 	}
 	j := &job{spec: spec, queue: workload.Queue{Name: spec.Queue, Service: spec.Service, MaxFailedRuns: 1}}
@@ -285,7 +291,7 @@
 // finishJob sets a final phase and stops the job's remaining runs.
 func (c *Core) finishJob(j *job, phase workload.Phase) {
 	j.phase = phase
-	c.ended[j.spec.ID] = c.now
+	c.ended[j.spec.ID] = endedJob{spec: j.spec, endedAt: c.now}
 	c.markChanged(j)
 	for _, steps := range j.repetitions {
 		for _, s := range steps {
--- a/dispatch/lifecycle_test.go
+++ b/dispatch/lifecycle_test.go
@@ -237,3 +237,44 @@
 		t.Fatal("the cancelled job is still running")
 	}
 }
+
+// TestRunOfAnEndedJobKeepsItsRoom guards against a start beyond the capacity of a worker: after a takeover the worker still
+// runs a task of a job that was cancelled, and whose end is stored without its runs.
+func TestRunOfAnEndedJobKeepsItsRoom(t *testing.T) {
+	c := newCluster(t, 1)
+	c.submit("a", "normal", "large", tasks(1, 8))
+	c.plan()
+	c.core.CancelJob("a")
+	c.decide()
+	c.submit("b", "normal", "large", tasks(1, 8))
+	c.takeOver()
+	c.listAll()
+	if starts := c.decide().Starts; len(starts) > 0 {
+		t.Fatalf("%v starts on a worker that is still occupied", starts[0].Ref)
+	}
+	c.endAll("a", workload.EndStopped)
+	c.listAll()
+	if starts := c.plan().Starts; len(starts) != 1 || starts[0].Ref.Task.Job != "b" {
+		t.Errorf("starts after the end of the run are %v, want that of b", starts)
+	}
+}
+
+// TestTakeoverDoesNotOvercommit guards against a start beyond the capacity of a worker: the states of two jobs name it, because
+// the earlier holder could not store that it had moved one of them, and only one of the runs has arrived.
+func TestTakeoverDoesNotOvercommit(t *testing.T) {
+	c := newCluster(t, 1)
+	c.submit("a", "normal", "large", tasks(1, 8))
+	c.plan()
+	c.submit("b", "normal", "large", tasks(1, 8))
+	c.stored["b"] = c.stored["a"]
+	c.takeOver()
+	c.listAll()
+	if starts := c.decide().Starts; len(starts) > 0 {
+		t.Fatalf("%v starts on a worker that is still occupied", starts[0].Ref)
+	}
+	c.endAll("a", workload.EndDone)
+	c.listAll()
+	if starts := c.plan().Starts; len(starts) != 1 || starts[0].Ref.Task.Job != "b" {
+		t.Errorf("starts after the end of the run are %v, want that of b", starts)
+	}
+}
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -202,18 +202,26 @@
 	c.measureRate(p)
 }
 
-// stopOrphan stops a listed run that has no placement: its job has ended, or the run was given up. While the job is still
-// known, the run's resources count as used until its end is listed.
+// stopOrphan stops a listed run that has no placement: its job has ended, or the run was given up. The run's resources count
+// as used until its end is listed, unless nothing is known of its job.
 func (c *Core) stopOrphan(w *worker, ref workload.RunRef) {
 	p := &placement{ref: ref, worker: w, confirmedAt: c.now}
-	if j := c.jobs[ref.Task.Job]; j != nil && ref.Task.Step < len(j.spec.Steps) {
-		p.orphanDemand = effectiveDemand(&j.spec.Steps[ref.Task.Step])
+	if spec := c.specOf(ref.Task.Job); spec != nil && ref.Task.Step < len(spec.Steps) {
+		p.orphanDemand = effectiveDemand(&spec.Steps[ref.Task.Step])
 	}
 	c.attach(p)
 	c.event(Event{Name: "unexpected run", Job: ref.Task.Job, Worker: w.id, Detail: ref.Task.String()})
 	c.stop(p, "unexpected run")
 }
 
+// specOf returns the submission of a job, be it unfinished or ended; nil if the core does not know the job.
+func (c *Core) specOf(id workload.JobID) *workload.Job {
+	if j := c.jobs[id]; j != nil {
+		return j.spec
+	}
+	return c.ended[id].spec
+}
+
 // handleAbsent handles a known run that is missing from its worker's listing. The run is lost if its start was confirmed
 // before the listing was requested.
 func (c *Core) handleAbsent(p *placement, sentAt time.Duration) {
@@ -228,12 +236,14 @@
 }
 
 // handleAbsentAfterTakeover handles a restored run that did not reach its worker. Commands of the previous holder carry a
-// lower epoch, which the worker rejects from now on. The start of a single task is sent again with the same run number; a
-// gang is restarted with a new run, as its members would no longer arrive together.
+// lower epoch, which the worker rejects from now on. The start of a single task is sent again with the same run number if the
+// worker has room for all that was restored there; the states of several jobs are not stored at once. A gang is restarted with a
+// new run, as its members would no longer arrive together.
 func (c *Core) handleAbsentAfterTakeover(p *placement) {
 	p.unverified = false
 	u := p.unit
-	if u.size > 1 || u.aborting || u.step.job.phase.Final() {
+	overcommitted := p.worker.registered && !p.worker.used.Fits(p.worker.info.Capacity)
+	if u.size > 1 || u.aborting || u.step.job.phase.Final() || overcommitted {
 		c.placementLost(p, "did not reach the worker before the takeover")
 		return
 	}
