dispatch: a repetition that must wait for earlier ones has no due time

Cause: seen while reading the diff: the bound on overlapping repetitions left the due time of the next one in the past, so that the holder planned again every 5 ms until earlier ones had ended.

Change: NextDue leaves out jobs whose next repetition must wait. TestOverlappingRepetitionsAreBounded asserts it and failed without. Doc comments are reflowed.

--- a/daemon/mux.go
+++ b/daemon/mux.go
@@ -26,7 +26,8 @@
 func (m *Mux) Handle(ctx context.Context, from inner.Member, req *inner.Request) (resp *inner.Response, err error) {
 	returned := telemetry.Contain(m.Logger, "handle a request of "+from.VM, func() { resp, err = m.dispatch(ctx, from, req) })
 	if !returned {
-		return nil, errkind.New(errkind.Internal, "read the log of the daemon and report the error", "the handler of the request has panicked")
+		return nil, errkind.New(errkind.Internal, "read the log of the daemon and report the error",
+			"the handler of the request has panicked")
 	}
 	return resp, err
 }
--- a/dispatch/evacuate_test.go
+++ b/dispatch/evacuate_test.go
@@ -65,7 +65,8 @@
 	}
 }
 
-// runAtShortNotice submits jobs for which the remaining workers have room, lets the first ones leave, and returns how long the slowest job took.
+// runAtShortNotice submits jobs for which the remaining workers have room, lets the first ones leave, and returns how long the
+// slowest job took.
 func runAtShortNotice(t *testing.T, step workload.Step, duration time.Duration) time.Duration {
 	const workers, jobs = 16, 12
 	p := newPacedCluster(t, workers)
--- a/dispatch/lifecycle_test.go
+++ b/dispatch/lifecycle_test.go
@@ -209,6 +209,9 @@
 		if active := c.core.jobs["a"]; active != nil && active.activeTasks() > 20 {
 			t.Fatalf("%d tasks of the job are active, at most 20 are allowed", active.activeTasks())
 		}
+		if due := c.core.NextDue(); !due.IsZero() && started < 80 {
+			t.Fatalf("the next plan is due at %s for a repetition that must wait", due)
+		}
 		c.listAll()
 		c.endAll("a", workload.EndDone)
 		c.advance(50 * time.Millisecond)
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -70,11 +70,12 @@
 // maxReservations returns how many blocked steps may reserve capacity.
 func (c *Core) maxReservations() int { return max(minReservations, c.racks/racksPerReservation) }
 
-// NextDue returns the due time of the next repetition of any scheduled job; the zero time if there is none.
+// NextDue returns the due time of the next repetition of any scheduled job; the zero time if there is none. A repetition that
+// waits for earlier ones to end has no due time.
 func (c *Core) NextDue() time.Time {
 	var next time.Time
 	for _, j := range c.sortedJobs {
-		if j.phase.Final() || len(j.repetitions) >= j.spec.RepetitionCount() {
+		if j.phase.Final() || len(j.repetitions) >= j.spec.RepetitionCount() || c.overlapsTooMuch(j) {
 			continue
 		}
 		due := j.spec.DueAt(len(j.repetitions))
--- a/node/frontend.go
+++ b/node/frontend.go
@@ -66,8 +66,8 @@
 }
 
 // Submit stores a job with the queue and account of access. It returns nil once the job is accepted, also if a job with its
-// id was accepted before. After a BadInput, TooLarge or Unavailable error the job never runs; after a DeadlineExceeded error it may
-// run.
+// id was accepted before. After a BadInput, TooLarge or Unavailable error the job never runs; after a DeadlineExceeded error
+// it may run.
 func (n *Node) Submit(ctx context.Context, access Access, job *workload.Job) error {
 	job.Queue = access.Queue.Name
 	job.Service = access.Queue.Service
