--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 .SHELLFLAGS := -o pipefail -c
 SEED ?= 1
 
-.PHONY: build test lint fmt demo prove bench race
+.PHONY: build test lint fmt demo prove bench race regression
 
 build:
 	mkdir -p bin
@@ -36,3 +36,8 @@
 
 bench:
 	go test -tags bench ./scheduler -run "^TestBench" -count=1 -v
+
+# Needs FLEETBENCH and SITES; see scripts/regression.sh.
+MODE ?= quick
+regression:
+	@bash scripts/regression.sh $(MODE) "$(WHY)"
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -20,10 +20,6 @@
 	// maxLease is the longest lease of a worker's runs. It must be longer than a takeover takes, so that runs survive one; a
 	// worker that cannot be reached ends its runs when the lease expires.
 	maxLease = 6 * time.Second
-	// RenewalWithoutStore is how long leases are renewed after the store last confirmed that this VM holds the schedule.
-	// Runs survive an outage of the store of up to this time plus the lease. The next holder waits that long before it
-	// reports workers that it cannot reach as gone.
-	RenewalWithoutStore = 4 * time.Second
 	// planInterval is the minimum time between two plans.
 	planInterval = 5 * time.Millisecond
 	// planPauseFactor bounds the share of processor time spent on planning: the time between the starts of two plans is at
@@ -37,10 +33,6 @@
 	enqueueTimeout = time.Second
 	// eventQueueCapacity bounds the number of events that wait for the loop.
 	eventQueueCapacity = 4096
-	// cleanupInterval is the time between two searches for ended jobs whose records may be deleted.
-	cleanupInterval = 10 * time.Second
-	// cleanupMargin is added to the time for which the state of an ended job must be readable.
-	cleanupMargin = 60 * time.Second
 )
 
 // Options configures a Leader.
@@ -106,16 +98,6 @@
 	config   *workload.Config
 }
 
-// endMark holds the sequence number up to which the run ends of one incarnation of a worker were processed.
-type endMark struct{ incarnation, processed int64 }
-
-// effects holds what may be done once an append is stored: send the starts, and acknowledge the processed run ends to the
-// workers.
-type effects struct {
-	starts    []dispatch.Start
-	processed map[*session]endMark
-}
-
 // New returns a leader for the epoch in o. Run starts it.
 func New(o Options, config *workload.Config) *Leader {
 	return &Leader{
@@ -172,19 +154,6 @@
 	l.cancel()
 }
 
-// mayRenew reports whether a request may extend leases, as of now on the boot clock. A holder that the store has not
-// confirmed for RenewalWithoutStore may have a successor, which waits until the leases of workers that it cannot reach have
-// expired. The caller must compute the extension from the same now: the process may be paused before it sends the request.
-func (l *Leader) mayRenew(now time.Duration) bool {
-	return now-l.ConfirmedAt() < RenewalWithoutStore
-}
-
-// mayDecide reports whether this VM is certain to hold the schedule, as of now on the boot clock. A holder that may have been
-// replaced plans nothing and stops no run: its successor may need that run, and starts could not be stored.
-func (l *Leader) mayDecide(now time.Duration) bool {
-	return now-l.ConfirmedAt() < l.MembershipTTL
-}
-
 // Run holds the schedule until ctx ends or a newer holder exists.
 func (l *Leader) Run(ctx context.Context) {
 	ctx, l.cancel = context.WithCancel(ctx)
@@ -382,62 +351,6 @@
 	}()
 }
 
-// flush appends the changed job states unless an append is in flight. Starts are sent and run ends acknowledged to their
-// workers only once the states are stored.
-func (l *Leader) flush(ctx context.Context) {
-	if l.appendDone != nil {
-		return
-	}
-	l.inFlight = effects{starts: l.starts, processed: l.processedEnds}
-	l.starts = nil
-	l.processedEnds = map[*session]endMark{}
-	changes := l.core.TakeChanges()
-	l.logChanges(changes)
-	if len(changes) == 0 {
-		l.applyEffects(ctx)
-		return
-	}
-	done := make(chan error, 1)
-	l.appendDone = done
-	go func() { done <- l.journal.write(ctx, stateRecords(changes)) }()
-}
-
-// appendEnded processes the result of the append that was in flight. An error ends the leader, since the journal returns
-// one only if another holder has taken over or ctx has ended.
-func (l *Leader) appendEnded(ctx context.Context, err error) {
-	l.appendDone = nil
-	if err != nil {
-		l.logger.Warn().Err(err).Msg("job states not stored")
-		if ctx.Err() == nil {
-			l.stepDown("store")
-		}
-		return
-	}
-	l.applyEffects(ctx)
-}
-
-// applyEffects acknowledges run ends and sends starts whose states are now stored. Starts that the core no longer wants
-// are skipped.
-func (l *Leader) applyEffects(ctx context.Context) {
-	for s, m := range l.inFlight.processed {
-		s.setStoredEnd(m.incarnation, m.processed)
-	}
-	for _, start := range l.inFlight.starts {
-		s := l.sessions[start.Worker]
-		if s == nil || !l.core.WantsStart(start.Worker, start.Ref) {
-			continue
-		}
-		l.spawn(func() { s.start(ctx, start) })
-	}
-	l.inFlight = effects{}
-}
-
-// recordProcessedEnds records up to which sequence number the core has processed the run ends of a worker. It runs in the
-// loop.
-func (l *Leader) recordProcessedEnds(s *session, processed int64) {
-	l.processedEnds[s] = endMark{incarnation: s.currentIncarnation(), processed: processed}
-}
-
 // query evaluates predicate in the loop for another goroutine and returns its result; false once ctx has ended.
 func (l *Leader) query(ctx context.Context, predicate func(*dispatch.Core) bool) bool {
 	result := make(chan bool, 1)
@@ -464,33 +377,3 @@
 		l.logger.Info().Str("job", string(change.ID)).Str("phase", change.Phase.String()).Msg("job ended")
 	}
 }
-
-// cleanUpEndedJobs deletes the records of ended jobs whose state no longer has to be readable.
-func (l *Leader) cleanUpEndedJobs(ctx context.Context) {
-	if l.appendDone != nil {
-		return
-	}
-	ended := l.core.TakeEnded(boottime.Now() - l.StatusRetention - cleanupMargin)
-	if len(ended) == 0 {
-		return
-	}
-	done := make(chan error, 1)
-	l.appendDone = done
-	go func() { done <- l.deleteJobRecords(ctx, ended) }()
-}
-
-// deleteJobRecords deletes submissions and cancellations first and states last: a job whose submission is still stored but
-// whose state is deleted would start again from the beginning. The error is that of the deletion of the states; if a
-// submission cannot be deleted, it logs that and returns nil.
-func (l *Leader) deleteJobRecords(ctx context.Context, ids []workload.JobID) error {
-	states := make([]store.Record, len(ids))
-	for i, id := range ids {
-		states[i] = joblog.StateTombstone(id)
-		err := l.Log.Append(ctx, joblog.IntakeStream(id), joblog.IntakeTombstones(id), nil, journalTimeout)
-		if err != nil {
-			l.logger.Warn().Err(err).Str("job", string(id)).Msg("records of an ended job not deleted; the next holder of the schedule retries")
-			return nil
-		}
-	}
-	return l.journal.write(ctx, states)
-}
--- a/leader/worker.go
+++ b/leader/worker.go
@@ -2,6 +2,9 @@
 // core changes, and sends start and stop requests to the workers.
 //
 //   - leader.go: the loop around the core
+//   - permission.go: what a holder may do that the store has not confirmed lately
+//   - effects.go: what is sent once the states behind it are stored
+//   - cleanup.go: the deletion of the records of ended jobs
 //   - journal.go: the appends of job states
 //   - session.go: the lease, runs and requests of one worker
 //   - leaseclock.go: when the lease of a worker expires
