leader, dispatch: log each lost run with its job, and starts without a response

Cause: no log line of a holder named a run that was lost with its worker, why it was given up, or a start that waited for its first response, so that the hypotheses on the task that was not started again could not be told apart.

Change: the decision "run lost" replaces "runs lost with worker", one a run with its task, run number, reason and whether the start was confirmed. A start without response is logged at its first attempt and then at every twentieth. The first response of another process at a worker's address is logged. No decision changes.

Measured: the tests of dispatch and leader pass.

--- a/dispatch/evacuate_test.go
+++ b/dispatch/evacuate_test.go
@@ -61,7 +61,7 @@
 	p.runSaving(lostAfter)
 	for _, id := range gone {
 		p.core.DropWorker(id)
-		p.core.MarkWorkerGone(id)
+		p.core.MarkWorkerGone(id, GoneLeaseExpired)
 	}
 }
 
--- a/dispatch/lifecycle_test.go
+++ b/dispatch/lifecycle_test.go
@@ -86,7 +86,7 @@
 	if plan := c.plan(); len(plan.Starts) > 0 {
 		t.Fatalf("the task started elsewhere while its worker may run it: %v", plan.Starts)
 	}
-	c.core.MarkWorkerGone(start.Worker)
+	c.core.MarkWorkerGone(start.Worker, GoneLeaseExpired)
 	plan := c.plan()
 	if len(plan.Starts) != 1 || plan.Starts[0].Worker == start.Worker || plan.Starts[0].Ref.Run <= start.Ref.Run {
 		t.Fatalf("starts after the worker is gone are %v, want one on the other worker with a higher run number", plan.Starts)
--- a/dispatch/storm_test.go
+++ b/dispatch/storm_test.go
@@ -522,7 +522,7 @@
 	s.core.SetReachable(id, false)
 	if s.now > state.grantedUntil && !state.goneReported {
 		state.goneReported = true
-		s.core.MarkWorkerGone(id)
+		s.core.MarkWorkerGone(id, GoneLeaseExpired)
 	}
 }
 
--- a/dispatch/units.go
+++ b/dispatch/units.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -271,6 +272,17 @@
 	c.finishJob(j, workload.PhaseCompleted)
 }
 
+// runLost removes the placement of a run that ended with its worker's process, or never began, and records why.
+func (c *Core) runLost(p *placement, reason string) {
+	outcome := "start confirmed"
+	if p.confirmedAt < 0 {
+		outcome = "start not confirmed"
+	}
+	detail := fmt.Sprintf("%v run %d: %s, %s", p.ref.Task, p.ref.Run, reason, outcome)
+	c.event(Event{Name: "run lost", Job: p.ref.Task.Job, Worker: p.worker.id, Detail: detail})
+	c.placementLost(p, reason)
+}
+
 // placementLost removes a placement whose end was not listed.
 func (c *Core) placementLost(p *placement, reason string) {
 	c.detach(p)
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -86,17 +86,25 @@
 	}
 }
 
+// GoneReason is the evidence that no run started so far can still be running on a worker.
+type GoneReason string
+
+// The reasons for which a worker is gone.
+const (
+	// GoneLeaseExpired means that the worker did not respond until its lease had expired.
+	GoneLeaseExpired GoneReason = "lease expired"
+	// GoneDeregistered means that the worker removed its entry after draining.
+	GoneDeregistered GoneReason = "deregistered"
+)
+
 // MarkWorkerGone records that no run started so far can still be running on the worker, and gives up all of them.
-func (c *Core) MarkWorkerGone(id string) {
+func (c *Core) MarkWorkerGone(id string, reason GoneReason) {
 	w := c.workers[id]
 	if w == nil {
 		return
 	}
-	if len(w.runs) > 0 {
-		c.event(Event{Name: "runs lost with worker", Worker: id})
-	}
 	for _, p := range w.sortedRuns() {
-		c.placementLost(p, "lost with worker")
+		c.runLost(p, "worker gone: "+string(reason))
 	}
 	w.listed = false
 	w.reachable = false
@@ -232,7 +240,7 @@
 	if p.confirmedAt < 0 || p.confirmedAt >= sentAt {
 		return
 	}
-	c.placementLost(p, "absent from the worker's listing")
+	c.runLost(p, "absent from the worker's listing")
 }
 
 // handleAbsentAfterTakeover handles a restored run that did not reach its worker. Commands of the previous holder carry a
@@ -244,7 +252,7 @@
 	u := p.unit
 	overcommitted := p.worker.registered && !p.worker.used.Fits(p.worker.info.Capacity)
 	if u.size > 1 || u.aborting || u.step.job.phase.Final() || overcommitted {
-		c.placementLost(p, "did not reach the worker before the takeover")
+		c.runLost(p, "did not reach the worker before the takeover")
 		return
 	}
 	c.starts = append(c.starts, c.startCommand(p))
--- a/leader/session.go
+++ b/leader/session.go
@@ -33,6 +33,8 @@
 	maxStopBackoff = 8
 	// maxUnhealthyAttempts is how often a start request is sent to a worker that reports that it is unhealthy.
 	maxUnhealthyAttempts = 3
+	// loggedAttempts is the number of attempts of a start without response of which one is logged.
+	loggedAttempts = 20
 	// maxRequests is how many start and stop requests to one worker may be in flight at once.
 	maxRequests = 3
 )
@@ -87,7 +89,7 @@
 func (s *session) watch(ctx context.Context) {
 	defer s.conn.Close()
 	pause := watchRetryInterval
-	first := true
+	first, replaced := true, false
 	var dependency telemetry.Dependency
 	for ctx.Err() == nil {
 		listing, sentAt, err := s.watchOnce(ctx, first)
@@ -99,13 +101,17 @@
 			return
 		}
 		dependency.Observe(s.logger, "worker", err)
+		if errors.Is(err, ErrOtherIncarnation) && !replaced {
+			replaced = true
+			s.logger.Info().Str("address", s.address).Msg("another process runs at the worker's address")
+		}
 		if err != nil {
 			s.recordNoResponse()
 			boottime.Sleep(ctx, pause)
 			pause = min(2*pause, maxWatchRetryInterval)
 			continue
 		}
-		first = false
+		first, replaced = false, false
 		pause = watchRetryInterval
 		s.leader.enqueue(func(c *dispatch.Core) { s.leader.recordProcessedEnds(s, c.ApplyListing(s.id, sentAt, listing)) })
 		s.awaitStoredEnds(ctx, listing)
@@ -174,7 +180,7 @@
 	s.leader.enqueue(func(c *dispatch.Core) {
 		c.SetReachable(s.id, false)
 		if expired {
-			c.MarkWorkerGone(s.id)
+			c.MarkWorkerGone(s.id, dispatch.GoneLeaseExpired)
 		}
 	})
 }
@@ -242,6 +248,7 @@
 		if s.reportStartOutcome(planned, err, attempt) {
 			return
 		}
+		s.logFailedAttempt(planned, err, attempt)
 		boottime.Sleep(s.ctx, requestRetryInterval)
 		if s.ctx.Err() != nil {
 			s.leader.enqueue(func(c *dispatch.Core) { c.AbandonStart(s.id, planned.Ref, "the address of the worker has changed") })
@@ -281,6 +288,15 @@
 	return true
 }
 
+// logFailedAttempt logs the first attempt of a start and then one in loggedAttempts of those that have to be repeated.
+func (s *session) logFailedAttempt(planned dispatch.Start, err error, attempt int) {
+	if attempt%loggedAttempts != 1 {
+		return
+	}
+	s.logger.Info().Str("job", string(planned.Ref.Task.Job)).Str("task", planned.Ref.Task.String()).Int64("run", planned.Ref.Run).
+		Int("attempt", attempt).Int64("incarnation", s.currentIncarnation()).Err(err).Msg("start not answered")
+}
+
 // stop sends a stop request until the worker confirms it or the core no longer wants it. It sends nothing while this VM may
 // have been replaced as holder of the schedule. It reports the stop as unconfirmed if the address of the worker changes.
 func (s *session) stop(ctx context.Context, planned dispatch.Stop) {
--- a/leader/workers.go
+++ b/leader/workers.go
@@ -41,7 +41,7 @@
 	}
 	for _, id := range c.UnverifiedWorkers() {
 		if l.sessions[id] == nil {
-			c.MarkWorkerGone(id)
+			c.MarkWorkerGone(id, dispatch.GoneLeaseExpired)
 		}
 	}
 }
@@ -133,7 +133,7 @@
 	w.leader.enqueue(func(c *dispatch.Core) {
 		c.DropWorker(id)
 		if runsEnded {
-			c.MarkWorkerGone(id)
+			c.MarkWorkerGone(id, dispatch.GoneDeregistered)
 		}
 	})
 }
