leader: runs of a worker whose process was replaced are lost at once

Cause: a worker that crashes comes back about 3 s later under a new id at the same address, and rejects requests meant for the old id. The session treated that rejection like silence and waited for the old id's lease of 9.2 s, 13.2 s after a takeover. A task whose second start met the next crash waited twice.

Change: a rejection by another process reports the worker as gone, as the response of that process proves that the old one has ended. The report is repeated with each failed watch request, so that runs restored later are given up as well; a start or stop leaves the report to the watch request, whose responses are in order.

Measured: TestTaskLeavesAReplacedWorker failed before, with and without a takeover (not started within 4 s), and passes.

--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -93,6 +93,8 @@
 const (
 	// GoneLeaseExpired means that the worker did not respond until its lease had expired.
 	GoneLeaseExpired GoneReason = "lease expired"
+	// GoneReplaced means that another process responds at the worker's address.
+	GoneReplaced GoneReason = "replaced by another process"
 	// GoneDeregistered means that the worker removed its entry after draining.
 	GoneDeregistered GoneReason = "deregistered"
 )
--- a/leader/session.go
+++ b/leader/session.go
@@ -56,8 +56,6 @@
 
 	mu    sync.Mutex
 	lease leaseClock
-	// reportedGone is true if the worker was reported to the core as gone and has not responded since.
-	reportedGone bool
 	// storedEnd is the sequence number up to which the ends of the current incarnation are stored.
 	storedEnd int64
 	// storedEndChanged is closed and replaced when storedEnd rises.
@@ -89,7 +87,7 @@
 func (s *session) watch(ctx context.Context) {
 	defer s.conn.Close()
 	pause := watchRetryInterval
-	first, replaced := true, false
+	first := true
 	var dependency telemetry.Dependency
 	for ctx.Err() == nil {
 		listing, sentAt, err := s.watchOnce(ctx, first)
@@ -101,17 +99,13 @@
 			return
 		}
 		dependency.Observe(s.logger, "worker", err)
-		if errors.Is(err, ErrOtherIncarnation) && !replaced {
-			replaced = true
-			s.logger.Info().Str("address", s.address).Msg("another process runs at the worker's address")
-		}
 		if err != nil {
-			s.recordNoResponse()
+			s.recordNoResponse(err)
 			boottime.Sleep(ctx, pause)
 			pause = min(2*pause, maxWatchRetryInterval)
 			continue
 		}
-		first, replaced = false, false
+		first = false
 		pause = watchRetryInterval
 		s.leader.enqueue(func(c *dispatch.Core) { s.leader.recordProcessedEnds(s, c.ApplyListing(s.id, sentAt, listing)) })
 		s.awaitStoredEnds(ctx, listing)
@@ -147,7 +141,6 @@
 func (s *session) recordResponse(listing *workload.Listing) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.reportedGone = false
 	s.lease.recordResponse(boottime.Now(), listing.ClockMS)
 	if s.incarnation != listing.Incarnation {
 		s.incarnation = listing.Incarnation
@@ -167,19 +160,21 @@
 	return s.lease.renew(now)
 }
 
-// recordNoResponse records a request without response: it reports the worker to the core as unreachable, and as gone
-// once its lease has expired.
-func (s *session) recordNoResponse() {
+// recordNoResponse records a watch request that failed with err. It reports the worker to the core as unreachable, and as gone
+// if its lease has expired or another process has responded at its address. It repeats the report with each failed request,
+// because the core may restore runs of the worker later.
+func (s *session) recordNoResponse(err error) {
 	s.mu.Lock()
 	s.lease.recordNoResponse()
-	expired := !s.reportedGone && s.lease.allExpired(boottime.Now())
-	if expired {
-		s.reportedGone = true
-	}
+	expired := s.lease.allExpired(boottime.Now())
 	s.mu.Unlock()
+	replaced := errors.Is(err, ErrOtherIncarnation)
 	s.leader.enqueue(func(c *dispatch.Core) {
 		c.SetReachable(s.id, false)
-		if expired {
+		switch {
+		case replaced:
+			c.MarkWorkerGone(s.id, dispatch.GoneReplaced)
+		case expired:
 			c.MarkWorkerGone(s.id, dispatch.GoneLeaseExpired)
 		}
 	})
@@ -268,6 +263,8 @@
 		s.leader.enqueue(func(c *dispatch.Core) { c.StartAccepted(s.id, ref) })
 	case errors.Is(err, ErrStaleEpoch):
 		s.leader.stepDown("worker " + s.id)
+	case errors.Is(err, ErrOtherIncarnation):
+		// The next watch request reports the worker as gone.
 	case errors.Is(err, ErrNoResponse), errors.Is(err, ErrLeaseExpired):
 		return false
 	case errors.Is(err, ErrUnhealthy) && attempt < maxUnhealthyAttempts:
@@ -311,6 +308,10 @@
 			s.leader.stepDown("worker " + s.id)
 			return
 		}
+		if errors.Is(err, ErrOtherIncarnation) {
+			// The next watch request reports the worker as gone.
+			return
+		}
 		if err == nil || errors.Is(err, ErrRunEnded) {
 			count(counterStops)
 			s.logger.Info().Str("job", string(planned.Ref.Task.Job)).Str("task", planned.Ref.Task.String()).Int64("run", planned.Ref.Run).
