leader, dispatch: a start belongs to one process of its worker

A task is never started again if its worker's process ends before it responds to the start and is soon back under the same id.

The restarted worker responded to watch requests, so that its lease never expired, and the core gives up only runs whose start was confirmed. A stop without response had the same fate after a restart.

Change: a start without response is repeated only while the worker responds to watch requests as the same process. A listing of a new process makes the core abandon starts that had no response: the run is stopped there first, since a late attempt may still arrive, and then starts elsewhere.

--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -158,6 +158,7 @@
 // the worker's incarnation that were applied; 0 if none was.
 func (c *Core) ApplyListing(id string, sentAt time.Duration, listing *workload.Listing) int64 {
 	w := c.workerOf(id)
+	restarted := w.incarnation != 0 && w.incarnation != listing.Incarnation
 	if w.incarnation != listing.Incarnation {
 		w.incarnation = listing.Incarnation
 		w.lastAppliedEnd = 0
@@ -178,9 +179,13 @@
 		c.applyRunning(w, &listing.Running[i])
 	}
 	for _, p := range w.sortedRuns() {
-		if !present[p.ref] {
-			c.handleAbsent(p, sentAt)
+		if present[p.ref] {
+			continue
+		}
+		if restarted {
+			c.handleRestart(p)
 		}
+		c.handleAbsent(p, sentAt)
 	}
 	w.listed = true
 	w.listedAt = sentAt
@@ -232,6 +237,20 @@
 	return c.ended[id].spec
 }
 
+// handleRestart handles a known run that is missing from the first listing of its worker's new process and whose start or stop
+// had no response. An attempt of the start may still reach the new process, so the run is stopped there before it is given up.
+func (c *Core) handleRestart(p *placement) {
+	switch {
+	case p.unverified || p.confirmedAt >= 0:
+	case p.stopping:
+		c.resendStop(p)
+	case p.live():
+		c.AbandonStart(p.worker.id, p.ref, "the worker has restarted")
+	default:
+		c.stop(p, "the worker has restarted")
+	}
+}
+
 // handleAbsent handles a known run that is missing from its worker's listing. The run is lost if its start was confirmed
 // before the listing was requested.
 func (c *Core) handleAbsent(p *placement, sentAt time.Duration) {
--- a/leader/crash_test.go
+++ b/leader/crash_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"sync"
 	"testing"
@@ -16,6 +17,58 @@
 	"github.com/redwingthread/redwingthread/workload"
 )
 
+// restartTime is how long the process of a crashed test worker is down.
+const restartTime = 150 * time.Millisecond
+
+// crashLoopConn is a worker whose process ends before it responds to a start, and starts again under the same id.
+type crashLoopConn struct {
+	idleConn
+	mu          sync.Mutex
+	incarnation int64
+	downUntil   time.Time
+	starts      []StartRequest
+}
+
+func (c *crashLoopConn) Start(_ context.Context, r StartRequest, _ time.Duration) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if time.Now().Before(c.downUntil) {
+		return ErrNoResponse
+	}
+	c.starts = append(c.starts, r)
+	c.incarnation++
+	c.downUntil = time.Now().Add(restartTime)
+	return ErrNoResponse
+}
+
+func (c *crashLoopConn) Stop(context.Context, StopRequest, time.Duration) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if time.Now().Before(c.downUntil) {
+		return ErrNoResponse
+	}
+	return nil
+}
+
+func (c *crashLoopConn) Watch(ctx context.Context, r WatchRequest, _ time.Duration) (*workload.Listing, error) {
+	c.mu.Lock()
+	listing := &workload.Listing{Incarnation: c.incarnation, ClockMS: boottime.Now().Milliseconds()}
+	down := time.Now().Before(c.downUntil)
+	c.mu.Unlock()
+	if down {
+		return nil, errors.New("connection refused")
+	}
+	boottime.Sleep(ctx, min(r.Wait, 20*time.Millisecond))
+	return listing, ctx.Err()
+}
+
+// startCount returns the number of start requests that reached the worker's process.
+func (c *crashLoopConn) startCount() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.starts)
+}
+
 // healthyConn is a worker that accepts each start and lists its runs.
 type healthyConn struct {
 	recordingConn
@@ -153,3 +206,18 @@
 		})
 	}
 }
+
+// TestTaskLeavesACrashLoopingWorker guards against an accepted task that is never started again: its worker's process ends
+// before it responds to the start and is soon back under the same id, so that its lease is renewed, the start is repeated at
+// each new process, and no list of runs ends the wait.
+func TestTaskLeavesACrashLoopingWorker(t *testing.T) {
+	crashing, healthy := &crashLoopConn{incarnation: 1}, &healthyConn{}
+	// The smaller worker fits best, so that it is chosen first.
+	l := runTestLeader(t, testWorkers{"crashing": crashing, "healthy": healthy}, map[string]int{"crashing": 1, "healthy": 8})
+	time.Sleep(100 * time.Millisecond)
+	l.enqueue(func(c *dispatch.Core) { c.AddJob(testJob(), nil) })
+	if !awaitStart(healthy, startLimit) || crashing.startCount() != 1 {
+		t.Errorf("within %s the task was sent %d times to the worker that crashes and %d times to the other one, want once each",
+			startLimit, crashing.startCount(), healthy.startCount())
+	}
+}
--- a/leader/session.go
+++ b/leader/session.go
@@ -228,12 +228,13 @@
 }
 
 // start sends a start request until its outcome is known or the core no longer wants the start. It abandons the start if the
-// address of the worker changes.
+// address or the process of the worker changes.
 func (s *session) start(ctx context.Context, planned dispatch.Start) {
 	s.requestSlots <- struct{}{}
 	defer func() { <-s.requestSlots }()
 	startedAt := boottime.Now()
 	defer func() { observe(timerStart, boottime.Now()-startedAt) }()
+	incarnation := s.currentIncarnation()
 	for attempt := 1; ctx.Err() == nil; attempt++ {
 		request := StartRequest{
 			Ref: planned.Ref, Specification: planned.Specification, Checkpoint: planned.Checkpoint,
@@ -244,17 +245,48 @@
 			return
 		}
 		s.logFailedAttempt(planned, err, attempt)
+		if !s.awaitRetry(ctx, planned, incarnation) {
+			return
+		}
+	}
+}
+
+// awaitRetry waits until a start without response may be sent again, and reports whether it may. While the worker does not
+// respond to watch requests, its process may have ended with the start; another process must not get the same start.
+func (s *session) awaitRetry(ctx context.Context, planned dispatch.Start, incarnation int64) bool {
+	for {
 		boottime.Sleep(s.ctx, requestRetryInterval)
 		if s.ctx.Err() != nil {
-			s.leader.enqueue(func(c *dispatch.Core) { c.AbandonStart(s.id, planned.Ref, "the address of the worker has changed") })
-			return
+			s.abandonStart(planned, "the address of the worker has changed")
+			return false
 		}
 		if !s.leader.query(ctx, func(c *dispatch.Core) bool { return c.WantsStart(s.id, planned.Ref) }) {
-			return
+			return false
+		}
+		current, responding := s.process()
+		if current != incarnation {
+			s.abandonStart(planned, "the worker has restarted")
+			return false
+		}
+		if responding {
+			return true
 		}
 	}
 }
 
+// abandonStart makes the core give up a start that may have been executed, or may be executed later.
+func (s *session) abandonStart(planned dispatch.Start, reason string) {
+	s.leader.enqueue(func(c *dispatch.Core) { c.AbandonStart(s.id, planned.Ref, reason) })
+}
+
+// process returns the worker's incarnation as of its last response to a watch request, and whether the worker has responded to
+// the latest one that ended.
+func (s *session) process() (incarnation int64, responding bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.incarnation, !s.lease.noResponse
+}
+
 // reportStartOutcome reports the outcome of a start request to the core. It returns false if the request has to be retried.
 func (s *session) reportStartOutcome(planned dispatch.Start, err error, attempt int) bool {
 	ref := planned.Ref
@@ -271,7 +303,7 @@
 		return false
 	case attempt > 1:
 		// An earlier attempt may have been executed, or may be executed later; the worker must rule that out first.
-		s.leader.enqueue(func(c *dispatch.Core) { c.AbandonStart(s.id, ref, err.Error()) })
+		s.abandonStart(planned, err.Error())
 	default:
 		s.leader.enqueue(func(c *dispatch.Core) { c.StartRejected(s.id, ref, err.Error()) })
 	}
