leader: a start that was given up while it waited is not sent

Callers saw: nothing; found by reading the path of a start. A task could run twice.

Starts that wait for a worker that has crashed hold the slots for seconds. Whether the core still wants the start was checked before the wait and after a failed attempt, not between the wait and the first attempt, so that a start that the core had given up and planned elsewhere was still sent once.

Change: a start that had to wait asks the core again before it is sent.

Measured: TestWithdrawnStartLeavesTheQueueUnsent failed before (sent once) and passes.

--- a/leader/crash_test.go
+++ b/leader/crash_test.go
@@ -221,3 +221,25 @@
 			startLimit, crashing.startCount(), healthy.startCount())
 	}
 }
+
+// TestWithdrawnStartLeavesTheQueueUnsent guards against a task that runs twice: its start waits behind other requests to the
+// worker, is given up by the core meanwhile and started elsewhere, and is then sent all the same.
+func TestWithdrawnStartLeavesTheQueueUnsent(t *testing.T) {
+	l := runTestLeader(t, nil, nil)
+	conn := &recordingConn{}
+	s, _ := newTestSession(t, l, conn)
+	for range maxRequests {
+		s.acquireRequestSlot()
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		s.start(t.Context(), dispatch.Start{Worker: "w", Ref: testRun})
+	}()
+	time.Sleep(50 * time.Millisecond)
+	<-s.requestSlots
+	<-done
+	if len(conn.starts) != 0 {
+		t.Errorf("a start that the core does not want was sent %d times", len(conn.starts))
+	}
+}
--- a/leader/session.go
+++ b/leader/session.go
@@ -230,8 +230,11 @@
 // start sends a start request until its outcome is known or the core no longer wants the start. It abandons the start if the
 // address or the process of the worker changes.
 func (s *session) start(ctx context.Context, planned dispatch.Start) {
-	s.requestSlots <- struct{}{}
+	waited := s.acquireRequestSlot()
 	defer func() { <-s.requestSlots }()
+	if waited && !s.wantsStart(ctx, planned) {
+		return
+	}
 	startedAt := boottime.Now()
 	defer func() { observe(timerStart, boottime.Now()-startedAt) }()
 	incarnation := s.currentIncarnation()
@@ -260,7 +263,7 @@
 			s.abandonStart(planned, "the address of the worker has changed")
 			return false
 		}
-		if !s.leader.query(ctx, func(c *dispatch.Core) bool { return c.WantsStart(s.id, planned.Ref) }) {
+		if !s.wantsStart(ctx, planned) {
 			return false
 		}
 		current, responding := s.process()
@@ -274,6 +277,22 @@
 	}
 }
 
+// acquireRequestSlot waits for a request slot and reports whether it had to wait.
+func (s *session) acquireRequestSlot() (waited bool) {
+	select {
+	case s.requestSlots <- struct{}{}:
+		return false
+	default:
+		s.requestSlots <- struct{}{}
+		return true
+	}
+}
+
+// wantsStart reports whether the core still wants the start; false once ctx has ended.
+func (s *session) wantsStart(ctx context.Context, planned dispatch.Start) bool {
+	return s.leader.query(ctx, func(c *dispatch.Core) bool { return c.WantsStart(s.id, planned.Ref) })
+}
+
 // abandonStart makes the core give up a start that may have been executed, or may be executed later.
 func (s *session) abandonStart(planned dispatch.Start, reason string) {
 	s.leader.enqueue(func(c *dispatch.Core) { c.AbandonStart(s.id, planned.Ref, reason) })
@@ -329,7 +348,7 @@
 // stop sends a stop request until the worker confirms it or the core no longer wants it. It sends nothing while this VM may
 // have been replaced as holder of the schedule. It reports the stop as unconfirmed if the address of the worker changes.
 func (s *session) stop(ctx context.Context, planned dispatch.Stop) {
-	s.requestSlots <- struct{}{}
+	s.acquireRequestSlot()
 	defer func() { <-s.requestSlots }()
 	for attempt := 1; ctx.Err() == nil; attempt++ {
 		err := errHolderUnconfirmed
