leader: a query whose event is dropped is repeated

Callers saw: nothing; found by reading, one of the hypotheses on a task that was not started again.

Cause: while the queue of the schedule loop is full for a second, an event is dropped. A start or stop that asked in such an event whether it is still wanted waited for the result until the leader ended, and kept one of the three request slots of its worker.

Change: the query is repeated until its event is queued.

That the log line of a dropped event was ever written is not known.

--- a/leader/leader.go
+++ b/leader/leader.go
@@ -125,23 +125,25 @@
 	l.enqueue(func(c *dispatch.Core) { c.SetConfig(config) })
 }
 
-// enqueue adds an event to the loop's queue. It blocks up to enqueueTimeout while the queue is full, and drops the event
-// after that or once the leader has ended.
-func (l *Leader) enqueue(f func(*dispatch.Core)) {
+// enqueue adds an event to the loop's queue and reports whether it did. It blocks up to enqueueTimeout while the queue is full,
+// and drops the event after that or once the leader has ended.
+func (l *Leader) enqueue(f func(*dispatch.Core)) bool {
 	if l.ended.Load() {
-		return
+		return false
 	}
 	select {
 	case l.events <- f:
-		return
+		return true
 	default:
 	}
 	select {
 	case l.events <- f:
+		return true
 	case <-time.After(enqueueTimeout):
 		if !l.ended.Load() {
 			l.logger.Error().Msg("event dropped: the event queue of the schedule loop is full")
 		}
+		return false
 	}
 }
 
@@ -352,10 +354,15 @@
 	}()
 }
 
-// query evaluates predicate in the loop for another goroutine and returns its result; false once ctx has ended.
+// query evaluates predicate in the loop for another goroutine and returns its result; false once ctx has ended. It tries again
+// while the queue of the loop is full.
 func (l *Leader) query(ctx context.Context, predicate func(*dispatch.Core) bool) bool {
 	result := make(chan bool, 1)
-	l.enqueue(func(c *dispatch.Core) { result <- predicate(c) })
+	for !l.enqueue(func(c *dispatch.Core) { result <- predicate(c) }) {
+		if l.ended.Load() || ctx.Err() != nil {
+			return false
+		}
+	}
 	select {
 	case <-ctx.Done():
 		return false
