leader: a start that was never sent does not wait for its worker

Cause: a start that is planned for a worker that has crashed a moment before gets no connection. It counted as a start without response, which may have been executed, and bound the task to the worker until its lease had expired. The connection package tells that nothing was sent; the session did not ask.

Change: an unsent start is rejected at once while the worker does not respond to watch requests, and after three attempts otherwise; the core plans it elsewhere. A start of which anything may have arrived is still stopped first.

Measured: TestUnsentStartGoesElsewhere failed before (not started within 4 s) and passes.

--- a/leader/crash_test.go
+++ b/leader/crash_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -225,6 +226,37 @@
 	}
 }
 
+// refusingConn is a worker that stops responding at its first start, of which nothing arrives.
+type refusingConn struct {
+	idleConn
+	refused atomic.Bool
+}
+
+func (c *refusingConn) Start(context.Context, StartRequest, time.Duration) error {
+	c.refused.Store(true)
+	return errors.Join(ErrNoResponse, ErrNotSent)
+}
+
+func (c *refusingConn) Watch(ctx context.Context, r WatchRequest, _ time.Duration) (*workload.Listing, error) {
+	boottime.Sleep(ctx, min(r.Wait, 20*time.Millisecond))
+	if c.refused.Load() {
+		return nil, errors.New("connection refused")
+	}
+	return &workload.Listing{Incarnation: 1, ClockMS: boottime.Now().Milliseconds()}, ctx.Err()
+}
+
+// TestUnsentStartGoesElsewhere guards against a task that waits for the lease of a worker that has crashed before the start was
+// sent. Nothing can run there.
+func TestUnsentStartGoesElsewhere(t *testing.T) {
+	healthy := &healthyConn{}
+	l := runTestLeader(t, testWorkers{"refusing": &refusingConn{}, "healthy": healthy}, map[string]int{"refusing": 1, "healthy": 8})
+	time.Sleep(100 * time.Millisecond)
+	l.enqueue(func(c *dispatch.Core) { c.AddJob(testJob(), nil) })
+	if !awaitStart(healthy, startLimit) {
+		t.Errorf("the task was not started on the other worker within %s", startLimit)
+	}
+}
+
 // TestWithdrawnStartLeavesTheQueueUnsent guards against a task that runs twice: its start waits behind other requests to the
 // worker, is given up by the core meanwhile and started elsewhere, and is then sent all the same.
 func TestWithdrawnStartLeavesTheQueueUnsent(t *testing.T) {
--- a/leader/session.go
+++ b/leader/session.go
@@ -33,6 +33,8 @@
 	maxStopBackoff = 8
 	// maxUnhealthyAttempts is how often a start request is sent to a worker that reports that it is unhealthy.
 	maxUnhealthyAttempts = 3
+	// maxUnsentAttempts is how often a start is tried at a worker that responds to watch requests but not to new connections.
+	maxUnsentAttempts = 3
 	// loggedAttempts is the number of attempts of a start without response of which one is logged.
 	loggedAttempts = 20
 	// maxRequests is how many start and stop requests to one worker may be in flight at once.
@@ -237,46 +239,82 @@
 	}
 	startedAt := boottime.Now()
 	defer func() { observe(timerStart, boottime.Now()-startedAt) }()
-	incarnation := s.currentIncarnation()
-	for attempt := 1; ctx.Err() == nil; attempt++ {
+	attempts := startAttempts{planned: planned, incarnation: s.currentIncarnation()}
+	for ctx.Err() == nil {
 		request := StartRequest{
 			Ref: planned.Ref, Specification: planned.Specification, Checkpoint: planned.Checkpoint,
 			LeaseUntilMS: s.leaseUntil(boottime.Now()), Epoch: s.leader.Epoch,
 		}
 		err := s.conn.Start(ctx, request, requestTimeout)
-		if s.reportStartOutcome(planned, err, attempt) {
+		attempts.count++
+		attempts.sent = attempts.sent || !errors.Is(err, ErrNotSent)
+		if s.reportStartOutcome(planned, err, attempts.count) {
 			return
 		}
-		s.logFailedAttempt(planned, err, attempt)
-		if !s.awaitRetry(ctx, planned, incarnation) {
+		s.logFailedAttempt(planned, err, attempts.count)
+		if !s.awaitRetry(ctx, &attempts) {
 			return
 		}
 	}
 }
 
+// startAttempts holds the attempts of a start that had no response so far.
+type startAttempts struct {
+	planned dispatch.Start
+	// incarnation is the worker's incarnation before the first attempt.
+	incarnation int64
+	count       int
+	// sent is true if part of an attempt may have reached the worker.
+	sent bool
+}
+
 // awaitRetry waits until a start without response may be sent again, and reports whether it may. While the worker does not
-// respond to watch requests, its process may have ended with the start; another process must not get the same start.
-func (s *session) awaitRetry(ctx context.Context, planned dispatch.Start, incarnation int64) bool {
+// respond to watch requests, its process may have ended with the start; another process must not get the same start. A start that
+// was never sent does not wait for such a worker.
+func (s *session) awaitRetry(ctx context.Context, a *startAttempts) bool {
 	for {
 		boottime.Sleep(s.ctx, requestRetryInterval)
 		if s.ctx.Err() != nil {
-			s.abandonStart(planned, "the address of the worker has changed")
+			s.giveUpStart(a, "the address of the worker has changed")
 			return false
 		}
-		if !s.wantsStart(ctx, planned) {
+		if !s.wantsStart(ctx, a.planned) {
 			return false
 		}
-		current, responding := s.process()
-		if current != incarnation {
-			s.abandonStart(planned, "the worker has restarted")
+		incarnation, responding := s.process()
+		switch {
+		case incarnation != a.incarnation:
+			s.giveUpStart(a, "the worker has restarted")
 			return false
-		}
-		if responding {
+		case !a.sent && (!responding || a.count >= maxUnsentAttempts):
+			s.giveUpStart(a, ErrNotSent.Error())
+			return false
+		case responding:
 			return true
 		}
 	}
 }
 
+// giveUpStart makes the core give up a start without response: at once if it was never sent, otherwise once the worker has
+// confirmed a stop of the run.
+func (s *session) giveUpStart(a *startAttempts, reason string) {
+	s.leader.enqueue(func(c *dispatch.Core) {
+		if a.sent {
+			c.AbandonStart(s.id, a.planned.Ref, reason)
+			return
+		}
+		c.StartRejected(s.id, a.planned.Ref, reason)
+	})
+}
+
+// process returns the worker's incarnation as of its last response to a watch request, and whether the worker has responded to
+// the latest one that ended.
+func (s *session) process() (incarnation int64, responding bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.incarnation, !s.lease.noResponse
+}
+
 // acquireRequestSlot waits for a request slot and reports whether it had to wait.
 func (s *session) acquireRequestSlot() (waited bool) {
 	select {
@@ -293,19 +331,6 @@
 	return s.leader.query(ctx, func(c *dispatch.Core) bool { return c.WantsStart(s.id, planned.Ref) })
 }
 
-// abandonStart makes the core give up a start that may have been executed, or may be executed later.
-func (s *session) abandonStart(planned dispatch.Start, reason string) {
-	s.leader.enqueue(func(c *dispatch.Core) { c.AbandonStart(s.id, planned.Ref, reason) })
-}
-
-// process returns the worker's incarnation as of its last response to a watch request, and whether the worker has responded to
-// the latest one that ended.
-func (s *session) process() (incarnation int64, responding bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.incarnation, !s.lease.noResponse
-}
-
 // reportStartOutcome reports the outcome of a start request to the core. It returns false if the request has to be retried.
 func (s *session) reportStartOutcome(planned dispatch.Start, err error, attempt int) bool {
 	ref := planned.Ref
@@ -322,18 +347,24 @@
 		return false
 	case attempt > 1:
 		// An earlier attempt may have been executed, or may be executed later; the worker must rule that out first.
-		s.abandonStart(planned, err.Error())
+		s.leader.enqueue(func(c *dispatch.Core) { c.AbandonStart(s.id, ref, err.Error()) })
 	default:
 		s.leader.enqueue(func(c *dispatch.Core) { c.StartRejected(s.id, ref, err.Error()) })
 	}
+	s.logOutcome(planned, err, attempt)
+	return true
+}
+
+// logOutcome logs and counts the outcome of a start.
+func (s *session) logOutcome(planned dispatch.Start, err error, attempt int) {
 	if err == nil {
 		count(counterStartsAccepted)
 	} else {
 		count(counterStartsRefused)
 	}
+	ref := planned.Ref
 	s.logger.Info().Str("job", string(ref.Task.Job)).Str("task", ref.Task.String()).Int64("run", ref.Run).
 		Int("attempt", attempt).Bool("resumed", planned.Checkpoint != "").AnErr("refusal", err).Msg("start answered")
-	return true
 }
 
 // logFailedAttempt logs the first attempt of a start and then one in loggedAttempts of those that have to be repeated.
--- a/leader/worker.go
+++ b/leader/worker.go
@@ -24,6 +24,8 @@
 var (
 	// ErrNoResponse means that no usable response arrived; the request may be executed, now or seconds later.
 	ErrNoResponse = errors.New("leader: no response from the worker")
+	// ErrNotSent means that no part of the request can have reached the worker.
+	ErrNotSent = errors.New("leader: no connection to the worker")
 	// ErrStaleEpoch means that the worker has received a request with a higher epoch.
 	ErrStaleEpoch = errors.New("leader: epoch rejected: the worker follows a newer holder of the schedule")
 	// ErrRunEnded means that the worker has ended the run, or has rejected its start before.
@@ -75,7 +77,7 @@
 	Watch(ctx context.Context, request WatchRequest, timeout time.Duration) (*workload.Listing, error)
 	// SameConnection reports whether the next Watch reaches the process that responded to the last one.
 	SameConnection() bool
-	// Start makes the worker start a run.
+	// Start makes the worker start a run. The error also matches ErrNotSent if the request was not sent.
 	Start(ctx context.Context, request StartRequest, timeout time.Duration) error
 	// Stop makes the worker end a run, and keeps it from starting the run later.
 	Stop(ctx context.Context, request StopRequest, timeout time.Duration) error
