--- /dev/null
+++ b/leader/requests.go
@@ -0,0 +1,212 @@
+package leader
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/redwingthread/redwingthread/boottime"
+	"github.com/redwingthread/redwingthread/dispatch"
+)
+
+const (
+	// requestTimeout bounds one attempt of a start or stop request, requestRetryInterval is the pause before the next one.
+	requestTimeout       = 500 * time.Millisecond
+	requestRetryInterval = 50 * time.Millisecond
+	// maxStopBackoff bounds the pause between attempts of a stop request, in multiples of requestRetryInterval.
+	maxStopBackoff = 8
+	// maxUnhealthyAttempts is how often a start request is sent to a worker that reports that it is unhealthy.
+	maxUnhealthyAttempts = 3
+	// maxUnsentAttempts is how often a start is tried at a worker that responds to watch requests but not to new connections.
+	maxUnsentAttempts = 3
+	// loggedAttempts is the number of attempts of a start without response of which one is logged.
+	loggedAttempts = 20
+	// maxRequests is how many start and stop requests to one worker may be in flight at once.
+	maxRequests = 3
+)
+
+// errHolderUnconfirmed means that a request was not sent because another VM may hold the schedule.
+var errHolderUnconfirmed = errors.New("leader: the store has not confirmed that this VM holds the schedule")
+
+// start sends a start request until its outcome is known or the core no longer wants the start. It abandons the start if the
+// address or the process of the worker changes.
+func (s *session) start(ctx context.Context, planned dispatch.Start) {
+	waited := s.acquireRequestSlot()
+	defer func() { <-s.requestSlots }()
+	if waited && !s.wantsStart(ctx, planned) {
+		return
+	}
+	startedAt := boottime.Now()
+	defer func() { observe(timerStart, boottime.Now()-startedAt) }()
+	attempts := startAttempts{planned: planned, incarnation: s.currentIncarnation()}
+	for ctx.Err() == nil {
+		request := StartRequest{
+			Ref: planned.Ref, Specification: planned.Specification, Checkpoint: planned.Checkpoint,
+			LeaseUntilMS: s.leaseUntil(boottime.Now()), Epoch: s.leader.Epoch,
+		}
+		err := s.conn.Start(ctx, request, requestTimeout)
+		attempts.count++
+		attempts.sent = attempts.sent || !errors.Is(err, ErrNotSent)
+		if s.reportStartOutcome(planned, err, attempts.count) {
+			return
+		}
+		s.logFailedAttempt(planned, err, attempts.count)
+		if !s.awaitRetry(ctx, &attempts) {
+			return
+		}
+	}
+}
+
+// startAttempts holds the attempts of a start that had no response so far.
+type startAttempts struct {
+	planned dispatch.Start
+	// incarnation is the worker's incarnation before the first attempt.
+	incarnation int64
+	count       int
+	// sent is true if part of an attempt may have reached the worker.
+	sent bool
+}
+
+// awaitRetry waits until a start without response may be sent again, and reports whether it may. While the worker does not
+// respond to watch requests, its process may have ended with the start; another process must not get the same start. A start that
+// was never sent does not wait for such a worker.
+func (s *session) awaitRetry(ctx context.Context, a *startAttempts) bool {
+	for {
+		boottime.Sleep(s.ctx, requestRetryInterval)
+		if s.ctx.Err() != nil {
+			s.giveUpStart(a, "the address of the worker has changed")
+			return false
+		}
+		if !s.wantsStart(ctx, a.planned) {
+			return false
+		}
+		incarnation, responding := s.process()
+		switch {
+		case incarnation != a.incarnation:
+			s.giveUpStart(a, "the worker has restarted")
+			return false
+		case !a.sent && (!responding || a.count >= maxUnsentAttempts):
+			s.giveUpStart(a, ErrNotSent.Error())
+			return false
+		case responding:
+			return true
+		}
+	}
+}
+
+// giveUpStart makes the core give up a start without response: at once if it was never sent, otherwise once the worker has
+// confirmed a stop of the run.
+func (s *session) giveUpStart(a *startAttempts, reason string) {
+	s.leader.enqueue(func(c *dispatch.Core) {
+		if a.sent {
+			c.AbandonStart(s.id, a.planned.Ref, reason)
+			return
+		}
+		c.StartRejected(s.id, a.planned.Ref, reason)
+	})
+}
+
+// process returns the worker's incarnation as of its last response to a watch request, and whether the worker has responded to
+// the latest one that ended.
+func (s *session) process() (incarnation int64, responding bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.incarnation, !s.lease.noResponse
+}
+
+// acquireRequestSlot waits for a request slot and reports whether it had to wait.
+func (s *session) acquireRequestSlot() (waited bool) {
+	select {
+	case s.requestSlots <- struct{}{}:
+		return false
+	default:
+		s.requestSlots <- struct{}{}
+		return true
+	}
+}
+
+// wantsStart reports whether the core still wants the start; false once ctx has ended.
+func (s *session) wantsStart(ctx context.Context, planned dispatch.Start) bool {
+	return s.leader.query(ctx, func(c *dispatch.Core) bool { return c.WantsStart(s.id, planned.Ref) })
+}
+
+// reportStartOutcome reports the outcome of a start request to the core. It returns false if the request has to be retried.
+func (s *session) reportStartOutcome(planned dispatch.Start, err error, attempt int) bool {
+	ref := planned.Ref
+	switch {
+	case err == nil, errors.Is(err, ErrRunEnded):
+		s.leader.enqueue(func(c *dispatch.Core) { c.StartAccepted(s.id, ref) })
+	case errors.Is(err, ErrStaleEpoch):
+		s.leader.stepDown("worker " + s.id)
+	case errors.Is(err, ErrOtherIncarnation):
+		// The next watch request reports the worker as gone.
+	case errors.Is(err, ErrNoResponse), errors.Is(err, ErrLeaseExpired):
+		return false
+	case errors.Is(err, ErrUnhealthy) && attempt < maxUnhealthyAttempts:
+		return false
+	case attempt > 1:
+		// An earlier attempt may have been executed, or may be executed later; the worker must rule that out first.
+		s.leader.enqueue(func(c *dispatch.Core) { c.AbandonStart(s.id, ref, err.Error()) })
+	default:
+		s.leader.enqueue(func(c *dispatch.Core) { c.StartRejected(s.id, ref, err.Error()) })
+	}
+	s.logOutcome(planned, err, attempt)
+	return true
+}
+
+// logOutcome logs and counts the outcome of a start.
+func (s *session) logOutcome(planned dispatch.Start, err error, attempt int) {
+	if err == nil {
+		count(counterStartsAccepted)
+	} else {
+		count(counterStartsRefused)
+	}
+	ref := planned.Ref
+	s.logger.Info().Str("job", string(ref.Task.Job)).Str("task", ref.Task.String()).Int64("run", ref.Run).
+		Int("attempt", attempt).Bool("resumed", planned.Checkpoint != "").AnErr("refusal", err).Msg("start answered")
+}
+
+// logFailedAttempt logs the first attempt of a start and then one in loggedAttempts of those that have to be repeated.
+func (s *session) logFailedAttempt(planned dispatch.Start, err error, attempt int) {
+	if attempt%loggedAttempts != 1 {
+		return
+	}
+	s.logger.Info().Str("job", string(planned.Ref.Task.Job)).Str("task", planned.Ref.Task.String()).Int64("run", planned.Ref.Run).
+		Int("attempt", attempt).Int64("incarnation", s.currentIncarnation()).Err(err).Msg("start not answered")
+}
+
+// stop sends a stop request until the worker confirms it or the core no longer wants it. It sends nothing while this VM may
+// have been replaced as holder of the schedule. It reports the stop as unconfirmed if the address of the worker changes.
+func (s *session) stop(ctx context.Context, planned dispatch.Stop) {
+	s.acquireRequestSlot()
+	defer func() { <-s.requestSlots }()
+	for attempt := 1; ctx.Err() == nil; attempt++ {
+		err := errHolderUnconfirmed
+		if s.leader.mayDecide(boottime.Now()) {
+			err = s.conn.Stop(ctx, StopRequest{Ref: planned.Ref, Epoch: s.leader.Epoch}, requestTimeout)
+		}
+		if errors.Is(err, ErrStaleEpoch) {
+			s.leader.stepDown("worker " + s.id)
+			return
+		}
+		if errors.Is(err, ErrOtherIncarnation) {
+			// The next watch request reports the worker as gone.
+			return
+		}
+		if err == nil || errors.Is(err, ErrRunEnded) {
+			count(counterStops)
+			s.logger.Info().Str("job", string(planned.Ref.Task.Job)).Str("task", planned.Ref.Task.String()).Int64("run", planned.Ref.Run).
+				Int("attempt", attempt).Str("reason", planned.Reason).Msg("stop answered")
+			s.leader.enqueue(func(c *dispatch.Core) { c.StopConfirmed(s.id, planned.Ref) })
+			return
+		}
+		boottime.Sleep(s.ctx, requestRetryInterval*time.Duration(min(attempt, maxStopBackoff)))
+		if s.ctx.Err() != nil {
+			s.leader.enqueue(func(c *dispatch.Core) { c.StopUnconfirmed(s.id, planned.Ref) })
+			return
+		}
+		if !s.leader.query(ctx, func(c *dispatch.Core) bool { return c.WantsStop(s.id, planned.Ref) }) {
+			return
+		}
+	}
+}
--- a/leader/worker.go
+++ b/leader/worker.go
@@ -6,7 +6,8 @@
 //   - effects.go: what is sent once the states behind it are stored
 //   - cleanup.go: the deletion of the records of ended jobs
 //   - journal.go: the appends of job states
-//   - session.go: the lease, runs and requests of one worker
+//   - session.go: the lease and the listings of one worker
+//   - requests.go: the start and stop requests to one worker
 //   - leaseclock.go: when the lease of a worker expires
 //   - workers.go: the worker list
 //   - presence.go: whether a worker has removed its own entry
