dispatch: a task that crashes its workers is given up

Cause: only runs that are listed as failed count against the limit of their queue. A run that goes with its worker's process made its task ready again without a trace.

Change: the end of a worker's process that did not drain counts against each task that ran there; which one is to blame follows from the starts. Runs that began within a second before the crash are suspected first. A task is given up after 2 crashes if it was the only suspect, after 3 if it was one of several, and after 4 otherwise. A task with a crash starts apart from other starts where there is room. Members of a gang and repetitions count apart, a cut-off or draining worker counts nothing, and a long-running task at work starts from zero again. The counts are part of the stored state, which keeps its format while there are none.

Measured: TestCrashingTaskIsGivenUp, TestCrashCountSurvivesTakeovers and TestRestartUnderTheSameIDIsACrash fail without the count (the task starts a third time).

--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -15,6 +15,7 @@
 //   - assert.go: assertions on starts
 //   - health.go: quarantine of workers on which runs fail or stall
 //   - rate.go: detection of workers that run tasks slowly, and their exclusion
+//   - crash.go: attribution of a worker's crash to the tasks that ran there
 //   - move.go: migration of runs away from slow workers
 package dispatch
 
@@ -177,6 +178,9 @@
 	// confirmedAt is when the worker responded to the start or a stop; the constant never before that. A listing that
 	// contains the run does not count: another attempt of the start may arrive after the worker's process has restarted.
 	confirmedAt time.Duration
+	// beganAt is when the worker accepted the start; the constant never for a start without response and for runs that an earlier
+	// holder started.
+	beganAt time.Duration
 	// unverified placements were restored after a takeover, and their worker has not listed its runs since.
 	unverified bool
 	// stopping is true once a stop has been issued. The capacity stays in use until the end of the run is listed.
--- /dev/null
+++ b/dispatch/crash_test.go
@@ -0,0 +1,262 @@
+package dispatch
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/redwingthread/redwingthread/workload"
+)
+
+// crash ends the process of the worker and starts one with another id at its address, as the core learns it from the rejection of
+// a request meant for the old process.
+func (c *cluster) crash(worker string) {
+	w := c.workers[worker]
+	delete(c.workers, worker)
+	c.workerIDs = slices.DeleteFunc(c.workerIDs, func(id string) bool { return id == worker })
+	c.core.SetReachable(worker, false)
+	c.core.DropWorker(worker)
+	c.core.MarkWorkerGone(worker, GoneReplaced)
+	info := w.info
+	info.ID += "+"
+	info.Incarnation++
+	c.workers[info.ID] = &simWorker{info: info, running: map[workload.RunRef]*simRun{}}
+	c.workerIDs = append(c.workerIDs, info.ID)
+	c.core.SetWorker(info)
+	c.list(info.ID)
+}
+
+// crashRun crashes the worker of the only run of the task and returns the worker.
+func (c *cluster) crashRun(task workload.TaskID) {
+	c.t.Helper()
+	for ref, worker := range c.placed(string(task.Job)) {
+		if ref.Task == task {
+			c.crash(worker)
+			return
+		}
+	}
+	c.t.Fatalf("%v does not run", task)
+}
+
+// settle advances the time past the start window, so that running runs are no suspects of a crash.
+func (c *cluster) settle() {
+	c.advance(startWindow + simTick)
+	c.listAll()
+}
+
+// TestCrashingTaskIsGivenUp guards against a task that crashes one worker after the other: its job must fail after the second
+// crash, and stay failed after a takeover.
+func TestCrashingTaskIsGivenUp(t *testing.T) {
+	c := newCluster(t, 8)
+	c.submit("a", "normal", "large", tasks(1, 1))
+	for n := range 2 {
+		if starts := c.plan().Starts; len(starts) != 1 {
+			t.Fatalf("%d starts after %d crashes, want 1", len(starts), n)
+		}
+		c.crashRun(workload.TaskID{Job: "a"})
+	}
+	if plan := c.plan(); len(plan.Starts) != 0 || c.phases["a"] != workload.PhaseFailed {
+		t.Fatalf("after 2 crashes the job is %v and starts %v, want failed and none", c.phases["a"], plan.Starts)
+	}
+	c.takeOver()
+	c.listAll()
+	if plan := c.plan(); len(plan.Starts) != 0 || c.phases["a"] != workload.PhaseFailed {
+		t.Fatalf("after a takeover the job is %v and starts %v, want failed and none", c.phases["a"], plan.Starts)
+	}
+}
+
+// TestCrashCountSurvivesTakeovers guards against a task that crashes workers without a limit because each new holder of the
+// schedule counts from zero.
+func TestCrashCountSurvivesTakeovers(t *testing.T) {
+	c := newCluster(t, 8)
+	c.submit("a", "normal", "large", tasks(1, 1))
+	for range 2 {
+		c.plan()
+		c.crashRun(workload.TaskID{Job: "a"})
+		c.store()
+		c.takeOver()
+		c.listAll()
+	}
+	if plan := c.plan(); len(plan.Starts) != 0 || c.phases["a"] != workload.PhaseFailed {
+		t.Fatalf("after 2 crashes and takeovers the job is %v and starts %v, want failed and none", c.phases["a"], plan.Starts)
+	}
+}
+
+// TestCrashSparesNeighbours guards against jobs that fail because they ran beside a task that crashes its workers: runs that are
+// lost together become ready together and were placed together again. Every other job must end, and the one to blame after
+// at most three crashes.
+func TestCrashSparesNeighbours(t *testing.T) {
+	c := newCluster(t, 16)
+	deadly := workload.TaskID{Job: "deadly"}
+	for i := range 7 {
+		c.submit(fmt.Sprintf("neighbour%d", i), "normal", "large", tasks(1, 1))
+	}
+	c.submit("deadly", "normal", "large", tasks(1, 1))
+	crashes := 0
+	for range 20 {
+		c.plan()
+		for ref, worker := range c.placed("deadly") {
+			if ref.Task == deadly {
+				crashes++
+				c.crash(worker)
+			}
+		}
+		c.advance(simTick)
+	}
+	if c.phases["deadly"] != workload.PhaseFailed || crashes > suspectCrashes {
+		t.Errorf("the crashing job is %v after %d crashes, want failed after at most %d", c.phases["deadly"], crashes, suspectCrashes)
+	}
+	c.settle()
+	for i := range 7 {
+		c.endAll(fmt.Sprintf("neighbour%d", i), workload.EndDone)
+	}
+	c.listAll()
+	c.plan()
+	for i := range 7 {
+		if id := workload.JobID(fmt.Sprintf("neighbour%d", i)); c.phases[id] != workload.PhaseCompleted {
+			t.Errorf("job %s is %v, want completed", id, c.phases[id])
+		}
+	}
+}
+
+// TestOlderRunsAreSuspectedLast guards against jobs that fail because workers crashed under them for other reasons: a task that has
+// run for longer than others on the same worker is given up only after maxCrashes crashes.
+func TestOlderRunsAreSuspectedLast(t *testing.T) {
+	c := newCluster(t, 1)
+	c.submit("old", "normal", "large", tasks(1, 1))
+	for n := range maxCrashes {
+		c.plan()
+		c.settle()
+		other := fmt.Sprintf("new%d", n)
+		c.submit(other, "normal", "large", tasks(1, 1))
+		c.plan()
+		if c.phases["old"].Final() {
+			t.Fatalf("the older job is %v after %d crashes, want a phase that is not final", c.phases["old"], n)
+		}
+		c.crashRun(workload.TaskID{Job: "old"})
+		c.core.CancelJob(workload.JobID(other))
+	}
+	c.plan()
+	if c.phases["old"] != workload.PhaseFailed {
+		t.Errorf("the older job is %v after %d crashes, want failed", c.phases["old"], maxCrashes)
+	}
+}
+
+// TestCutOffWorkerIsNoCrash guards against a job that is shown as failed because the workers of its task were cut off, or left as
+// announced.
+func TestCutOffWorkerIsNoCrash(t *testing.T) {
+	for _, reason := range []GoneReason{GoneLeaseExpired, GoneDeregistered} {
+		c := newCluster(t, 16)
+		c.submit("a", "normal", "large", tasks(1, 1))
+		for range 2 * maxCrashes {
+			start := c.plan().Starts[0]
+			c.core.SetReachable(start.Worker, false)
+			c.core.MarkWorkerGone(start.Worker, reason)
+			delete(c.workers[start.Worker].running, start.Ref)
+		}
+		if c.plan(); c.phases["a"].Final() {
+			t.Errorf("%s: the job is %v, want a phase that is not final", reason, c.phases["a"])
+		}
+	}
+}
+
+// TestReplacedDrainingWorkerIsNoCrash guards against a job that fails because its workers were replaced by planned work.
+func TestReplacedDrainingWorkerIsNoCrash(t *testing.T) {
+	c := newCluster(t, 16)
+	c.submit("a", "normal", "large", tasks(1, 1))
+	for range 2 * maxCrashes {
+		start := c.plan().Starts[0]
+		info := c.workers[start.Worker].info
+		info.Draining = true
+		c.core.SetWorker(info)
+		c.crash(start.Worker)
+		c.workers[start.Worker+"+"].info.Draining = true
+		c.core.SetWorker(c.workers[start.Worker+"+"].info)
+	}
+	if c.plan(); c.phases["a"].Final() {
+		t.Errorf("the job is %v, want a phase that is not final", c.phases["a"])
+	}
+}
+
+// TestGangMembersCountTheirOwnCrashes guards against a gang that fails although no member was on two crashed workers: the other
+// members end with the one whose worker has crashed and are not to blame.
+func TestGangMembersCountTheirOwnCrashes(t *testing.T) {
+	c := newCluster(t, 16)
+	c.submit("a", "normal", "large", gangOf(4, 8))
+	for member := range 4 {
+		c.plan()
+		c.crashRun(workload.TaskID{Job: "a", Index: member})
+		c.plan()
+		c.listAll()
+	}
+	if c.phases["a"].Final() {
+		t.Fatalf("the gang is %v after one crash of each member, want a phase that is not final", c.phases["a"])
+	}
+	c.plan()
+	c.crashRun(workload.TaskID{Job: "a", Index: 2})
+	c.plan()
+	if c.phases["a"] != workload.PhaseFailed {
+		t.Errorf("the gang is %v after two crashes of one member, want failed", c.phases["a"])
+	}
+}
+
+// TestRepetitionsCountTheirOwnCrashes guards against a scheduled job that fails because several of its repetitions were each on one
+// crashed worker.
+func TestRepetitionsCountTheirOwnCrashes(t *testing.T) {
+	c := newCluster(t, 8)
+	c.submitJob(&workload.Job{
+		ID: "a", Queue: "normal", Service: "svc", Account: "large", Steps: []workload.Step{tasks(1, 1)}, AcceptedAt: c.wall(),
+		Repetitions: 4, FirstRun: c.wall(), Interval: time.Second,
+	})
+	for repetition := range 4 {
+		c.advance(dueMargin)
+		c.plan()
+		c.crashRun(workload.TaskID{Job: "a", Repetition: repetition})
+		c.plan()
+		if repetition == 3 {
+			break
+		}
+		c.endAll("a", workload.EndDone)
+		c.listAll()
+		c.advance(time.Second - dueMargin)
+	}
+	if c.plan(); c.phases["a"].Final() {
+		t.Errorf("the job is %v after one crash of each repetition, want a phase that is not final", c.phases["a"])
+	}
+}
+
+// TestLongRunningTaskAtWorkIsNotBlamed guards against a long-running task that is given up because workers crashed under it in the
+// course of its life. One that never reaches its working state is given up.
+func TestLongRunningTaskAtWorkIsNotBlamed(t *testing.T) {
+	for _, percent := range []int{0, 100} {
+		c := newCluster(t, 8)
+		step := tasks(1, 1)
+		step.LongRunning = true
+		c.submit("a", "normal", "large", step)
+		for range 2 {
+			start := c.plan().Starts[0]
+			c.workers[start.Worker].running[start.Ref].percent = percent
+			c.listAll()
+			c.crash(start.Worker)
+		}
+		c.plan()
+		if failed := c.phases["a"] == workload.PhaseFailed; failed != (percent == 0) {
+			t.Errorf("at %d percent the job is %v after two crashes", percent, c.phases["a"])
+		}
+	}
+}
+
+// TestRestartUnderTheSameIDIsACrash guards against crashes that are not counted because the worker comes back under its id.
+func TestRestartUnderTheSameIDIsACrash(t *testing.T) {
+	c := newCluster(t, 8)
+	c.submit("a", "normal", "large", tasks(1, 1))
+	for range 2 {
+		start := c.plan().Starts[0]
+		c.advance(simTick)
+		c.restart(start.Worker)
+	}
+	if plan := c.plan(); len(plan.Starts) != 0 || c.phases["a"] != workload.PhaseFailed {
+		t.Errorf("after 2 crashes the job is %v and starts %v, want failed and none", c.phases["a"], plan.Starts)
+	}
+}
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -25,10 +25,12 @@
 
 // Weights of the penalties that rank workers for a task; the worker with the lowest sum is chosen. weightAvoided counts for
 // each run of the unit that went wrong on the worker, weightRemote for a worker outside the preferred rack, and
-// weightFailures for each failure on the worker since its last success.
+// weightTrial if a crash of the worker could not be attributed to one task, weightFailures for each failure on the worker since its
+// last success.
 const (
 	weightAvoided  = 10_000
 	weightRemote   = 1_000
+	weightTrial    = 500
 	weightFailures = 100
 )
 
@@ -168,7 +170,7 @@
 		if remote && !localityWaitOver && c.rackCanServe(preferred, s) {
 			continue
 		}
-		score := u.penalty(w)
+		score := c.penalty(u, w)
 		if remote {
 			score += weightRemote
 		}
@@ -201,11 +203,15 @@
 	})
 }
 
-// penalty rates a worker for a task; lower is better. It prefers workers without failures, and among those the one that is
+// penalty rates a worker for a task; lower is better. It prefers workers without failures and trials, and among those the one that is
 // left with the fewest free accelerators (best fit), so that whole workers stay free for large tasks.
-func (u *unit) penalty(w *worker) int {
+func (c *Core) penalty(u *unit, w *worker) int {
 	left := w.free().Accelerators - u.step.spec.Demand.Accelerators
-	return left + u.avoid[w.id]*weightAvoided + w.health.failures*weightFailures
+	sum := left + u.avoid[w.id]*weightAvoided + w.health.failures*weightFailures
+	if c.sharesTrial(u, w) {
+		sum += weightTrial
+	}
+	return sum
 }
 
 // rackRoom describes how many members of a gang one rack, or all racks together, can run. rack, accelerators and avoided
@@ -231,19 +237,19 @@
 	}
 	racks := c.roomsNow(u)
 	if !s.spec.SameRack && s.spec.DataRack == "" {
-		return assignMembers(u, merge(racks))
+		return c.assignMembers(u, merge(racks))
 	}
 	preferred := s.spec.DataRack
 	localityWaitOver := c.localityWaitOver(s)
 	fits := slices.DeleteFunc(slices.Clone(racks), func(r *rackRoom) bool { return r.total < u.size })
 	slices.SortStableFunc(fits, func(a, b *rackRoom) int { return a.compare(b, preferred) })
 	if len(fits) > 0 && (preferred == "" || fits[0].rack == preferred || localityWaitOver) {
-		return assignMembers(u, fits[0])
+		return c.assignMembers(u, fits[0])
 	}
 	if !localityWaitOver && c.anyRackCouldFit(u) {
 		return nil
 	}
-	return assignMembers(u, merge(racks))
+	return c.assignMembers(u, merge(racks))
 }
 
 // compare orders racks: the preferred rack first, then those with the fewest avoided workers, then those with the fewest
@@ -346,7 +352,7 @@
 }
 
 // assignMembers returns one worker per member, taken in order of penalty; nil if there is not enough room.
-func assignMembers(u *unit, r *rackRoom) []*worker {
+func (c *Core) assignMembers(u *unit, r *rackRoom) []*worker {
 	if r.total < u.size {
 		return nil
 	}
@@ -355,7 +361,7 @@
 		byPenalty[i] = i
 	}
 	slices.SortStableFunc(byPenalty, func(a, b int) int {
-		return cmp.Compare(u.penalty(r.workers[a]), u.penalty(r.workers[b]))
+		return cmp.Compare(c.penalty(u, r.workers[a]), c.penalty(u, r.workers[b]))
 	})
 	members := make([]*worker, 0, u.size)
 	for _, at := range byPenalty {
--- a/dispatch/units.go
+++ b/dispatch/units.go
@@ -42,7 +42,7 @@
 
 func (u *unit) newPlacement(member int, w *worker) *placement {
 	return &placement{
-		unit: u, member: member, worker: w, confirmedAt: never, percentAt: never,
+		unit: u, member: member, worker: w, confirmedAt: never, beganAt: never, percentAt: never,
 		ref: workload.RunRef{Task: u.task(member), Run: u.state.Run},
 	}
 }
@@ -101,6 +101,7 @@
 	for member, w := range workers {
 		p := u.newPlacement(member, w)
 		c.attach(p)
+		w.recordStart(u, c.now)
 		c.starts = append(c.starts, c.startCommand(p))
 	}
 	c.markChanged(j)
@@ -132,7 +133,12 @@
 }
 
 // StartAccepted records that the worker has accepted the start or has ended the run.
-func (c *Core) StartAccepted(workerID string, ref workload.RunRef) { c.confirm(workerID, ref) }
+func (c *Core) StartAccepted(workerID string, ref workload.RunRef) {
+	if p := c.placement(workerID, ref); p != nil && p.beganAt < 0 {
+		p.beganAt = c.now
+	}
+	c.confirm(workerID, ref)
+}
 
 // StopConfirmed records that the worker will not start the run any more.
 func (c *Core) StopConfirmed(workerID string, ref workload.RunRef) { c.confirm(workerID, ref) }
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -18,9 +18,10 @@
 	listed bool
 	// listedAt is when the request for the latest listing was sent.
 	listedAt time.Duration
-	// reachable workers responded to the last request.
-	reachable bool
-	runs      map[workload.RunRef]*placement
+	// reachable workers responded to the last request. unreachableAt is when a worker that is not reachable failed to respond first.
+	reachable     bool
+	unreachableAt time.Duration
+	runs          map[workload.RunRef]*placement
 	// used is the capacity that the runs use.
 	used resource.Resources
 	// claimed is the capacity that is kept for waiting steps.
@@ -36,6 +37,9 @@
 	slowUntil, probationUntil time.Duration
 	// leavesAt is the earliest time at which a draining worker leaves; 0 if the worker does not drain or has not announced it.
 	leavesAt time.Duration
+	// lastStartAt is when the last start on the worker was decided; 0 if none was. Until trialUntil, other units should not start
+	// there, so that a crash can be attributed.
+	lastStartAt, trialUntil time.Duration
 	// urgentEndedAt is when work of priority 0 last ended on the worker; 0 if none has.
 	urgentEndedAt time.Duration
 }
@@ -81,9 +85,14 @@
 
 // SetReachable records whether the worker responded to the last request.
 func (c *Core) SetReachable(id string, reachable bool) {
-	if w := c.workers[id]; w != nil {
-		w.reachable = reachable
+	w := c.workers[id]
+	if w == nil {
+		return
+	}
+	if w.reachable && !reachable {
+		w.unreachableAt = c.now
 	}
+	w.reachable = reachable
 }
 
 // GoneReason is the evidence that no run started so far can still be running on a worker.
@@ -105,9 +114,17 @@
 	if w == nil {
 		return
 	}
-	for _, p := range w.sortedRuns() {
+	lost := w.sortedRuns()
+	var guilty []*unit
+	if reason == GoneReplaced {
+		guilty = c.recordCrash(w, lost)
+	}
+	for _, p := range lost {
 		c.runLost(p, "worker gone: "+string(reason))
 	}
+	for _, u := range guilty {
+		c.giveUp(u)
+	}
 	w.listed = false
 	w.reachable = false
 	c.removeIfUnused(w)
@@ -178,19 +195,30 @@
 		present[listing.Running[i].RunRef] = true
 		c.applyRunning(w, &listing.Running[i])
 	}
-	for _, p := range w.sortedRuns() {
-		if present[p.ref] {
-			continue
-		}
+	absent := slices.DeleteFunc(w.sortedRuns(), func(p *placement) bool { return present[p.ref] })
+	c.handleAbsentRuns(w, absent, restarted, sentAt)
+	w.listed = true
+	w.listedAt = sentAt
+	w.reachable = true
+	return w.lastAppliedEnd
+}
+
+// handleAbsentRuns handles the known runs that are missing from the worker's listing. restarted is true for the first listing of a
+// new process.
+func (c *Core) handleAbsentRuns(w *worker, absent []*placement, restarted bool, sentAt time.Duration) {
+	var guilty []*unit
+	if restarted {
+		guilty = c.recordCrash(w, absent)
+	}
+	for _, p := range absent {
 		if restarted {
 			c.handleRestart(p)
 		}
 		c.handleAbsent(p, sentAt)
 	}
-	w.listed = true
-	w.listedAt = sentAt
-	w.reachable = true
-	return w.lastAppliedEnd
+	for _, u := range guilty {
+		c.giveUp(u)
+	}
 }
 
 // applyRunning applies one listed running run.
@@ -213,6 +241,7 @@
 	if p.unit.state.Run == r.Run && r.Checkpoint != "" {
 		p.unit.state.Checkpoint = r.Checkpoint
 	}
+	c.recordAtWork(p, r.Percent)
 	c.recordProgress(p, r.Percent)
 	c.measureRate(p)
 }
--- a/workload/state.go
+++ b/workload/state.go
@@ -1,9 +1,11 @@
 package workload
 
 import (
+	"cmp"
 	"encoding/binary"
 	"errors"
 	"fmt"
+	"slices"
 )
 
 // Phase is the phase of a job's life cycle.
@@ -59,6 +61,33 @@
 	Workers []string
 	// Checkpoint is the latest known checkpoint; empty for none.
 	Checkpoint string
+	// Crashes holds the members during whose runs the process of their worker ended, in order of member.
+	Crashes []MemberCrashes
+}
+
+// MemberCrashes is the number of crashes during the runs of one member; the member of a single task is 0.
+type MemberCrashes struct{ Member, Count int }
+
+// AddCrash counts a crash during a run of the member and returns the new count.
+func (u *UnitState) AddCrash(member int) int {
+	at, found := slices.BinarySearchFunc(u.Crashes, member, func(c MemberCrashes, member int) int { return cmp.Compare(c.Member, member) })
+	// The slice may be shared with an exported state.
+	u.Crashes = slices.Clone(u.Crashes)
+	if !found {
+		u.Crashes = slices.Insert(u.Crashes, at, MemberCrashes{Member: member})
+	}
+	u.Crashes[at].Count++
+	return u.Crashes[at].Count
+}
+
+// ClearCrashes discards the crashes of the member and reports whether there were any.
+func (u *UnitState) ClearCrashes(member int) bool {
+	kept := slices.DeleteFunc(slices.Clone(u.Crashes), func(c MemberCrashes) bool { return c.Member == member })
+	if len(kept) == len(u.Crashes) {
+		return false
+	}
+	u.Crashes = kept
+	return true
 }
 
 // StepState is the durable state of one step of one repetition. Units is nil if the step is done or nothing of it was
@@ -75,8 +104,12 @@
 	Repetitions [][]StepState
 }
 
-// stateFormat is the first byte of an encoded state; states with another first byte are rejected.
-const stateFormat = 1
+// The first byte of an encoded state; states with another first byte are rejected. States without crashes keep the older format,
+// so that a VM with an earlier version of the program can read them during an upgrade.
+const (
+	stateFormat        = 1
+	stateFormatCrashes = 2
+)
 
 // errCorrupt reports an encoded state that cannot be decoded.
 var errCorrupt = errors.New("workload: the encoded job state is corrupt")
@@ -84,7 +117,7 @@
 // Encode returns the encoded state. Its second byte is the phase, so that a reader that needs only the phase can skip the
 // rest.
 func (s *JobState) Encode() []byte {
-	enc := encoder{workerNumbers: map[string]uint64{}}
+	enc := encoder{format: s.format(), workerNumbers: map[string]uint64{}}
 	enc.uint(uint64(len(s.Repetitions)))
 	for _, steps := range s.Repetitions {
 		enc.uint(uint64(len(steps)))
@@ -92,7 +125,7 @@
 			enc.step(&steps[i])
 		}
 	}
-	header := []byte{stateFormat, byte(s.Phase)}
+	header := []byte{enc.format, byte(s.Phase)}
 	header = binary.AppendUvarint(header, uint64(len(enc.workerNames)))
 	for _, name := range enc.workerNames {
 		header = appendString(header, name)
@@ -100,8 +133,21 @@
 	return append(header, enc.body...)
 }
 
+// format returns the format in which the state is encoded.
+func (s *JobState) format() byte {
+	for _, steps := range s.Repetitions {
+		for _, step := range steps {
+			if slices.ContainsFunc(step.Units, func(u UnitState) bool { return len(u.Crashes) > 0 }) {
+				return stateFormatCrashes
+			}
+		}
+	}
+	return stateFormat
+}
+
 // encoder collects the body of an encoded state and the table of worker names that the body refers to.
 type encoder struct {
+	format        byte
 	body          []byte
 	workerNames   []string
 	workerNumbers map[string]uint64
@@ -131,6 +177,14 @@
 		e.uint(e.worker(name))
 	}
 	e.body = appendString(e.body, u.Checkpoint)
+	if e.format < stateFormatCrashes {
+		return
+	}
+	e.uint(uint64(len(u.Crashes)))
+	for _, c := range u.Crashes {
+		e.uint(uint64(c.Member))
+		e.uint(uint64(c.Count))
+	}
 }
 
 // worker returns the number of the name in the table, starting at 1; 0 stands for no worker. It adds a name that is missing.
@@ -154,7 +208,7 @@
 
 // DecodePhase returns the phase of an encoded state; errCorrupt if the header is invalid. It does not check the rest.
 func DecodePhase(b []byte) (Phase, error) {
-	if len(b) < 2 || b[0] != stateFormat || b[1] > byte(PhaseCancelled) {
+	if len(b) < 2 || b[0] != stateFormat && b[0] != stateFormatCrashes || b[1] > byte(PhaseCancelled) {
 		return 0, errCorrupt
 	}
 	return Phase(b[1]), nil
@@ -166,7 +220,7 @@
 	if err != nil {
 		return nil, err
 	}
-	d := decoder{rest: b[2:]}
+	d := decoder{format: b[0], rest: b[2:]}
 	for range d.count() {
 		d.workerNames = append(d.workerNames, d.string())
 	}
@@ -182,6 +236,7 @@
 
 // decoder decodes the encoded state in rest.
 type decoder struct {
+	format      byte
 	rest        []byte
 	workerNames []string
 	// failed is set if the encoding is corrupt. All further values are then without meaning.
@@ -255,6 +310,12 @@
 		u.Workers = append(u.Workers, d.worker())
 	}
 	u.Checkpoint = d.string()
+	if d.format < stateFormatCrashes {
+		return u
+	}
+	for range d.count() {
+		u.Crashes = append(u.Crashes, MemberCrashes{Member: int(d.uint()), Count: int(d.uint())})
+	}
 	return u
 }
 
--- a/workload/state_test.go
+++ b/workload/state_test.go
@@ -48,16 +48,20 @@
 	}
 }
 
-// busyState returns the state of a job all of whose tasks run for the hundredth time, each on a worker of its own.
+// busyState returns the state of a job all of whose tasks run for the hundredth time, each on a worker of its own and after three
+// crashes.
 func busyState(job *Job) *JobState {
 	run := UnitState{Status: UnitActive, Run: 1 << 34, LastCountedRun: 1 << 34, Failures: 100, Checkpoint: "00000bb87a21d94b"}
 	worker := func(i int) string { return fmt.Sprintf("i-%010x", i) }
+	run.Crashes = []MemberCrashes{{Count: 3}}
 	steps := make([]StepState, len(job.Steps))
 	for i, step := range job.Steps {
 		if step.Gang {
 			gang := run
+			gang.Crashes = nil
 			for member := range step.Tasks {
 				gang.Workers = append(gang.Workers, worker(member))
+				gang.Crashes = append(gang.Crashes, MemberCrashes{Member: member, Count: 3})
 			}
 			steps[i].Units = []UnitState{gang}
 			continue
@@ -96,11 +100,33 @@
 			Failures:       rapid.IntRange(0, 9).Draw(t, "failures"),
 			Workers:        rapid.SliceOfN(rapid.SampledFrom([]string{"", "w1", "w2"}), 1, 3).Draw(t, "workers"),
 			Checkpoint:     rapid.StringN(0, 16, -1).Draw(t, "checkpoint"),
+			Crashes:        drawCrashes(t),
 		})
 	}
 	return step
 }
 
+func drawCrashes(t *rapid.T) (crashes []MemberCrashes) {
+	for member := range rapid.IntRange(0, 2).Draw(t, "members with crashes") {
+		crashes = append(crashes, MemberCrashes{Member: member, Count: rapid.IntRange(1, 9).Draw(t, "crashes")})
+	}
+	return crashes
+}
+
+// TestStatesWithoutCrashesKeepTheirFormat guards against an upgrade in which a VM with the earlier version takes the schedule over,
+// cannot decode the states and starts their jobs from the beginning.
+func TestStatesWithoutCrashesKeepTheirFormat(t *testing.T) {
+	unit := UnitState{Status: UnitActive, Run: 3, Workers: []string{"w"}}
+	state := &JobState{Phase: PhaseRunning, Repetitions: [][]StepState{{{Units: []UnitState{unit}}}}}
+	if format := state.Encode()[0]; format != stateFormat {
+		t.Errorf("a state without crashes has format %d, want %d", format, stateFormat)
+	}
+	state.Repetitions[0][0].Units[0].AddCrash(0)
+	if format := state.Encode()[0]; format != stateFormatCrashes {
+		t.Errorf("a state with a crash has format %d, want %d", format, stateFormatCrashes)
+	}
+}
+
 // TestCorruptStateIsRejected guards against a VM that crashes on bytes that are no encoded state, such as a record of
 // another writer, or that accepts a truncated state.
 func TestCorruptStateIsRejected(t *testing.T) {
@@ -110,10 +136,13 @@
 			t.Fatal("DecodeState returned neither a state nor an error")
 		}
 	})
-	encoded := (&JobState{Repetitions: [][]StepState{{{Units: []UnitState{{Status: UnitActive, Run: 3, Workers: []string{"w"}}}}}}}).Encode()
-	for length := range encoded {
-		if _, err := DecodeState(encoded[:length]); err == nil {
-			t.Fatalf("a state truncated to %d of %d bytes was accepted", length, len(encoded))
+	for _, crashes := range [][]MemberCrashes{nil, {{Member: 0, Count: 1}}} {
+		unit := UnitState{Status: UnitActive, Run: 3, Workers: []string{"w"}, Crashes: crashes}
+		encoded := (&JobState{Repetitions: [][]StepState{{{Units: []UnitState{unit}}}}}).Encode()
+		for length := range encoded {
+			if _, err := DecodeState(encoded[:length]); err == nil {
+				t.Fatalf("a state truncated to %d of %d bytes was accepted", length, len(encoded))
+			}
 		}
 	}
 }
