dispatch: a worker that shrinks keeps no start that exceeds its capacity

Found by a test.

Cause: a start is checked against the capacity when it is planned. One without response was sent again for as long as the core wanted it, also long after its worker had shrunk.

Change: when the capacity of a worker falls below what it runs, the latest starts without response are abandoned until the rest fits. Placement, which uses the capacity at hand, needed no change; a test covers runs that exceed the capacity, runs that are being stopped, and growth.

--- /dev/null
+++ b/dispatch/capacity_test.go
@@ -0,0 +1,70 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/redwingthread/redwingthread/resource"
+	"github.com/redwingthread/redwingthread/workload"
+)
+
+// resize changes the stated capacity of a worker.
+func (c *cluster) resize(worker string, accelerators int) {
+	w := c.workers[worker]
+	w.info.Capacity = resource.Resources{Accelerators: accelerators, MilliCPU: workerSize.MilliCPU, MemoryMB: workerSize.MemoryMB}
+	c.core.SetWorker(w.info)
+}
+
+// TestShrunkWorkerGetsNoMoreThanItsCapacity guards against starts beyond the capacity of a worker that has shrunk and does not
+// guard it, while its runs exceed it, while they are being stopped, and once they have ended; and against room that is not used
+// after the worker has grown again.
+func TestShrunkWorkerGetsNoMoreThanItsCapacity(t *testing.T) {
+	c := newCluster(t, 1)
+	c.submit("a", "normal", "large", tasks(6, 1))
+	c.plan()
+	c.resize("w00", 4)
+	c.submit("b", "normal", "large", tasks(8, 1))
+	if starts := c.plan().Starts; len(starts) != 0 {
+		t.Fatalf("%d starts on a worker with 6 runs and a capacity of 4", len(starts))
+	}
+	c.core.CancelJob("a")
+	if starts := c.decide().Starts; len(starts) != 0 {
+		t.Fatalf("%d starts on a worker with 6 runs that are being stopped and a capacity of 4", len(starts))
+	}
+	c.endAll("a", workload.EndStopped)
+	c.listAll()
+	c.advance(time.Second)
+	if starts := c.plan().Starts; len(starts) != 4 {
+		t.Fatalf("%d starts on an empty worker with a capacity of 4, want 4", len(starts))
+	}
+	c.resize("w00", 7)
+	if starts := c.plan().Starts; len(starts) != 3 {
+		t.Fatalf("%d starts after the capacity has grown to 7, want 3", len(starts))
+	}
+}
+
+// TestShrunkWorkerKeepsNoPendingStart guards against a start that had no response and is sent again long after its worker has
+// shrunk below what it runs.
+func TestShrunkWorkerKeepsNoPendingStart(t *testing.T) {
+	c := newCluster(t, 1)
+	c.submit("a", "normal", "large", tasks(6, 1))
+	starts := c.decide().Starts
+	for _, start := range starts[:4] {
+		c.start(start)
+	}
+	c.resize("w00", 5)
+	pending := 0
+	for _, start := range starts[4:] {
+		if c.core.WantsStart(start.Worker, start.Ref) {
+			pending++
+		}
+	}
+	if plan := c.decide(); pending != 1 || len(plan.Stops) != 1 || len(plan.Starts) != 0 {
+		t.Fatalf("%d of 2 starts without response are still wanted with room for one, and the plan is %+v; want 1 and one stop", pending, plan)
+	}
+	for _, start := range starts[:4] {
+		if !c.core.WantsStart(start.Worker, start.Ref) {
+			t.Errorf("%v was accepted before the worker shrank and is not wanted any more", start.Ref)
+		}
+	}
+}
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -15,6 +15,7 @@
 //   - assert.go: assertions on starts
 //   - health.go: quarantine of workers on which runs fail or stall
 //   - rate.go: detection of workers that run tasks slowly, and their exclusion
+//   - capacity.go: workers whose capacity shrinks
 //   - crash.go: attribution of a worker's crash to the tasks that ran there
 //   - move.go: migration of runs away from slow workers
 package dispatch
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -26,7 +26,7 @@
 	used resource.Resources
 	// claimed is the capacity that is kept for waiting steps.
 	claimed resource.Resources
-	// incarnation is the worker's incarnation as of its latest listing; info may be of another one.
+	// incarnation is the worker's incarnation as of its latest listing; info may be of another one until its entry is read.
 	incarnation int64
 	// lastAppliedEnd is the highest sequence number of the ends of this incarnation that were applied.
 	lastAppliedEnd int64
@@ -65,6 +65,7 @@
 	w.info = info
 	w.registered = true
 	c.noteDraining(w)
+	c.withdrawExcess(w)
 }
 
 // resetHealth clears the failures and slowness recorded for an earlier incarnation.
