dispatch: a worker's new process gets no work by its predecessor's entry

Cause: a worker that restarts under its id lists its runs up to two seconds before its new entry is read. Work was placed there by the capacity, labels and state of the process that had ended, although a new process may be of another kind.

Change: a worker accepts work only if its entry is not that of an earlier process than its listing.

--- a/dispatch/capacity_test.go
+++ b/dispatch/capacity_test.go
@@ -68,3 +68,19 @@
 		}
 	}
 }
+
+// TestNewProcessGetsNoWorkByItsPredecessorsEntry guards against starts by the capacity, labels or state of a process that has ended:
+// a worker that has restarted under its id lists its runs before its new entry is read.
+func TestNewProcessGetsNoWorkByItsPredecessorsEntry(t *testing.T) {
+	c := newCluster(t, 1)
+	c.advance(simTick)
+	c.restart("w00")
+	c.submit("a", "normal", "large", tasks(6, 1))
+	if starts := c.plan().Starts; len(starts) != 0 {
+		t.Fatalf("%d starts by the entry of the process that has ended", len(starts))
+	}
+	c.resize("w00", 4)
+	if starts := c.plan().Starts; len(starts) != 4 {
+		t.Fatalf("%d starts by the entry of the new process, want 4", len(starts))
+	}
+}
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -53,9 +53,15 @@
 // free returns the worker's capacity minus that of its runs and of claims; components may be negative.
 func (w *worker) free() resource.Resources { return w.info.Capacity.Sub(w.used).Sub(w.claimed) }
 
-// acceptsWork reports whether the worker is registered, has listed its runs, is reachable and is not draining.
+// acceptsWork reports whether the worker is registered, has listed its runs, is reachable and is not draining, and its entry is not
+// that of an earlier process.
 func (w *worker) acceptsWork() bool {
-	return w.registered && w.listed && w.reachable && !w.info.Draining
+	return w.registered && w.listed && w.reachable && !w.info.Draining && !w.entryOutdated()
+}
+
+// entryOutdated reports whether the worker's entry is of another process than its latest listing; false if the entry does not tell.
+func (w *worker) entryOutdated() bool {
+	return w.info.Incarnation != 0 && w.info.Incarnation != w.incarnation
 }
 
 // eligible reports whether the worker may run tasks of the step, regardless of its free capacity.
