dispatch: a stale worker list starts nothing

Cause: the store may refuse reads of the worker list while it stores states and confirms the holder. The holder then went on placing work by an old list, on workers that had shrunk or announced that they leave.

Change: the leader reports each complete read of the list, and the planner starts and reclaims nothing by a list that is older than 3 s, the shortest time in which users expect a change of capacity to be respected.

Measured: TestStaleWorkerListStartsNothing failed before (1 start).

--- a/dispatch/capacity.go
+++ b/dispatch/capacity.go
@@ -3,8 +3,22 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 )
 
+// maxWorkerListAge is the age of the worker list above which nothing is started. Users expect that a capacity that has shrunk is
+// respected within 3 s and one heartbeat.
+const maxWorkerListAge = 3 * time.Second
+
+// WorkersRead records that all changes of the worker list up to now have been passed to SetWorker and DropWorker.
+func (c *Core) WorkersRead() { c.workersReadAt = c.now }
+
+// workerListStale reports whether the worker list is too old to start work by it. It is never stale before the first call of
+// WorkersRead: workers are known only from the list then.
+func (c *Core) workerListStale() bool {
+	return c.workersReadAt > 0 && c.now-c.workersReadAt > maxWorkerListAge
+}
+
 // withdrawExcess abandons starts without response on a worker whose capacity has shrunk below what it runs, latest first, until
 // the rest fits. Runs that have begun stay: their worker decides what becomes of them.
 func (c *Core) withdrawExcess(w *worker) {
--- a/dispatch/capacity_test.go
+++ b/dispatch/capacity_test.go
@@ -84,3 +84,19 @@
 		t.Fatalf("%d starts by the entry of the new process, want 4", len(starts))
 	}
 }
+
+// TestStaleWorkerListStartsNothing guards against starts on workers that have shrunk or are draining, while the holder can store
+// states and cannot read the worker list.
+func TestStaleWorkerListStartsNothing(t *testing.T) {
+	c := newCluster(t, 1)
+	c.core.WorkersRead()
+	c.advance(maxWorkerListAge + simTick)
+	c.submit("a", "normal", "large", tasks(1, 1))
+	if starts := c.plan().Starts; len(starts) != 0 {
+		t.Fatalf("%d starts by a list that is older than %s", len(starts), maxWorkerListAge)
+	}
+	c.core.WorkersRead()
+	if starts := c.plan().Starts; len(starts) != 1 {
+		t.Fatalf("%d starts after the list was read again, want 1", len(starts))
+	}
+}
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -15,7 +15,7 @@
 //   - assert.go: assertions on starts
 //   - health.go: quarantine of workers on which runs fail or stall
 //   - rate.go: detection of workers that run tasks slowly, and their exclusion
-//   - capacity.go: workers whose capacity shrinks
+//   - capacity.go: capacity that shrinks, and the age of what is known of it
 //   - crash.go: attribution of a worker's crash to the tasks that ran there
 //   - move.go: migration of runs away from slow workers
 package dispatch
@@ -95,6 +95,8 @@
 	// utilization is the fraction of accelerators in use, 0 to 1, as of the current plan.
 	utilization     float64
 	stallsCheckedAt time.Duration
+	// workersReadAt is when the worker list was last known to be complete; 0 before that.
+	workersReadAt time.Duration
 	// racks is the number of racks with registered workers.
 	racks int
 	// tooManyQuarantined is set if quarantine is not applied because it would exclude too many workers.
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -47,6 +47,18 @@
 	c.expireClaims(ready)
 	c.updateFreeAccelerators()
 	c.searchCache = failedSearches{}
+	if !c.workerListStale() {
+		c.startReady(ready)
+	}
+	c.dropReservations(ready)
+	plan := Plan{Starts: c.starts, Stops: c.stops}
+	c.starts = nil
+	c.stops = nil
+	return plan
+}
+
+// startReady starts what fits of the ready steps, in their order, and makes or reserves room for the others.
+func (c *Core) startReady(ready []*step) {
 	reservations := 0
 	for _, s := range ready {
 		if c.tryStart(s) {
@@ -60,11 +72,6 @@
 			c.reserve(s)
 		}
 	}
-	c.dropReservations(ready)
-	plan := Plan{Starts: c.starts, Stops: c.stops}
-	c.starts = nil
-	c.stops = nil
-	return plan
 }
 
 // maxReservations returns how many blocked steps may reserve capacity.
--- a/leader/workers.go
+++ b/leader/workers.go
@@ -52,6 +52,11 @@
 	if err != nil {
 		return err
 	}
+	defer func() {
+		if update.Complete {
+			w.leader.enqueue(func(c *dispatch.Core) { c.WorkersRead() })
+		}
+	}()
 	if update.Loaded {
 		w.replace(ctx, update)
 		return nil
