leader: a session that was replaced reports nothing about its worker

Callers saw: nothing; found in the review of the reports of a worker's end.

Cause: the last report of a session could be handled after the worker had got a session at a new address, and could then mark the new process as gone.

Change: the report is dropped if the session is not the worker's present one.

--- a/leader/session.go
+++ b/leader/session.go
@@ -156,6 +156,10 @@
 	s.mu.Unlock()
 	replaced := errors.Is(err, ErrOtherIncarnation)
 	s.leader.enqueue(func(c *dispatch.Core) {
+		if s.leader.sessions[s.id] != s {
+			// The worker has another address now.
+			return
+		}
 		c.SetReachable(s.id, false)
 		switch {
 		case replaced:
