dispatch: crashes between two holders count

Cause: a run counted only if the holder of the schedule had itself seen it begin. If the next holder took over before the worker's address answered as another process, about 3 s, the crash was not counted.

Change: a restored run whose worker is found replaced counts as well. It was stored just before its start was sent. As the start may not have been sent, such a crash gives a task up only as the third one.

Measured: TestCrashesBetweenTakeoversCount failed before (a fourth start) and passes.

--- a/dispatch/crash.go
+++ b/dispatch/crash.go
@@ -20,7 +20,8 @@
 )
 
 // recordCrash counts the crash of a worker's process against the tasks that ran there and returns the units to give up. lost
-// holds the worker's runs. Runs that may not have begun, or may have ended, are not counted.
+// holds the worker's runs. Runs that may not have begun, or may have ended, are not counted, except those that an earlier holder
+// started: it stored them just before it sent their starts, and frequent takeovers would hide most crashes.
 func (c *Core) recordCrash(w *worker, lost []*placement) []*unit {
 	if w.info.Draining {
 		// The process has ended as announced.
@@ -29,14 +30,14 @@
 	suspects := c.suspects(w, lost)
 	var guilty []*unit
 	for _, p := range lost {
-		if !p.ranUntilCrash() {
+		if !p.ranUntilCrash() && !p.restoredUntilCrash() {
 			continue
 		}
 		crashes := p.unit.state.AddCrash(p.member)
 		c.markChanged(p.unit.step.job)
 		c.event(Event{Name: "worker crashed", Job: p.ref.Task.Job, Worker: w.id, Detail: fmt.Sprintf(
 			"%v run %d was there: crash %d of the task, %d suspects", p.ref.Task, p.ref.Run, crashes, len(suspects))})
-		if crashes >= crashLimit(suspects, p.unit) {
+		if crashes >= crashLimit(suspects, p) {
 			guilty = append(guilty, p.unit)
 		}
 	}
@@ -48,6 +49,11 @@
 	return p.live() && !p.unverified && p.confirmedAt >= 0 && p.unit.state.Status == workload.UnitActive
 }
 
+// restoredUntilCrash reports whether an earlier holder started the run and its worker crashed before it listed its runs to this one.
+func (p *placement) restoredUntilCrash() bool {
+	return p.live() && p.unverified && p.unit.state.Status == workload.UnitActive
+}
+
 // suspects returns the units that may have crashed the worker: those of which a run began there shortly before, or may have; if
 // there are none, all that ran there.
 func (c *Core) suspects(w *worker, lost []*placement) map[*unit]bool {
@@ -72,10 +78,13 @@
 	return recent
 }
 
-// crashLimit returns the number of crashes at which the unit is given up after a crash with these suspects.
-func crashLimit(suspects map[*unit]bool, u *unit) int {
+// crashLimit returns the number of crashes at which the unit of the run is given up after a crash with these suspects.
+func crashLimit(suspects map[*unit]bool, p *placement) int {
 	switch {
-	case !suspects[u]:
+	case p.unverified:
+		// Its start may not have been sent, so that the run alone proves nothing.
+		return suspectCrashes
+	case !suspects[p.unit]:
 		return maxCrashes
 	case len(suspects) == 1:
 		return soleSuspectCrashes
--- a/dispatch/crash_test.go
+++ b/dispatch/crash_test.go
@@ -83,6 +83,25 @@
 	}
 }
 
+// TestCrashesBetweenTakeoversCount guards against a task that crashes workers without a limit because each holder of the schedule ends
+// before it learns of the crash, and the next one has never seen the run.
+func TestCrashesBetweenTakeoversCount(t *testing.T) {
+	c := newCluster(t, 8)
+	c.submit("a", "normal", "large", tasks(1, 1))
+	for n := range suspectCrashes {
+		starts := c.plan().Starts
+		if len(starts) != 1 {
+			t.Fatalf("%d starts after %d crashes, want 1", len(starts), n)
+		}
+		c.takeOver()
+		c.crash(starts[0].Worker)
+		c.listAll()
+	}
+	if plan := c.plan(); len(plan.Starts) != 0 || c.phases["a"] != workload.PhaseFailed {
+		t.Fatalf("after %d crashes the job is %v and starts %v, want failed and none", suspectCrashes, c.phases["a"], plan.Starts)
+	}
+}
+
 // TestCrashSparesNeighbours guards against jobs that fail because they ran beside a task that crashes its workers: runs that are
 // lost together become ready together and were placed together again. Every other job must end, and the one to blame after
 // at most three crashes.
