--- /dev/null
+++ b/dispatch/storm_commands_test.go
@@ -0,0 +1,167 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/redwingthread/redwingthread/workload"
+)
+
+// stormCommand is a start or stop command of a holder, which is sent again until there is a response.
+type stormCommand struct {
+	epoch   int64
+	start   *Start
+	stop    *Stop
+	attempt int
+	// sendAt is when the attempt is sent, if it is still wanted then. arrivesAt is zero until it is sent.
+	sendAt, arrivesAt time.Duration
+	leaseEnd          time.Duration
+	// stray is true for an earlier attempt that arrives late and whose sender no longer waits for a response.
+	stray bool
+}
+
+func (s *storm) send(cmd *stormCommand) {
+	cmd.attempt = 1
+	s.transmit(cmd)
+}
+
+// transmit sends one attempt of a command.
+func (s *storm) transmit(cmd *stormCommand) {
+	if at, cancelled := s.cancelledAt[cmd.ref().Task.Job]; cancelled && cmd.start != nil && s.now > at+stormTick {
+		s.t.Fatalf("attempt %d of the start of %v is sent %s after its job was cancelled", cmd.attempt, cmd.start.Ref, s.now-at)
+	}
+	cmd.arrivesAt = s.now + time.Duration(s.rng.IntN(3))*stormTick
+	cmd.leaseEnd = s.grantLease(cmd.worker())
+	s.commands = append(s.commands, cmd)
+}
+
+// deliver sends the attempts that are due and delivers those that have arrived.
+func (s *storm) deliver() {
+	commands := s.commands
+	s.commands = nil
+	for _, cmd := range commands {
+		switch {
+		case cmd.arrivesAt == 0 && s.now >= cmd.sendAt:
+			if cmd.epoch == s.epoch && s.wants(cmd) {
+				s.transmit(cmd)
+			}
+		case cmd.arrivesAt == 0 || s.now < cmd.arrivesAt:
+			s.commands = append(s.commands, cmd)
+		default:
+			s.arrive(cmd)
+		}
+	}
+}
+
+// wants reports whether the core still wants another attempt of the command.
+func (s *storm) wants(cmd *stormCommand) bool {
+	if cmd.start != nil {
+		return s.core.WantsStart(cmd.worker(), cmd.ref())
+	}
+	return s.core.WantsStop(cmd.worker(), cmd.ref())
+}
+
+func (s *storm) arrive(cmd *stormCommand) {
+	id := cmd.worker()
+	if s.partitioned(id) || !s.faultsOver && s.rng.IntN(10) == 0 {
+		if !cmd.stray && s.rng.IntN(2) == 0 {
+			late := *cmd
+			late.stray, late.arrivesAt = true, s.now+time.Duration(s.rng.Int64N(int64(maxCommandDelay)))
+			s.commands = append(s.commands, &late)
+		}
+		s.retry(cmd)
+		return
+	}
+	outcome := s.execute(id, cmd)
+	if outcome == outcomeExpired || !s.faultsOver && s.rng.IntN(10) == 0 {
+		s.retry(cmd)
+		return
+	}
+	if !cmd.stray && cmd.epoch == s.epoch {
+		s.reportOutcome(id, cmd, outcome)
+	}
+}
+
+func (cmd *stormCommand) worker() string {
+	if cmd.start != nil {
+		return cmd.start.Worker
+	}
+	return cmd.stop.Worker
+}
+
+// retry schedules another attempt of a command that got no response.
+func (s *storm) retry(cmd *stormCommand) {
+	if cmd.stray {
+		return
+	}
+	cmd.attempt++
+	cmd.sendAt, cmd.arrivesAt = s.now+commandRetryInterval, 0
+	s.commands = append(s.commands, cmd)
+}
+
+func (cmd *stormCommand) ref() workload.RunRef {
+	if cmd.start != nil {
+		return cmd.start.Ref
+	}
+	return cmd.stop.Ref
+}
+
+// stormOutcome is a worker's response to a command.
+type stormOutcome int
+
+const (
+	outcomeDone stormOutcome = iota
+	// outcomeFenced means that the worker follows a holder with a higher epoch.
+	outcomeFenced
+	// outcomeStale means that the worker has ended the run or received a stop for it.
+	outcomeStale
+	outcomeNoRoom
+	// outcomeExpired means that the lease in the command had expired on arrival.
+	outcomeExpired
+)
+
+// execute executes a command on a worker as a real worker does.
+func (s *storm) execute(id string, cmd *stormCommand) stormOutcome {
+	w, state, ref := s.workers[id], s.state[id], cmd.ref()
+	if cmd.epoch < state.epoch {
+		return outcomeFenced
+	}
+	state.epoch = cmd.epoch
+	if cmd.stop != nil {
+		state.highestClosed[ref.Task] = max(state.highestClosed[ref.Task], ref.Run)
+		if w.running[ref] != nil {
+			s.endRun(id, ref, workload.EndStopped)
+		}
+		return outcomeDone
+	}
+	if s.now > cmd.leaseEnd && s.now > state.leaseEnd {
+		return outcomeExpired
+	}
+	state.leaseEnd = max(state.leaseEnd, cmd.leaseEnd)
+	if w.running[ref] != nil {
+		return outcomeDone
+	}
+	if ref.Run <= state.highestClosed[ref.Task] {
+		return outcomeStale
+	}
+	if !s.fits(w, ref) {
+		return outcomeNoRoom
+	}
+	s.beginRun(id, cmd.start)
+	return outcomeDone
+}
+
+// reportOutcome passes a worker's response to a command to the core.
+func (s *storm) reportOutcome(id string, cmd *stormCommand, outcome stormOutcome) {
+	if cmd.stop != nil {
+		s.core.StopConfirmed(id, cmd.stop.Ref)
+		return
+	}
+	switch {
+	case outcome == outcomeDone || outcome == outcomeStale:
+		s.core.StartAccepted(id, cmd.start.Ref)
+	case cmd.attempt > 1:
+		s.core.AbandonStart(id, cmd.start.Ref, "no room")
+	default:
+		s.core.StartRejected(id, cmd.start.Ref, "no room")
+	}
+}
