dispatch: storm with workers whose capacity shrinks and grows

Change: in TestStormCapacity the capacity of random workers shrinks to 25 to 75 % for up to 8 s, and the core learns of each change up to 1.5 s later.

--- a/dispatch/storm_commands_test.go
+++ b/dispatch/storm_commands_test.go
@@ -14,7 +14,8 @@
 	attempt int
 	// sendAt is when the attempt is sent, if it is still wanted then. arrivesAt is zero until it is sent.
 	sendAt, arrivesAt time.Duration
-	leaseEnd          time.Duration
+	// sentAt is when the attempt was sent.
+	sentAt, leaseEnd time.Duration
 	// stray is true for an earlier attempt that arrives late and whose sender no longer waits for a response.
 	stray bool
 }
@@ -30,7 +31,7 @@
 		s.t.Fatalf("attempt %d of the start of %v is sent %s after its job was cancelled", cmd.attempt, cmd.start.Ref, s.now-at)
 	}
 	cmd.arrivesAt = s.now + time.Duration(s.rng.IntN(3))*stormTick
-	cmd.leaseEnd = s.grantLease(cmd.worker())
+	cmd.sentAt, cmd.leaseEnd = s.now, s.grantLease(cmd.worker())
 	s.commands = append(s.commands, cmd)
 }
 
@@ -143,7 +144,7 @@
 	if ref.Run <= state.highestClosed[ref.Task] {
 		return outcomeStale
 	}
-	if !s.fits(w, ref) {
+	if !s.checkRoom(id, cmd) {
 		return outcomeNoRoom
 	}
 	s.beginRun(id, cmd.start)
--- a/dispatch/storm_runs_test.go
+++ b/dispatch/storm_runs_test.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/redwingthread/redwingthread/resource"
 	"github.com/redwingthread/redwingthread/workload"
 )
 
@@ -108,12 +109,13 @@
 	return &stormRun{}
 }
 
-func (s *storm) fits(w *simWorker, ref workload.RunRef) bool {
+// usedWith returns the resources that the worker's runs and a new one use together.
+func (s *storm) usedWith(id string, ref workload.RunRef) resource.Resources {
 	used := s.stepOf(ref).Demand
-	for other := range w.running {
+	for other := range s.workers[id].running {
 		used = used.Add(s.stepOf(other).Demand)
 	}
-	return used.Fits(w.info.Capacity)
+	return used
 }
 
 // beginRun starts a run and checks that it may start.
--- a/dispatch/storm_test.go
+++ b/dispatch/storm_test.go
@@ -50,6 +50,8 @@
 	failed map[workload.JobID]bool
 	// crashing is nil in a storm without crashing tasks.
 	crashing *crashingTasks
+	// capacity is nil in a storm without changes of capacity.
+	capacity *capacityFaults
 }
 
 type stormWorker struct {
@@ -118,6 +120,7 @@
 	if !s.faultsOver {
 		s.injectFault()
 	}
+	s.changeCapacities()
 	for _, id := range s.workerIDs {
 		s.advanceRuns(id)
 	}
