dispatch: certain and uncertain crashes are counted apart

Change: a crash is certain if the run had begun, was listed to this holder or confirmed, and the worker responded until its connection ended. A task is given up after the present limits only with two certain crashes, and after four crashes of any kind. The state of a task with a crash names the process that a run was meant for, so that the next holder counts its end, once, and does not send the start to its successor.

--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -178,6 +178,8 @@
 	member int
 	ref    workload.RunRef
 	worker *worker
+	// incarnation is that of the worker's process for which the start was decided; 0 if it is not known.
+	incarnation int64
 	// confirmedAt is when the worker responded to the start or a stop; the constant never before that. A listing that
 	// contains the run does not count: another attempt of the start may arrive after the worker's process has restarted.
 	confirmedAt time.Duration
@@ -189,6 +191,8 @@
 	// stopping is true once a stop has been issued. The capacity stays in use until the end of the run is listed.
 	stopping   bool
 	stopReason string
+	// crashCounted is true once a crash of the worker was counted against the run's task.
+	crashCounted bool
 	// stopSentAt is when the stop command was last issued.
 	stopSentAt time.Duration
 	// gangDone is true if the gang of the placement is done but the end of this member has not been listed yet.
@@ -389,17 +393,32 @@
 
 func (u *unit) export() workload.UnitState {
 	state := u.state
-	state.Workers = nil
+	state.Workers, state.Incarnations = nil, nil
 	if state.Status != workload.UnitActive {
 		return state
 	}
 	state.Workers = make([]string, u.size)
+	if u.onTrial() {
+		state.Incarnations = make([]int64, u.size)
+	}
 	for _, p := range u.placements {
 		state.Workers[p.member] = p.worker.id
+		if u.onTrial() {
+			state.Incarnations[p.member] = p.storedIncarnation()
+		}
 	}
 	return state
 }
 
+// storedIncarnation returns the incarnation to store for the run. A run whose crash was counted may stay until its stop is confirmed;
+// the next holder must neither count the crash again nor send the start to another process.
+func (p *placement) storedIncarnation() int64 {
+	if p.crashCounted {
+		return workload.CountedIncarnation
+	}
+	return p.incarnation
+}
+
 // createRepetitions creates the steps of the job's repetitions up to and including the given one.
 func (j *job) createRepetitions(repetition int) {
 	for k := len(j.repetitions); k <= repetition; k++ {
@@ -454,7 +473,7 @@
 
 func (c *Core) restoreUnit(u *unit, state workload.UnitState) {
 	u.state = state
-	u.state.Workers = nil
+	u.state.Workers, u.state.Incarnations = nil, nil
 	if state.Status != workload.UnitActive {
 		return
 	}
@@ -467,6 +486,11 @@
 		}
 		p := u.newPlacement(member, c.workerOf(name))
 		p.unverified = true
+		p.incarnation = 0
+		if member < len(state.Incarnations) {
+			p.incarnation = state.Incarnations[member]
+		}
+		p.crashCounted = p.incarnation == workload.CountedIncarnation
 		c.attach(p)
 	}
 	if len(u.placements) == 0 {
--- a/dispatch/crash.go
+++ b/dispatch/crash.go
@@ -10,18 +10,22 @@
 const (
 	// startWindow is the time after its start in which a run is suspected first if its worker crashes.
 	startWindow = time.Second
-	// soleSuspectCrashes is the number of crashes after which a task is given up that was the only suspect of the last one.
+	// minCertainCrashes is the number of crashes that must have happened during runs of a task before it is given up.
+	minCertainCrashes = 2
+	// The number of crashes, certain or not, after which a task is given up: soleSuspectCrashes if it was the only suspect of the
+	// last one, suspectCrashes if it was one of several, maxCrashes if it ran on the worker and was none.
 	soleSuspectCrashes = 2
-	// suspectCrashes is the same for one of several suspects.
-	suspectCrashes = 3
-	// maxCrashes is the same for any task that ran on the worker. Users allow two starts after three crashes; one crash may stay
-	// unnoticed, if the holder of the schedule changes before it learns of the crash.
-	maxCrashes = 4
+	suspectCrashes     = 3
+	maxCrashes         = 4
+	// maxUncertainCrashes is the number of crashes after which a task is given up although fewer than minCertainCrashes are certain,
+	// because its workers crash before they respond. Users allow two starts after three crashes, and the first crash may stay unnoticed,
+	// if the holder of the schedule changes before it learns of it.
+	maxUncertainCrashes = 4
 )
 
-// recordCrash counts the crash of a worker's process against the tasks that ran there and returns the units to give up. lost
-// holds the worker's runs. Runs that may not have begun, or may have ended, are not counted, except those that an earlier holder
-// started: it stored them just before it sent their starts, and frequent takeovers would hide most crashes.
+// recordCrash counts the crash of a worker's process against the tasks that ran there, or may have, and returns the units to give
+// up. lost holds the worker's runs. A worker that was missing from the worker list since a takeover counts as crashed, which is the
+// most frequent cause; its runs are not certain to have been under way.
 func (c *Core) recordCrash(w *worker, lost []*placement) []*unit {
 	if w.info.Draining {
 		// The process has ended as announced.
@@ -30,28 +34,39 @@
 	suspects := c.suspects(w, lost)
 	var guilty []*unit
 	for _, p := range lost {
-		if !p.ranUntilCrash() && !p.restoredUntilCrash() {
+		if p.unit == nil || p.gangDone || p.crashCounted || p.unit.state.Status != workload.UnitActive {
 			continue
 		}
-		crashes := p.unit.state.AddCrash(p.member)
+		p.crashCounted = true
+		crashes := p.unit.state.AddCrash(p.member, p.ranUntilCrash())
 		c.markChanged(p.unit.step.job)
 		c.event(Event{Name: "worker crashed", Job: p.ref.Task.Job, Worker: w.id, Detail: fmt.Sprintf(
-			"%v run %d was there: crash %d of the task, %d suspects", p.ref.Task, p.ref.Run, crashes, len(suspects))})
-		if crashes >= crashLimit(suspects, p) {
+			"%v run %d was there: crash %d of the task, %d certain, %d suspects", p.ref.Task, p.ref.Run, crashes.Count, crashes.Certain, len(suspects))})
+		if exceedsCrashLimit(crashes, suspects, p.unit) {
 			guilty = append(guilty, p.unit)
 		}
 	}
 	return guilty
 }
 
-// ranUntilCrash reports whether the run had begun and is not known to have ended, or to be about to end, when its worker crashed.
+// ranUntilCrash reports whether the run is certain to have been under way when its worker crashed. It is not if the start had no
+// response, if an earlier holder has sent the start, if the run was being stopped, or if the worker had been silent before, as the run
+// may have ended meanwhile. An end that the worker would have listed in the moment of the crash is missed.
 func (p *placement) ranUntilCrash() bool {
-	return p.live() && !p.unverified && p.confirmedAt >= 0 && p.unit.state.Status == workload.UnitActive
+	return p.live() && p.confirmedAt >= 0 && !p.unverified && (p.worker.reachable || !p.worker.silent)
 }
 
-// restoredUntilCrash reports whether an earlier holder started the run and its worker crashed before it listed its runs to this one.
-func (p *placement) restoredUntilCrash() bool {
-	return p.live() && p.unverified && p.unit.state.Status == workload.UnitActive
+// exceedsCrashLimit reports whether the unit is to be given up with these crashes of one of its tasks, after a crash with these
+// suspects.
+func exceedsCrashLimit(crashes workload.MemberCrashes, suspects map[*unit]bool, u *unit) bool {
+	limit := maxCrashes
+	switch {
+	case suspects[u] && len(suspects) == 1:
+		limit = soleSuspectCrashes
+	case suspects[u]:
+		limit = suspectCrashes
+	}
+	return crashes.Certain >= minCertainCrashes && crashes.Count >= limit || crashes.Count >= maxUncertainCrashes
 }
 
 // suspects returns the units that may have crashed the worker: those of which a run began there shortly before, or may have; if
@@ -78,20 +93,6 @@
 	return recent
 }
 
-// crashLimit returns the number of crashes at which the unit of the run is given up after a crash with these suspects.
-func crashLimit(suspects map[*unit]bool, p *placement) int {
-	switch {
-	case p.unverified:
-		// Its start may not have been sent, so that the run alone proves nothing.
-		return suspectCrashes
-	case !suspects[p.unit]:
-		return maxCrashes
-	case len(suspects) == 1:
-		return soleSuspectCrashes
-	}
-	return suspectCrashes
-}
-
 // recordAtWork discards the crashes of a long-running task that has reached its working state: it does not crash the workers that
 // start it, and over its long life workers crash for other reasons.
 func (c *Core) recordAtWork(p *placement, percent int) {
--- a/dispatch/storm_commands_test.go
+++ b/dispatch/storm_commands_test.go
@@ -16,12 +16,15 @@
 	sendAt, arrivesAt time.Duration
 	// sentAt is when the attempt was sent.
 	sentAt, leaseEnd time.Duration
+	// incarnation is that of the worker at the first attempt.
+	incarnation int64
 	// stray is true for an earlier attempt that arrives late and whose sender no longer waits for a response.
 	stray bool
 }
 
 func (s *storm) send(cmd *stormCommand) {
 	cmd.attempt = 1
+	cmd.incarnation = s.workers[cmd.worker()].info.Incarnation
 	s.transmit(cmd)
 }
 
@@ -43,7 +46,7 @@
 		switch {
 		case cmd.arrivesAt == 0 && s.now >= cmd.sendAt:
 			if cmd.epoch == s.epoch && s.wants(cmd) {
-				s.transmit(cmd)
+				s.transmitAgain(cmd)
 			}
 		case cmd.arrivesAt == 0 || s.now < cmd.arrivesAt:
 			s.commands = append(s.commands, cmd)
@@ -53,6 +56,15 @@
 	}
 }
 
+// transmitAgain sends another attempt of a command. Like the leader, it does not send a start to another process than before.
+func (s *storm) transmitAgain(cmd *stormCommand) {
+	if cmd.start != nil && s.workers[cmd.worker()].info.Incarnation != cmd.incarnation {
+		s.core.AbandonStart(cmd.worker(), cmd.ref(), "the worker has restarted")
+		return
+	}
+	s.transmit(cmd)
+}
+
 // wants reports whether the core still wants another attempt of the command.
 func (s *storm) wants(cmd *stormCommand) bool {
 	if cmd.start != nil {
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -18,10 +18,11 @@
 	listed bool
 	// listedAt is when the request for the latest listing was sent.
 	listedAt time.Duration
-	// reachable workers responded to the last request. unreachableAt is when a worker that is not reachable failed to respond first.
-	reachable     bool
-	unreachableAt time.Duration
-	runs          map[workload.RunRef]*placement
+	// reachable workers responded to the last request. unreachableAt is when a worker that is not reachable failed to respond first;
+	// silent is true if that request timed out.
+	reachable, silent bool
+	unreachableAt     time.Duration
+	runs              map[workload.RunRef]*placement
 	// used is the capacity that the runs use.
 	used resource.Resources
 	// claimed is the capacity that is kept for waiting steps.
@@ -84,16 +85,17 @@
 	c.removeIfUnused(w)
 }
 
-// SetReachable records whether the worker responded to the last request.
-func (c *Core) SetReachable(id string, reachable bool) {
+// SetUnreachable records that the worker has not responded to a request; silent is true if the request has timed out, and false if
+// its connection was refused or has ended.
+func (c *Core) SetUnreachable(id string, silent bool) {
 	w := c.workers[id]
 	if w == nil {
 		return
 	}
-	if w.reachable && !reachable {
-		w.unreachableAt = c.now
+	if w.reachable {
+		w.unreachableAt, w.silent = c.now, silent
 	}
-	w.reachable = reachable
+	w.reachable = false
 }
 
 // GoneReason is the evidence that no run started so far can still be running on a worker.
@@ -105,6 +107,8 @@
 	GoneLeaseExpired GoneReason = "lease expired"
 	// GoneReplaced means that another process responds at the worker's address.
 	GoneReplaced GoneReason = "replaced by another process"
+	// GoneUnlisted means that the worker was missing from the worker list since this holder took over, until all leases had expired.
+	GoneUnlisted GoneReason = "not listed since the takeover"
 	// GoneDeregistered means that the worker removed its entry after draining.
 	GoneDeregistered GoneReason = "deregistered"
 )
@@ -117,7 +121,7 @@
 	}
 	lost := w.sortedRuns()
 	var guilty []*unit
-	if reason == GoneReplaced {
+	if reason == GoneReplaced || reason == GoneUnlisted {
 		guilty = c.recordCrash(w, lost)
 	}
 	for _, p := range lost {
@@ -207,10 +211,8 @@
 // handleAbsentRuns handles the known runs that are missing from the worker's listing. restarted is true for the first listing of a
 // new process.
 func (c *Core) handleAbsentRuns(w *worker, absent []*placement, restarted bool, sentAt time.Duration) {
-	var guilty []*unit
-	if restarted {
-		guilty = c.recordCrash(w, absent)
-	}
+	crashed := slices.DeleteFunc(slices.Clone(absent), func(p *placement) bool { return !restarted && !p.restoredFromEndedProcess() })
+	guilty := c.recordCrash(w, crashed)
 	for _, p := range absent {
 		if restarted {
 			c.handleRestart(p)
@@ -222,6 +224,11 @@
 	}
 }
 
+// restoredFromEndedProcess reports whether an earlier holder meant the run for a process of the worker that has ended since.
+func (p *placement) restoredFromEndedProcess() bool {
+	return p.unverified && p.incarnation != 0 && p.incarnation != p.worker.incarnation
+}
+
 // applyRunning applies one listed running run.
 func (c *Core) applyRunning(w *worker, r *workload.RunningRun) {
 	p := w.runs[r.RunRef]
@@ -296,13 +303,14 @@
 
 // handleAbsentAfterTakeover handles a restored run that did not reach its worker. Commands of the previous holder carry a
 // lower epoch, which the worker rejects from now on. The start of a single task is sent again with the same run number if the
-// worker has room for all that was restored there; the states of several jobs are not stored at once. A gang is restarted with a
-// new run, as its members would no longer arrive together.
+// worker has room for all that was restored there and is not known to have restarted; the states of several jobs are not stored at
+// once. A gang is restarted with a new run, as its members would no longer arrive together.
 func (c *Core) handleAbsentAfterTakeover(p *placement) {
+	ended := p.restoredFromEndedProcess()
 	p.unverified = false
 	u := p.unit
 	overcommitted := p.worker.registered && !p.worker.used.Fits(p.worker.info.Capacity)
-	if u.size > 1 || u.aborting || u.step.job.phase.Final() || overcommitted {
+	if u.size > 1 || u.aborting || u.step.job.phase.Final() || overcommitted || ended {
 		c.runLost(p, "did not reach the worker before the takeover")
 		return
 	}
--- a/leader/session.go
+++ b/leader/session.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"sync"
 	"time"
 
@@ -154,13 +155,13 @@
 	s.lease.recordNoResponse()
 	expired := s.lease.allExpired(boottime.Now())
 	s.mu.Unlock()
-	replaced := errors.Is(err, ErrOtherIncarnation)
+	replaced, silent := errors.Is(err, ErrOtherIncarnation), timedOut(err)
 	s.leader.enqueue(func(c *dispatch.Core) {
 		if s.leader.sessions[s.id] != s {
 			// The worker has another address now.
 			return
 		}
-		c.SetReachable(s.id, false)
+		c.SetUnreachable(s.id, silent)
 		switch {
 		case replaced:
 			c.MarkWorkerGone(s.id, dispatch.GoneReplaced)
@@ -170,6 +171,12 @@
 	})
 }
 
+// timedOut reports whether a request failed because nothing arrived in time, and not because its connection was refused or ended.
+func timedOut(err error) bool {
+	var netErr net.Error
+	return errors.Is(err, context.DeadlineExceeded) || errors.As(err, &netErr) && netErr.Timeout()
+}
+
 // awaitStoredEnds waits up to unstoredEndsPause until the ends of the listing are stored: before that, the next watch request
 // would only return them again.
 func (s *session) awaitStoredEnds(ctx context.Context, listing *workload.Listing) {
--- a/leader/workers.go
+++ b/leader/workers.go
@@ -41,7 +41,7 @@
 	}
 	for _, id := range c.UnverifiedWorkers() {
 		if l.sessions[id] == nil {
-			c.MarkWorkerGone(id, dispatch.GoneLeaseExpired)
+			c.MarkWorkerGone(id, dispatch.GoneUnlisted)
 		}
 	}
 }
--- a/workload/state.go
+++ b/workload/state.go
@@ -46,6 +46,9 @@
 	UnitDone
 )
 
+// CountedIncarnation stands for a process that has ended and whose end is counted in UnitState.Crashes.
+const CountedIncarnation = -1
+
 // UnitState is the durable state of a unit, the tasks that start and end together: one task, or all tasks of a gang.
 type UnitState struct {
 	Status UnitStatus
@@ -59,17 +62,21 @@
 	// Workers holds the ids of the workers that the active run was sent to, one per member; empty for a member that has
 	// ended.
 	Workers []string
+	// Incarnations holds the incarnations of the workers' processes that the starts were meant for, in the order of Workers; 0 if not
+	// known, CountedIncarnation if the process has ended and is counted in Crashes. It is nil for a unit without crashes.
+	Incarnations []int64
 	// Checkpoint is the latest known checkpoint; empty for none.
 	Checkpoint string
-	// Crashes holds the members during whose runs the process of their worker ended, in order of member.
+	// Crashes holds the members during whose runs the process of their worker ended, or may have, in order of member.
 	Crashes []MemberCrashes
 }
 
-// MemberCrashes is the number of crashes during the runs of one member; the member of a single task is 0.
-type MemberCrashes struct{ Member, Count int }
+// MemberCrashes is the number of crashes during the runs of one member; the member of a single task is 0. Certain is the number of
+// those at which the run was certainly under way.
+type MemberCrashes struct{ Member, Count, Certain int }
 
-// AddCrash counts a crash during a run of the member and returns the new count.
-func (u *UnitState) AddCrash(member int) int {
+// AddCrash counts a crash during a run of the member and returns the new counts.
+func (u *UnitState) AddCrash(member int, certain bool) MemberCrashes {
 	at, found := slices.BinarySearchFunc(u.Crashes, member, func(c MemberCrashes, member int) int { return cmp.Compare(c.Member, member) })
 	// The slice may be shared with an exported state.
 	u.Crashes = slices.Clone(u.Crashes)
@@ -77,7 +84,10 @@
 		u.Crashes = slices.Insert(u.Crashes, at, MemberCrashes{Member: member})
 	}
 	u.Crashes[at].Count++
-	return u.Crashes[at].Count
+	if certain {
+		u.Crashes[at].Certain++
+	}
+	return u.Crashes[at]
 }
 
 // ClearCrashes discards the crashes of the member and reports whether there were any.
@@ -117,7 +127,7 @@
 // Encode returns the encoded state. Its second byte is the phase, so that a reader that needs only the phase can skip the
 // rest.
 func (s *JobState) Encode() []byte {
-	enc := encoder{format: s.format(), workerNumbers: map[string]uint64{}}
+	enc := encoder{format: s.format(), processNumbers: map[process]uint64{}}
 	enc.uint(uint64(len(s.Repetitions)))
 	for _, steps := range s.Repetitions {
 		enc.uint(uint64(len(steps)))
@@ -126,9 +136,12 @@
 		}
 	}
 	header := []byte{enc.format, byte(s.Phase)}
-	header = binary.AppendUvarint(header, uint64(len(enc.workerNames)))
-	for _, name := range enc.workerNames {
-		header = appendString(header, name)
+	header = binary.AppendUvarint(header, uint64(len(enc.processes)))
+	for _, p := range enc.processes {
+		header = appendString(header, p.worker)
+		if enc.format >= stateFormatCrashes {
+			header = binary.AppendUvarint(header, uint64(p.incarnation-CountedIncarnation))
+		}
 	}
 	return append(header, enc.body...)
 }
@@ -145,12 +158,18 @@
 	return stateFormat
 }
 
-// encoder collects the body of an encoded state and the table of worker names that the body refers to.
+// process is a process of a worker. incarnation is 0 if it is not known.
+type process struct {
+	worker      string
+	incarnation int64
+}
+
+// encoder collects the body of an encoded state and the table of processes that the body refers to.
 type encoder struct {
-	format        byte
-	body          []byte
-	workerNames   []string
-	workerNumbers map[string]uint64
+	format         byte
+	body           []byte
+	processes      []process
+	processNumbers map[process]uint64
 }
 
 func (e *encoder) uint(v uint64) { e.body = binary.AppendUvarint(e.body, v) }
@@ -173,8 +192,12 @@
 	e.uint(uint64(u.LastCountedRun))
 	e.uint(uint64(u.Failures))
 	e.uint(uint64(len(u.Workers)))
-	for _, name := range u.Workers {
-		e.uint(e.worker(name))
+	for i, name := range u.Workers {
+		p := process{worker: name}
+		if i < len(u.Incarnations) {
+			p.incarnation = u.Incarnations[i]
+		}
+		e.uint(e.process(p))
 	}
 	e.body = appendString(e.body, u.Checkpoint)
 	if e.format < stateFormatCrashes {
@@ -184,20 +207,21 @@
 	for _, c := range u.Crashes {
 		e.uint(uint64(c.Member))
 		e.uint(uint64(c.Count))
+		e.uint(uint64(c.Certain))
 	}
 }
 
-// worker returns the number of the name in the table, starting at 1; 0 stands for no worker. It adds a name that is missing.
-func (e *encoder) worker(name string) uint64 {
-	if name == "" {
+// process returns the number of the process in the table, starting at 1; 0 stands for no worker. It adds a process that is missing.
+func (e *encoder) process(p process) uint64 {
+	if p.worker == "" {
 		return 0
 	}
-	if number, ok := e.workerNumbers[name]; ok {
+	if number, ok := e.processNumbers[p]; ok {
 		return number
 	}
-	e.workerNames = append(e.workerNames, name)
-	number := uint64(len(e.workerNames))
-	e.workerNumbers[name] = number
+	e.processes = append(e.processes, p)
+	number := uint64(len(e.processes))
+	e.processNumbers[p] = number
 	return number
 }
 
@@ -222,7 +246,11 @@
 	}
 	d := decoder{format: b[0], rest: b[2:]}
 	for range d.count() {
-		d.workerNames = append(d.workerNames, d.string())
+		p := process{worker: d.string()}
+		if d.format >= stateFormatCrashes {
+			p.incarnation = int64(d.uint()) + CountedIncarnation
+		}
+		d.processes = append(d.processes, p)
 	}
 	s := &JobState{Phase: phase}
 	for range d.count() {
@@ -236,9 +264,9 @@
 
 // decoder decodes the encoded state in rest.
 type decoder struct {
-	format      byte
-	rest        []byte
-	workerNames []string
+	format    byte
+	rest      []byte
+	processes []process
 	// failed is set if the encoding is corrupt. All further values are then without meaning.
 	failed bool
 }
@@ -306,27 +334,34 @@
 	if u.Status > UnitDone {
 		d.failed = true
 	}
+	incarnationsKnown := false
 	for range d.count() {
-		u.Workers = append(u.Workers, d.worker())
+		p := d.process()
+		u.Workers = append(u.Workers, p.worker)
+		u.Incarnations = append(u.Incarnations, p.incarnation)
+		incarnationsKnown = incarnationsKnown || p.incarnation != 0
+	}
+	if !incarnationsKnown {
+		u.Incarnations = nil
 	}
 	u.Checkpoint = d.string()
 	if d.format < stateFormatCrashes {
 		return u
 	}
 	for range d.count() {
-		u.Crashes = append(u.Crashes, MemberCrashes{Member: int(d.uint()), Count: int(d.uint())})
+		u.Crashes = append(u.Crashes, MemberCrashes{Member: int(d.uint()), Count: int(d.uint()), Certain: int(d.uint())})
 	}
 	return u
 }
 
-func (d *decoder) worker() string {
+func (d *decoder) process() process {
 	number := d.uint()
 	if number == 0 {
-		return ""
+		return process{}
 	}
-	if number > uint64(len(d.workerNames)) {
+	if number > uint64(len(d.processes)) {
 		d.failed = true
-		return ""
+		return process{}
 	}
-	return d.workerNames[number-1]
+	return d.processes[number-1]
 }
