dispatch: crashes of workers that stay down count

A task could crash workers without a limit (BUDGET).

Cause: a crash counted only if another process was seen at the worker's address before its lease had expired. A worker that takes longer to come back was taken for one that is cut off.

Change: a worker that refused connections until its lease expired counts as an uncertain crash. One that was silent still counts nothing.

Measured: TestWorkersThatStayDownCount failed before (a fifth start) and passes; TestWorkerCutOffAtATakeoverIsNoCrash guards the other side and passed before.

--- a/dispatch/crash.go
+++ b/dispatch/crash.go
@@ -24,9 +24,9 @@
 )
 
 // recordCrash counts the crash of a worker's process against the tasks that ran there, or may have, and returns the units to give
-// up. lost holds the worker's runs. A worker that was missing from the worker list since a takeover counts as crashed, which is the
-// most frequent cause; its runs are not certain to have been under way.
-func (c *Core) recordCrash(w *worker, lost []*placement) []*unit {
+// up. lost holds the worker's runs. proven is true if another process was seen. Otherwise the worker was missing from the worker list
+// since a takeover, or refused connections until its lease expired; a crash is the most frequent cause of both and counts as uncertain.
+func (c *Core) recordCrash(w *worker, lost []*placement, proven bool) []*unit {
 	if w.info.Draining {
 		// The process has ended as announced.
 		return nil
@@ -38,7 +38,7 @@
 			continue
 		}
 		p.crashCounted = true
-		crashes := p.unit.state.AddCrash(p.member, p.ranUntilCrash())
+		crashes := p.unit.state.AddCrash(p.member, proven && p.ranUntilCrash())
 		c.markChanged(p.unit.step.job)
 		c.event(Event{Name: "worker crashed", Job: p.ref.Task.Job, Worker: w.id, Detail: fmt.Sprintf(
 			"%v run %d was there: crash %d of the task, %d certain, %d suspects", p.ref.Task, p.ref.Run, crashes.Count, crashes.Certain, len(suspects))})
--- a/dispatch/crash_test.go
+++ b/dispatch/crash_test.go
@@ -180,6 +180,27 @@
 	}
 }
 
+// TestWorkerCutOffAtATakeoverIsNoCrash guards against the same, if the cut begins before the holder has reached the worker.
+func TestWorkerCutOffAtATakeoverIsNoCrash(t *testing.T) {
+	c := newCluster(t, 16)
+	c.submit("a", "normal", "large", tasks(1, 1))
+	for range 2 * maxUncertainCrashes {
+		start := c.plan().Starts[0]
+		delete(c.workers[start.Worker].running, start.Ref)
+		c.takeOver()
+		for _, id := range c.workerIDs {
+			if id != start.Worker {
+				c.list(id)
+			}
+		}
+		c.core.SetUnreachable(start.Worker, true)
+		c.core.MarkWorkerGone(start.Worker, GoneLeaseExpired)
+	}
+	if c.plan(); c.phases["a"].Final() {
+		t.Errorf("the job is %v, want a phase that is not final", c.phases["a"])
+	}
+}
+
 // TestReplacedDrainingWorkerIsNoCrash guards against a job that fails because its workers were replaced by planned work.
 func TestReplacedDrainingWorkerIsNoCrash(t *testing.T) {
 	c := newCluster(t, 16)
@@ -280,6 +301,24 @@
 	}
 }
 
+// TestWorkersThatStayDownCount guards against a task without a limit because its workers stay down for longer than their lease after
+// they have crashed, so that no other process is seen before their runs are given up.
+func TestWorkersThatStayDownCount(t *testing.T) {
+	c := newCluster(t, 8)
+	c.submit("a", "normal", "large", tasks(1, 1))
+	for n := range maxUncertainCrashes {
+		starts := c.plan().Starts
+		if len(starts) != 1 {
+			t.Fatalf("%d starts after %d crashes, want 1", len(starts), n)
+		}
+		c.core.SetUnreachable(starts[0].Worker, false)
+		c.core.MarkWorkerGone(starts[0].Worker, GoneLeaseExpired)
+	}
+	if plan := c.plan(); len(plan.Starts) != 0 || c.phases["a"] != workload.PhaseFailed {
+		t.Errorf("after %d crashes the job is %v and starts %v, want failed and none", maxUncertainCrashes, c.phases["a"], plan.Starts)
+	}
+}
+
 // TestCrashesOfUnlistedWorkersCount guards against a task without a limit because its workers' entries have expired whenever the next
 // holder of the schedule reads the worker list.
 func TestCrashesOfUnlistedWorkersCount(t *testing.T) {
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -19,7 +19,7 @@
 	// listedAt is when the request for the latest listing was sent.
 	listedAt time.Duration
 	// reachable workers responded to the last request. unreachableAt is when a worker that is not reachable failed to respond first;
-	// silent is true if that request timed out.
+	// silent is true if that request timed out, or the last one to a worker that this core has never reached.
 	reachable, silent bool
 	unreachableAt     time.Duration
 	runs              map[workload.RunRef]*placement
@@ -93,7 +93,10 @@
 		return
 	}
 	if w.reachable {
-		w.unreachableAt, w.silent = c.now, silent
+		w.unreachableAt = c.now
+	}
+	if w.reachable || !w.listed {
+		w.silent = silent
 	}
 	w.reachable = false
 }
@@ -121,8 +124,8 @@
 	}
 	lost := w.sortedRuns()
 	var guilty []*unit
-	if reason == GoneReplaced || reason == GoneUnlisted {
-		guilty = c.recordCrash(w, lost)
+	if reason == GoneReplaced || reason == GoneUnlisted || reason == GoneLeaseExpired && !w.silent {
+		guilty = c.recordCrash(w, lost, reason == GoneReplaced)
 	}
 	for _, p := range lost {
 		c.runLost(p, "worker gone: "+string(reason))
@@ -212,7 +215,7 @@
 // new process.
 func (c *Core) handleAbsentRuns(w *worker, absent []*placement, restarted bool, sentAt time.Duration) {
 	crashed := slices.DeleteFunc(slices.Clone(absent), func(p *placement) bool { return !restarted && !p.restoredFromEndedProcess() })
-	guilty := c.recordCrash(w, crashed)
+	guilty := c.recordCrash(w, crashed, true)
 	for _, p := range absent {
 		if restarted {
 			c.handleRestart(p)
