workload: a test that the states of the earlier version are read

Cause: the encoded state has a second format since crashes are counted; nothing fixed the bytes of the first one.

--- a/workload/state_test.go
+++ b/workload/state_test.go
@@ -1,6 +1,8 @@
 package workload
 
 import (
+	"bytes"
+	"encoding/hex"
 	"fmt"
 	"reflect"
 	"testing"
@@ -135,6 +137,24 @@
 	}
 }
 
+// TestEarlierFormatIsRead guards against an upgrade that loses the states that VMs with the earlier version have stored: these bytes
+// are the output of its Encode.
+func TestEarlierFormatIsRead(t *testing.T) {
+	stored, err := hex.DecodeString("010102027731027732010201000201ac020201030100020163000000000000")
+	if err != nil {
+		t.Fatal(err)
+	}
+	active := UnitState{Status: UnitActive, Run: 300, LastCountedRun: 2, Failures: 1, Workers: []string{"w1", "", "w2"}, Checkpoint: "c"}
+	want := &JobState{Phase: PhaseRunning, Repetitions: [][]StepState{{{Done: true}, {Units: []UnitState{active, {}}}}}}
+	got, err := DecodeState(stored)
+	if err != nil || !reflect.DeepEqual(got, want) {
+		t.Errorf("decoded %+v (%v), want %+v", got, err, want)
+	}
+	if !bytes.Equal(want.Encode(), stored) {
+		t.Errorf("encoded %x, want the earlier format %x", want.Encode(), stored)
+	}
+}
+
 // TestCorruptStateIsRejected guards against a VM that crashes on bytes that are no encoded state, such as a record of
 // another writer, or that accepts a truncated state.
 func TestCorruptStateIsRejected(t *testing.T) {
