leader: ends are acknowledged to the process that listed them

An end could be lost, and its task run again or wait.

Cause: ends were noted as processed for the worker's incarnation at the time at which the loop came to their listing. If the worker had restarted under its id meanwhile, the next watch request acknowledged as many ends of the new process, which has numbers of its own.

Change: the incarnation of the listing is used.

Measured: TestNewProcessKeepsItsEnds failed before (57 ends acknowledged).

--- a/leader/effects.go
+++ b/leader/effects.go
@@ -66,8 +66,8 @@
 	l.inFlight = effects{}
 }
 
-// recordProcessedEnds records up to which sequence number the core has processed the run ends of a worker. It runs in the
-// loop.
-func (l *Leader) recordProcessedEnds(s *session, processed int64) {
-	l.processedEnds[s] = endMark{incarnation: s.currentIncarnation(), processed: processed}
+// recordProcessedEnds records up to which sequence number the core has processed the run ends of an incarnation of a worker. It runs
+// in the loop.
+func (l *Leader) recordProcessedEnds(s *session, incarnation, processed int64) {
+	l.processedEnds[s] = endMark{incarnation: incarnation, processed: processed}
 }
--- a/leader/queue_test.go
+++ b/leader/queue_test.go
@@ -128,3 +128,21 @@
 		}
 	})
 }
+
+// TestNewProcessKeepsItsEnds guards against ends that a worker's new process discards before they are processed: those of the old
+// process were processed late and acknowledged to the new one, which numbers its ends from 1 again.
+func TestNewProcessKeepsItsEnds(t *testing.T) {
+	l, _ := leaderWithStart(t)
+	s, _ := newTestSession(t, l, &idleConn{})
+	l.sessions = map[string]*session{s.id: s}
+	old := &workload.Listing{Incarnation: 1, ClockMS: 1000, Ended: []workload.EndedRun{{Sequence: 57, RunRef: testRun, Reason: workload.EndStopped}}}
+	s.recordResponse(old)
+	l.enqueue(func(c *dispatch.Core) { s.applyListing(c, boottime.Now(), old) })
+	s.recordResponse(&workload.Listing{Incarnation: 2, ClockMS: 10})
+	l.applyPending()
+	l.inFlight = effects{processed: l.processedEnds}
+	l.applyEffects(t.Context())
+	if s.storedEnd != 0 {
+		t.Errorf("%d ends of the new process are acknowledged, which has listed none", s.storedEnd)
+	}
+}
--- a/leader/session.go
+++ b/leader/session.go
@@ -94,11 +94,17 @@
 		}
 		first = false
 		pause = watchRetryInterval
-		s.leader.enqueue(func(c *dispatch.Core) { s.leader.recordProcessedEnds(s, c.ApplyListing(s.id, sentAt, listing)) })
+		s.leader.enqueue(func(c *dispatch.Core) { s.applyListing(c, sentAt, listing) })
 		s.awaitStoredEnds(ctx, listing)
 	}
 }
 
+// applyListing passes a listing to the core. It runs in the loop.
+func (s *session) applyListing(c *dispatch.Core, sentAt time.Duration, listing *workload.Listing) {
+	processed := c.ApplyListing(s.id, sentAt, listing)
+	s.leader.recordProcessedEnds(s, listing.Incarnation, processed)
+}
+
 // watchOnce sends one watch request and returns the listing and the time at which the request was sent. The first request
 // of a session or connection does not wait, and acknowledges no ends: it may reach another incarnation, which numbers its
 // ends from 1 again.
