leader: a session that was replaced passes on no listing

Callers saw: nothing; found by the review.

Cause: the last listing of a session could be applied after the worker had got a session at a new address, and would then set its process back to the old one.

Change: the listing is dropped if the session is not the worker's present one, as its report of a failed request is.

Measured: the tests of leader pass; no run showed the case.

--- a/leader/session.go
+++ b/leader/session.go
@@ -99,8 +99,11 @@
 	}
 }
 
-// applyListing passes a listing to the core. It runs in the loop.
+// applyListing passes a listing to the core, unless the worker has another address now. It runs in the loop.
 func (s *session) applyListing(c *dispatch.Core, sentAt time.Duration, listing *workload.Listing) {
+	if s.leader.sessions[s.id] != s {
+		return
+	}
 	processed := c.ApplyListing(s.id, sentAt, listing)
 	s.leader.recordProcessedEnds(s, listing.Incarnation, processed)
 }
