leader: a start that an earlier holder may have sent is stopped first

A task could run twice.

Cause: a new holder sends a restored start again under its number. If it got no connection, the start counted as never sent, although the earlier holder may have sent it, and was planned elsewhere at once. A worker that has restarted under its id would still accept the earlier attempt.

Change: such a start carries a mark and is abandoned, which stops the run at the worker before it starts elsewhere, or waits until the worker is gone.

Measured: TestRepeatedStartIsStoppedBeforeItGoesElsewhere failed before (started elsewhere within a second) and passes.

--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -44,6 +44,8 @@
 	Worker        string
 	Specification string
 	Checkpoint    string
+	// Repeated is true if an earlier holder may have sent the start.
+	Repeated bool
 }
 
 // Stop is a command that tells a worker to end a run. Reason is only for the log.
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -317,7 +317,9 @@
 		c.runLost(p, "did not reach the worker before the takeover")
 		return
 	}
-	c.starts = append(c.starts, c.startCommand(p))
+	start := c.startCommand(p)
+	start.Repeated = true
+	c.starts = append(c.starts, start)
 }
 
 // HasWorker reports whether the worker is registered or has runs.
--- a/leader/crash_test.go
+++ b/leader/crash_test.go
@@ -278,3 +278,17 @@
 		t.Errorf("a start that the core does not want was sent %d times", len(conn.starts))
 	}
 }
+
+// TestRepeatedStartIsStoppedBeforeItGoesElsewhere guards against a task that runs twice: a new holder cannot send a restored start,
+// plans it elsewhere, and the worker, which has restarted under its id, receives the earlier holder's attempt.
+func TestRepeatedStartIsStoppedBeforeItGoesElsewhere(t *testing.T) {
+	refusing, healthy := &refusingConn{}, &healthyConn{}
+	l := runTestLeader(t, testWorkers{"refusing": refusing, "healthy": healthy}, map[string]int{"refusing": 1, "healthy": 8})
+	unit := workload.UnitState{Status: workload.UnitActive, Run: 1, Workers: []string{"refusing"}}
+	state := &workload.JobState{Phase: workload.PhaseRunning, Repetitions: [][]workload.StepState{{{Units: []workload.UnitState{unit}}}}}
+	time.Sleep(100 * time.Millisecond)
+	l.enqueue(func(c *dispatch.Core) { c.AddJob(testJob(), state) })
+	if awaitStart(healthy, time.Second) {
+		t.Error("the task was started on the other worker before the first one had confirmed a stop or was gone")
+	}
+}
--- a/leader/requests.go
+++ b/leader/requests.go
@@ -38,7 +38,7 @@
 	}
 	startedAt := boottime.Now()
 	defer func() { observe(timerStart, boottime.Now()-startedAt) }()
-	attempts := startAttempts{planned: planned, incarnation: s.currentIncarnation()}
+	attempts := startAttempts{planned: planned, incarnation: s.currentIncarnation(), sent: planned.Repeated}
 	for ctx.Err() == nil {
 		request := StartRequest{
 			Ref: planned.Ref, Specification: planned.Specification, Checkpoint: planned.Checkpoint,
@@ -63,7 +63,7 @@
 	// incarnation is the worker's incarnation before the first attempt.
 	incarnation int64
 	count       int
-	// sent is true if part of an attempt may have reached the worker.
+	// sent is true if part of an attempt, be it an earlier holder's, may have reached the worker.
 	sent bool
 }
 
@@ -144,7 +144,7 @@
 		return false
 	case errors.Is(err, ErrUnhealthy) && attempt < maxUnhealthyAttempts:
 		return false
-	case attempt > 1:
+	case attempt > 1 || planned.Repeated:
 		// An earlier attempt may have been executed, or may be executed later; the worker must rule that out first.
 		s.leader.enqueue(func(c *dispatch.Core) { c.AbandonStart(s.id, ref, err.Error()) })
 	default:
