dispatch: a task is given up after three crashes, and gangs count like others

Cause: a task that was the only suspect was given up after two crashes. The crash of a gang member was almost never certain, since the other members end at once and stop its run before the crash is known. A start that the new process had accepted was counted as lost with the old one. A worker that was reset and then silent counted as responding.

Change: a suspect needs three crashes, two of them certain. Stops that were issued after the worker's connection had ended are left out of account. A start that was confirmed after a listing was requested is judged by the next one. Any time-out makes a crash uncertain. A state with an incarnation keeps its format. Names that spoke of trials and guilt are replaced.

--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -193,6 +193,8 @@
 	// stopping is true once a stop has been issued. The capacity stays in use until the end of the run is listed.
 	stopping   bool
 	stopReason string
+	// processEnded is true if the process that the start was meant for has ended, until a listing has the run.
+	processEnded bool
 	// crashCounted is true once a crash of the worker was counted against the run's task.
 	crashCounted bool
 	// stopSentAt is when the stop command was last issued.
@@ -400,12 +402,12 @@
 		return state
 	}
 	state.Workers = make([]string, u.size)
-	if u.onTrial() {
+	if u.hasCrashes() {
 		state.Incarnations = make([]int64, u.size)
 	}
 	for _, p := range u.placements {
 		state.Workers[p.member] = p.worker.id
-		if u.onTrial() {
+		if u.hasCrashes() {
 			state.Incarnations[p.member] = p.storedIncarnation()
 		}
 	}
--- a/dispatch/crash.go
+++ b/dispatch/crash.go
@@ -10,17 +10,13 @@
 const (
 	// startWindow is the time after its start in which a run is suspected first if its worker crashes.
 	startWindow = time.Second
-	// minCertainCrashes is the number of crashes that must have happened during runs of a task before it is given up.
+	// A suspect of a crash is given up after suspectCrashes crashes, of which minCertainCrashes must be certain: a run that has just
+	// ended may be lost with its worker before its end is listed, and then counts in error.
+	suspectCrashes    = 3
 	minCertainCrashes = 2
-	// The number of crashes, certain or not, after which a task is given up: soleSuspectCrashes if it was the only suspect of the
-	// last one, suspectCrashes if it was one of several, maxCrashes if it ran on the worker and was none.
-	soleSuspectCrashes = 2
-	suspectCrashes     = 3
-	maxCrashes         = 4
-	// maxUncertainCrashes is the number of crashes after which a task is given up although fewer than minCertainCrashes are certain,
-	// because its workers crash before they respond. Users allow two starts after three crashes, and the first crash may stay unnoticed,
-	// if the holder of the schedule changes before it learns of it.
-	maxUncertainCrashes = 4
+	// maxCrashes is the number of crashes, certain or not, after which any task is given up. Users allow two starts after three crashes,
+	// and one crash may stay unnoticed, if the holder of the schedule changes before it learns of it.
+	maxCrashes = 4
 )
 
 // recordCrash counts the crash of a worker's process against the tasks that ran there, or may have, and returns the units to give
@@ -32,45 +28,55 @@
 		return nil
 	}
 	suspects := c.suspects(w, lost)
-	var guilty []*unit
+	var toGiveUp []*unit
 	for _, p := range lost {
 		if p.unit == nil || p.gangDone || p.crashCounted || p.unit.state.Status != workload.UnitActive {
 			continue
 		}
-		p.crashCounted = true
-		crashes := p.unit.state.AddCrash(p.member, proven && p.ranUntilCrash())
-		c.markChanged(p.unit.step.job)
-		c.event(Event{Name: "worker crashed", Job: p.ref.Task.Job, Worker: w.id, Detail: fmt.Sprintf(
-			"%v run %d was there: crash %d of the task, %d certain, %d suspects", p.ref.Task, p.ref.Run, crashes.Count, crashes.Certain, len(suspects))})
-		if exceedsCrashLimit(crashes, suspects, p.unit) {
-			guilty = append(guilty, p.unit)
+		crashes := c.countCrash(p, proven, len(suspects))
+		if exceedsCrashLimit(crashes, suspects[p.unit]) {
+			toGiveUp = append(toGiveUp, p.unit)
 		}
 	}
-	return guilty
+	return toGiveUp
+}
+
+// countCrash counts a crash against the task of the run and returns the task's counts. suspects is the number of units that may have
+// caused the crash, for the log.
+func (c *Core) countCrash(p *placement, proven bool, suspects int) workload.MemberCrashes {
+	p.crashCounted = true
+	crashes := p.unit.state.AddCrash(p.member, proven && p.ranUntilCrash())
+	c.markChanged(p.unit.step.job)
+	detail := fmt.Sprintf("%v run %d was there: crash %d of the task, %d certain, %d suspects",
+		p.ref.Task, p.ref.Run, crashes.Count, crashes.Certain, suspects)
+	c.event(Event{Name: "worker crashed", Job: p.ref.Task.Job, Worker: p.worker.id, Detail: detail})
+	return crashes
+}
+
+// exceedsCrashLimit reports whether a task with these crashes is given up; suspected is true if it may have caused the last one.
+func exceedsCrashLimit(crashes workload.MemberCrashes, suspected bool) bool {
+	if suspected && crashes.Certain >= minCertainCrashes && crashes.Count >= suspectCrashes {
+		return true
+	}
+	return crashes.Count >= maxCrashes
 }
 
 // ranUntilCrash reports whether the run is certain to have been under way when its worker crashed. It is not if the start had no
-// response, if an earlier holder has sent the start, if the run was being stopped, or if the worker had been silent before, as the run
-// may have ended meanwhile. An end that the worker would have listed in the moment of the crash is missed.
+// response, if an earlier holder has sent the start, if the run was being stopped, or if the worker was silent for some time, as the run
+// may have ended meanwhile. An end that was not listed before the crash is not known here, so that such a run counts as certain.
 func (p *placement) ranUntilCrash() bool {
-	return p.live() && p.confirmedAt >= 0 && !p.unverified && (p.worker.reachable || !p.worker.silent)
+	return p.liveUntilCrash() && p.confirmedAt >= 0 && !p.unverified && (p.worker.reachable || !p.worker.silent)
 }
 
-// exceedsCrashLimit reports whether the unit is to be given up with these crashes of one of its tasks, after a crash with these
-// suspects.
-func exceedsCrashLimit(crashes workload.MemberCrashes, suspects map[*unit]bool, u *unit) bool {
-	limit := maxCrashes
-	switch {
-	case suspects[u] && len(suspects) == 1:
-		limit = soleSuspectCrashes
-	case suspects[u]:
-		limit = suspectCrashes
-	}
-	return crashes.Certain >= minCertainCrashes && crashes.Count >= limit || crashes.Count >= maxUncertainCrashes
+// liveUntilCrash reports whether the run was live when its worker's connection ended. A stop that was issued after that does not
+// matter: the other members of a gang end at once and stop the run, long before the crash is known.
+func (p *placement) liveUntilCrash() bool {
+	w := p.worker
+	return p.live() || p.unit != nil && !p.gangDone && !w.reachable && p.stopSentAt >= w.unreachableAt
 }
 
-// suspects returns the units that may have crashed the worker: those of which a run began there shortly before, or may have; if
-// there are none, all that ran there.
+// suspects returns the units that may have caused the crash of the worker: those of which a run began there shortly before, or may
+// have; if there are none, all that ran there.
 func (c *Core) suspects(w *worker, lost []*placement) map[*unit]bool {
 	crashedAt := c.now
 	if !w.reachable {
@@ -78,7 +84,7 @@
 	}
 	recent, all := map[*unit]bool{}, map[*unit]bool{}
 	for _, p := range lost {
-		if !p.live() {
+		if !p.liveUntilCrash() {
 			continue
 		}
 		all[p.unit] = true
@@ -112,22 +118,22 @@
 	c.finishJob(j, workload.PhaseFailed)
 }
 
-// onTrial reports whether a worker has crashed under the unit before. Such a unit starts apart from others where possible, so
-// that a further crash shows which of them is to blame.
-func (u *unit) onTrial() bool { return len(u.state.Crashes) > 0 }
+// hasCrashes reports whether a worker has crashed under the unit before. Such a unit starts apart from others where possible, so
+// that a further crash shows which of them is the cause.
+func (u *unit) hasCrashes() bool { return len(u.state.Crashes) > 0 }
 
-// recordStart records the start of a unit on the worker for the attribution of a crash.
+// recordStart updates the times by which a crash of the worker is attributed, after a start of the unit there.
 func (w *worker) recordStart(u *unit, now time.Duration) {
 	w.lastStartAt = now
-	if u.onTrial() {
-		w.trialUntil = now + startWindow
+	if u.hasCrashes() {
+		w.isolatedUntil = now + startWindow
 	}
 }
 
-// sharesTrial reports whether a start of the unit on the worker now would leave open which run is to blame for a crash.
-func (c *Core) sharesTrial(u *unit, w *worker) bool {
-	if w.trialUntil > c.now {
+// crashWouldBeAmbiguous reports whether a start of the unit on the worker now would leave open which run is the cause of a crash.
+func (c *Core) crashWouldBeAmbiguous(u *unit, w *worker) bool {
+	if w.isolatedUntil > c.now {
 		return true
 	}
-	return u.onTrial() && w.lastStartAt > 0 && c.now-w.lastStartAt < startWindow
+	return u.hasCrashes() && w.lastStartAt > 0 && c.now-w.lastStartAt < startWindow
 }
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -23,14 +23,15 @@
 	idleUtilization = 0.5
 )
 
-// Weights of the penalties that rank workers for a task; the worker with the lowest sum is chosen. weightAvoided counts for
-// each run of the unit that went wrong on the worker, weightRemote for a worker outside the preferred rack, and
-// weightTrial if a crash of the worker could not be attributed to one task, weightFailures for each failure on the worker since its
-// last success.
+// Weights of the penalties that rank workers for a task; the worker with the lowest sum is chosen.
 const (
-	weightAvoided  = 10_000
-	weightRemote   = 1_000
-	weightTrial    = 500
+	// weightAvoided counts for each run of the unit that went wrong on the worker.
+	weightAvoided = 10_000
+	// weightRemote counts for a worker outside the preferred rack.
+	weightRemote = 1_000
+	// weightAmbiguousCrash counts for a worker on which a start would make a crash hard to attribute.
+	weightAmbiguousCrash = 500
+	// weightFailures counts for each failure on the worker since its last success.
 	weightFailures = 100
 )
 
@@ -209,13 +210,13 @@
 	})
 }
 
-// penalty rates a worker for a task; lower is better. It prefers workers without failures and trials, and among those the one that is
+// penalty rates a worker for a task; lower is better. It prefers workers without failures, and among those the one that is
 // left with the fewest free accelerators (best fit), so that whole workers stay free for large tasks.
 func (c *Core) penalty(u *unit, w *worker) int {
 	left := w.free().Accelerators - u.step.spec.Demand.Accelerators
 	sum := left + u.avoid[w.id]*weightAvoided + w.health.failures*weightFailures
-	if c.sharesTrial(u, w) {
-		sum += weightTrial
+	if c.crashWouldBeAmbiguous(u, w) {
+		sum += weightAmbiguousCrash
 	}
 	return sum
 }
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -19,7 +19,7 @@
 	// listedAt is when the request for the latest listing was sent.
 	listedAt time.Duration
 	// reachable workers responded to the last request. unreachableAt is when a worker that is not reachable failed to respond first;
-	// silent is true if that request timed out, or the last one to a worker that this core has never reached.
+	// silent is true if a request to it has timed out since.
 	reachable, silent bool
 	unreachableAt     time.Duration
 	runs              map[workload.RunRef]*placement
@@ -38,9 +38,9 @@
 	slowUntil, probationUntil time.Duration
 	// leavesAt is the earliest time at which a draining worker leaves; 0 if the worker does not drain or has not announced it.
 	leavesAt time.Duration
-	// lastStartAt is when the last start on the worker was decided; 0 if none was. Until trialUntil, other units should not start
+	// lastStartAt is when the last start on the worker was decided; 0 if none was. Until isolatedUntil, other units should not start
 	// there, so that a crash can be attributed.
-	lastStartAt, trialUntil time.Duration
+	lastStartAt, isolatedUntil time.Duration
 	// urgentEndedAt is when work of priority 0 last ended on the worker; 0 if none has.
 	urgentEndedAt time.Duration
 }
@@ -93,11 +93,9 @@
 		return
 	}
 	if w.reachable {
-		w.unreachableAt = c.now
-	}
-	if w.reachable || !w.listed {
-		w.silent = silent
+		w.unreachableAt, w.silent = c.now, false
 	}
+	w.silent = w.silent || silent
 	w.reachable = false
 }
 
@@ -110,7 +108,7 @@
 	GoneLeaseExpired GoneReason = "lease expired"
 	// GoneReplaced means that another process responds at the worker's address.
 	GoneReplaced GoneReason = "replaced by another process"
-	// GoneUnlisted means that the worker was missing from the worker list since this holder took over, until all leases had expired.
+	// GoneUnlisted means that the worker has had no entry since this holder took over, and that all leases have expired.
 	GoneUnlisted GoneReason = "not listed since the takeover"
 	// GoneDeregistered means that the worker removed its entry after draining.
 	GoneDeregistered GoneReason = "deregistered"
@@ -123,14 +121,14 @@
 		return
 	}
 	lost := w.sortedRuns()
-	var guilty []*unit
+	var toGiveUp []*unit
 	if reason == GoneReplaced || reason == GoneUnlisted || reason == GoneLeaseExpired && !w.silent {
-		guilty = c.recordCrash(w, lost, reason == GoneReplaced)
+		toGiveUp = c.recordCrash(w, lost, reason == GoneReplaced)
 	}
 	for _, p := range lost {
 		c.runLost(p, "worker gone: "+string(reason))
 	}
-	for _, u := range guilty {
+	for _, u := range toGiveUp {
 		c.giveUp(u)
 	}
 	w.listed = false
@@ -214,15 +212,22 @@
 // handleAbsentRuns handles the known runs that are missing from the worker's listing. restarted is true for the first listing of a
 // new process.
 func (c *Core) handleAbsentRuns(w *worker, absent []*placement, restarted bool, sentAt time.Duration) {
-	crashed := slices.DeleteFunc(slices.Clone(absent), func(p *placement) bool { return !restarted && !p.restoredFromEndedProcess() })
-	guilty := c.recordCrash(w, crashed, true)
+	var crashed []*placement
+	for _, p := range absent {
+		p.processEnded = p.processEnded || restarted || p.restoredFromEndedProcess()
+		// A start that was confirmed after the listing was requested may have reached the new process; the next listing tells.
+		if p.processEnded && p.confirmedAt < sentAt {
+			crashed = append(crashed, p)
+		}
+	}
+	toGiveUp := c.recordCrash(w, crashed, true)
 	for _, p := range absent {
 		if restarted {
 			c.handleRestart(p)
 		}
 		c.handleAbsent(p, sentAt)
 	}
-	for _, u := range guilty {
+	for _, u := range toGiveUp {
 		c.giveUp(u)
 	}
 }
@@ -239,6 +244,7 @@
 		c.stopOrphan(w, r.RunRef)
 		return
 	}
+	p.processEnded = false
 	if p.stopping && (p.unverified || c.now-p.stopSentAt > c.options.StopTimeout+stopRetryMargin) {
 		c.resendStop(p)
 	}
--- a/workload/state.go
+++ b/workload/state.go
@@ -150,7 +150,7 @@
 func (s *JobState) format() byte {
 	for _, steps := range s.Repetitions {
 		for _, step := range steps {
-			if slices.ContainsFunc(step.Units, func(u UnitState) bool { return len(u.Crashes) > 0 }) {
+			if slices.ContainsFunc(step.Units, func(u UnitState) bool { return len(u.Crashes)+len(u.Incarnations) > 0 }) {
 				return stateFormatCrashes
 			}
 		}
--- a/workload/state_test.go
+++ b/workload/state_test.go
@@ -178,6 +178,8 @@
 // FuzzState guards against a stored state that takes down the holder of the schedule.
 func FuzzState(f *testing.F) {
 	f.Add((&JobState{Phase: PhaseRunning, Repetitions: [][]StepState{{{Done: true}, {Units: []UnitState{{Status: UnitActive, Run: 3, Workers: []string{"w", ""}, Checkpoint: "c"}}}}}}).Encode())
+	// A state of the second format with an incarnation and without crashes.
+	f.Add([]byte{stateFormatCrashes, 1, 1, 1, 'w', 8, 1, 1, 0, 1, 1, 1, 0, 0, 1, 1, 0, 0})
 	f.Add([]byte{stateFormat, 1, 0xff, 0xff, 0xff, 0x7f})
 	f.Fuzz(func(t *testing.T, encoded []byte) {
 		state, err := DecodeState(encoded)
