dispatch: gangs keep off a worker that is over its capacity

Cause: a resource that a task does not need was left out of account even if the worker was over its capacity in it, which a shrunk capacity can bring about. Single tasks were kept off by a second check, members of gangs were not.

Change: a negative remainder of any resource leaves no room.

--- a/dispatch/capacity_test.go
+++ b/dispatch/capacity_test.go
@@ -100,3 +100,19 @@
 		t.Fatalf("%d starts after the list was read again, want 1", len(starts))
 	}
 }
+
+// TestGangMembersFitAShrunkWorker guards against members of a gang that are placed on a worker that is over its capacity in a resource
+// that they do not need.
+func TestGangMembersFitAShrunkWorker(t *testing.T) {
+	for _, gang := range []bool{false, true} {
+		c := newCluster(t, 1)
+		c.submit("a", "normal", "large", tasks(6, 1))
+		c.plan()
+		c.resize("w00", 4)
+		demand := resource.Resources{MilliCPU: 1000, MemoryMB: 1000}
+		c.submit("b", "normal", "large", workload.Step{Tasks: 2, Estimate: time.Second, Gang: gang, Demand: demand})
+		if starts := c.plan().Starts; len(starts) != 0 {
+			t.Errorf("gang %v: %d starts on a worker that is over its capacity", gang, len(starts))
+		}
+	}
+}
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -123,14 +123,14 @@
 	return int(max(0, n))
 }
 
-// quotient returns how many times demand fits into free: 0 if free is negative, math.MaxInt32 if demand is 0.
+// quotient returns how many times demand fits into free: 0 if free is negative, else math.MaxInt32 if demand is 0.
 func quotient(free, demand int64) int64 {
-	if demand == 0 {
-		return math.MaxInt32
-	}
 	if free < 0 {
 		return 0
 	}
+	if demand == 0 {
+		return math.MaxInt32
+	}
 	return free / demand
 }
 
