dispatch: a stale worker list moves nothing, and is as old as its read

Cause: while the worker list was stale, runs were still stopped to be moved, though nothing could start. A list counted as fresh from the time at which the loop learned of its read, and not from the start of that read. No log line said that starts were suspended.

Change: runs stay where they are while the list is stale; its age counts from the start of the read; the decisions "starts suspended" and "starts resumed" are logged.

Measured: TestStaleWorkerListMovesNothing failed before (one stop) and passes.

--- a/dispatch/capacity.go
+++ b/dispatch/capacity.go
@@ -10,8 +10,9 @@
 // respected within 3 s and one heartbeat.
 const maxWorkerListAge = 3 * time.Second
 
-// WorkersRead records that all changes of the worker list up to now have been passed to SetWorker and DropWorker.
-func (c *Core) WorkersRead() { c.workersReadAt = c.now }
+// WorkersRead records that all changes of the worker list up to the given time, on the clock of Advance, have been passed to SetWorker
+// and DropWorker.
+func (c *Core) WorkersRead(at time.Duration) { c.workersReadAt = max(c.workersReadAt, at) }
 
 // workerListStale reports whether the worker list is too old to start work by it. It is never stale before the first call of
 // WorkersRead: workers are known only from the list then.
@@ -19,6 +20,20 @@
 	return c.workersReadAt > 0 && c.now-c.workersReadAt > maxWorkerListAge
 }
 
+// noteListAge reports whether the worker list is stale, and records when that changes.
+func (c *Core) noteListAge() bool {
+	stale := c.workerListStale()
+	if stale != c.startsSuspended {
+		c.startsSuspended = stale
+		name := "starts resumed"
+		if stale {
+			name = "starts suspended"
+		}
+		c.event(Event{Name: name, Detail: "age of the worker list: " + (c.now - c.workersReadAt).String()})
+	}
+	return stale
+}
+
 // withdrawExcess abandons starts without response on a worker whose capacity has shrunk below what it runs, latest first, until
 // the rest fits. Runs that have begun stay: their worker decides what becomes of them.
 func (c *Core) withdrawExcess(w *worker) {
--- a/dispatch/capacity_test.go
+++ b/dispatch/capacity_test.go
@@ -89,13 +89,13 @@
 // states and cannot read the worker list.
 func TestStaleWorkerListStartsNothing(t *testing.T) {
 	c := newCluster(t, 1)
-	c.core.WorkersRead()
+	c.core.WorkersRead(c.now)
 	c.advance(maxWorkerListAge + simTick)
 	c.submit("a", "normal", "large", tasks(1, 1))
 	if starts := c.plan().Starts; len(starts) != 0 {
 		t.Fatalf("%d starts by a list that is older than %s", len(starts), maxWorkerListAge)
 	}
-	c.core.WorkersRead()
+	c.core.WorkersRead(c.now)
 	if starts := c.plan().Starts; len(starts) != 1 {
 		t.Fatalf("%d starts after the list was read again, want 1", len(starts))
 	}
@@ -116,3 +116,21 @@
 		}
 	}
 }
+
+// TestStaleWorkerListMovesNothing guards against runs that are stopped to be moved while nothing can be started.
+func TestStaleWorkerListMovesNothing(t *testing.T) {
+	c := newCluster(t, 2)
+	step := tasks(1, 1)
+	step.Checkpointing, step.Estimate = true, time.Minute
+	c.submit("a", "normal", "large", step)
+	start := c.plan().Starts[0]
+	c.core.WorkersRead(c.now)
+	info := c.workers[start.Worker].info
+	info.Draining, info.RemainingLife = true, 8*time.Second
+	c.core.SetWorker(info)
+	c.advance(7 * time.Second)
+	c.list(start.Worker)
+	if plan := c.decide(); len(plan.Stops) != 0 {
+		t.Errorf("got stops %+v by a stale worker list", plan.Stops)
+	}
+}
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -99,6 +99,8 @@
 	stallsCheckedAt time.Duration
 	// workersReadAt is when the worker list was last known to be complete; 0 before that.
 	workersReadAt time.Duration
+	// startsSuspended is true while nothing is started or moved because the worker list is stale.
+	startsSuspended bool
 	// racks is the number of racks with registered workers.
 	racks int
 	// tooManyQuarantined is set if quarantine is not applied because it would exclude too many workers.
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -37,17 +37,15 @@
 func (c *Core) Plan() Plan {
 	c.updateExclusions()
 	c.updateUtilization()
-	if c.now-c.stallsCheckedAt >= stallInterval {
-		c.stallsCheckedAt = c.now
-		c.moveStalled()
-		c.moveSlow()
+	stale := c.noteListAge()
+	if !stale {
+		c.moveRuns()
 	}
-	c.evacuate()
 	ready := c.readySteps()
 	c.expireClaims(ready)
 	c.updateFreeAccelerators()
 	c.searchCache = failedSearches{}
-	if !c.workerListStale() {
+	if !stale {
 		c.startReady(ready)
 	}
 	c.dropReservations(ready)
@@ -57,6 +55,16 @@
 	return plan
 }
 
+// moveRuns stops runs that are better off elsewhere.
+func (c *Core) moveRuns() {
+	if c.now-c.stallsCheckedAt >= stallInterval {
+		c.stallsCheckedAt = c.now
+		c.moveStalled()
+		c.moveSlow()
+	}
+	c.evacuate()
+}
+
 // startReady starts what fits of the ready steps, in their order, and makes or reserves room for the others.
 func (c *Core) startReady(ready []*step) {
 	reservations := 0
--- a/leader/workers.go
+++ b/leader/workers.go
@@ -54,7 +54,7 @@
 	}
 	defer func() {
 		if update.Complete {
-			w.leader.enqueue(func(c *dispatch.Core) { c.WorkersRead() })
+			w.leader.enqueue(func(c *dispatch.Core) { c.WorkersRead(update.StartedAt) })
 		}
 	}()
 	if update.Loaded {
