dispatch: restored starts obey the guards of new ones

Cause: a start that a new holder sends again under its number was checked against the capacity in the list only. It went to a process whose entry was not read yet, to a draining worker, and by a stale list.

Change: such a start is sent only to a worker that would get it as new work and has room; otherwise the task starts anew.

--- a/dispatch/capacity.go
+++ b/dispatch/capacity.go
@@ -34,6 +34,13 @@
 	return stale
 }
 
+// maySendAgain reports whether a restored start may be sent to its worker: the worker would get it as new work, and has room for all
+// that was restored there. It is not asked whether the worker is quarantined or slow.
+func (p *placement) maySendAgain() bool {
+	w := p.worker
+	return w.registered && !w.info.Draining && !w.entryOutdated() && w.used.Fits(w.info.Capacity)
+}
+
 // withdrawExcess abandons starts without response on a worker whose capacity has shrunk below what it runs, latest first, until
 // the rest fits. Runs that have begun stay: their worker decides what becomes of them.
 func (c *Core) withdrawExcess(w *worker) {
--- a/dispatch/capacity_test.go
+++ b/dispatch/capacity_test.go
@@ -101,6 +101,33 @@
 	}
 }
 
+// TestRestoredStartNeedsTheEntryOfItsProcess guards against a start that the next holder sends again to another process of its
+// worker, by the capacity and labels of the process that has ended.
+func TestRestoredStartNeedsTheEntryOfItsProcess(t *testing.T) {
+	c := newCluster(t, 2)
+	c.submit("a", "normal", "large", tasks(1, 1))
+	start := c.decide().Starts[0]
+	c.takeOver()
+	c.restart(start.Worker)
+	if plan := c.decide(); len(plan.Starts) != 0 {
+		t.Errorf("got starts %+v on a process whose entry is not known", plan.Starts)
+	}
+}
+
+// TestRestoredStartNeedsAFreshList guards against a restored start that is sent again by a stale worker list.
+func TestRestoredStartNeedsAFreshList(t *testing.T) {
+	c := newCluster(t, 2)
+	c.submit("a", "normal", "large", tasks(1, 1))
+	start := c.decide().Starts[0]
+	c.takeOver()
+	c.core.WorkersRead(c.now)
+	c.advance(maxWorkerListAge + time.Second)
+	c.list(start.Worker)
+	if plan := c.decide(); len(plan.Starts) != 0 {
+		t.Errorf("got starts %+v by a stale worker list", plan.Starts)
+	}
+}
+
 // TestGangMembersFitAShrunkWorker guards against members of a gang that are placed on a worker that is over its capacity in a resource
 // that they do not need.
 func TestGangMembersFitAShrunkWorker(t *testing.T) {
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -312,14 +312,13 @@
 
 // handleAbsentAfterTakeover handles a restored run that did not reach its worker. Commands of the previous holder carry a
 // lower epoch, which the worker rejects from now on. The start of a single task is sent again with the same run number if the
-// worker has room for all that was restored there and is not known to have restarted; the states of several jobs are not stored at
-// once. A gang is restarted with a new run, as its members would no longer arrive together.
+// worker would still get it and is not known to have restarted; the states of several jobs are not stored at once. A gang is restarted
+// with a new run, as its members would no longer arrive together.
 func (c *Core) handleAbsentAfterTakeover(p *placement) {
 	ended := p.restoredFromEndedProcess()
 	p.unverified = false
 	u := p.unit
-	overcommitted := p.worker.registered && !p.worker.used.Fits(p.worker.info.Capacity)
-	if u.size > 1 || u.aborting || u.step.job.phase.Final() || overcommitted || ended {
+	if u.size > 1 || u.aborting || u.step.job.phase.Final() || ended || !p.maySendAgain() || c.workerListStale() {
 		c.runLost(p, "did not reach the worker before the takeover")
 		return
 	}
