--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -177,19 +177,21 @@
 		id, state, status, failed, dropped.maxAttempts)}
 }
 
-// publicRoute: a route becomes public while a job of it runs. LOST: a GET for an accepted job must not be answered 410.
+// publicRoute: a route is removed while a job of it runs, and added again as a public one. LOST: a GET for an accepted job must not be
+// answered 410.
 func publicRoute(s *System, trouble bool) []string {
+	kept := Route{name: "r-3ajwyy7", prefix: "/pule252/", priority: 2, maxAttempts: 3}
 	route := Route{name: "r-ce7ejsm", prefix: "/lohu930/", priority: 1, maxAttempts: 4}
-	s.publish(1, route)
+	s.publish(1, kept, route)
 	s.addWorkers(6, 8)
 	s.addNodes(3)
 	s.awaitReady()
-	id := s.submit(route, "gpu=1 ms=10000", Step{"count": 1, "cpu": 1000, "memory_request_mb": 256, "gpu": 1, "estimated_ms": 8000})
+	id := s.submit(route, "gpu=1 ms=15000", Step{"count": 1, "cpu": 1000, "memory_request_mb": 256, "gpu": 1, "estimated_ms": 8000})
 	time.Sleep(visible)
-	if trouble {
-		route.public = true
-	}
-	s.publish(5, route)
+	s.publish(4, kept)
+	time.Sleep(3 * time.Second)
+	route.public = trouble
+	s.publish(9, kept, route)
 	time.Sleep(visible + 2*time.Second)
 	var broken []string
 	for range 2 {
