--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -115,6 +115,63 @@
 	return busy
 }
 
+// lateHeartbeat: a worker starts again under its id at another address, and the last heartbeat of its ended process, which had no answer, is
+// executed some seconds later. TWICE: the runs of the new process must not start elsewhere while they are at work.
+func lateHeartbeat(s *System, trouble bool) []string {
+	const (
+		workers   = 8
+		holderAge = 15 * time.Second
+		late      = 4 * time.Second
+	)
+	route := Route{name: "r-ce7ejsm", prefix: "/lohu930/", priority: 1, maxAttempts: 4}
+	s.publish(1, route)
+	s.addWorkers(workers, 8)
+	s.addNodes(3)
+	s.awaitReady()
+	time.Sleep(holderAge)
+	submit := func(n int) {
+		for range n {
+			s.submit(route, "gpu=8 ms=15000", Step{"count": 1, "cpu": 1000, "memory_request_mb": 256, "gpu": 8, "estimated_ms": 15000})
+		}
+	}
+	submit(workers / 2)
+	time.Sleep(2 * time.Second)
+	w := s.busyWorkers()[0]
+	last := w.restart()
+	if trouble {
+		time.AfterFunc(late, func() {
+			s.store.put("keyed.servers", w.id, last)
+			s.record.log("store: a heartbeat of the ended process of %s is executed %v late", w.id, late)
+		})
+	}
+	time.Sleep(time.Second)
+	submit(workers/2 - 1)
+	time.Sleep(25 * time.Second)
+	return s.twice("")
+}
+
+// manyEnds: a worker is cut off while more than 500 of its work items end. TWICE: an item whose end the worker has not returned yet, because it
+// returns 500 at a time, must not start again.
+func manyEnds(s *System, trouble bool) []string {
+	const (
+		items = 1200
+		cut   = 5500 * time.Millisecond
+	)
+	route := Route{name: "r-ce7ejsm", prefix: "/lohu930/", priority: 1, maxAttempts: 4}
+	s.publish(1, route)
+	s.addWorkers(6, 8)
+	s.addNodes(3)
+	s.awaitReady()
+	time.Sleep(2 * time.Second)
+	s.submit(route, "ms=6000 spread=3", Step{"count": items, "cpu": 20, "memory_request_mb": 16, "estimated_ms": 8000})
+	time.Sleep(5500 * time.Millisecond)
+	if trouble {
+		s.busyWorkers()[0].cut(cut)
+	}
+	time.Sleep(20 * time.Second)
+	return s.twice("")
+}
+
 // twice returns the pairs of runs of one work item at the same time, on workers that are up, and the runs that began after one had ended
 // done and its end was taken note of.
 func (s *System) twice(prefix string) []string {
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -16,6 +16,8 @@
 var cases = map[string]func(s *System, trouble bool) []string{
 	"hopeless-gang":    hopelessGang,
 	"drain-and-outage": drainAndOutage,
+	"late-heartbeat":   lateHeartbeat,
+	"many-ends":        manyEnds,
 	"dropped-route":    droppedRoute,
 	"public-route":     publicRoute,
 	"long-job":         longJob,
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -14,8 +14,11 @@
 // stopTime is the time between a stop request and the end of the run.
 const stopTime = 200 * time.Millisecond
 
+// maxEnds is how many ends a worker returns at a time.
+const maxEnds = 500
+
 // Worker is a stand-in of one minion. The specification of a job tells how its work items behave: "ms=N" is the time of
-// work, "fail=N" makes the first N runs end failed after it.
+// work, "spread=N" adds N ms for each item before it in its step, "fail=N" makes the first N runs end failed, after "failms=N".
 type Worker struct {
 	id, address string
 	capacity    map[string]int
@@ -38,6 +41,8 @@
 	state    string
 	gone     bool
 	server   *http.Server
+	// cutUntil is the end of the time in which the worker is cut off from the nodes: no request and no response arrives.
+	cutUntil time.Time
 }
 
 // run is one run of a work item on a worker.
@@ -71,6 +76,14 @@
 		capacity: map[string]int{"cpu": 32000, "memory_request_mb": 64000, "gpu": gpus},
 		labels:   []string{"a", "r1-1"}, running: map[string]*run{}, highest: map[string]int64{}, changed: make(chan struct{}),
 	}
+	w.listen()
+	go w.beat()
+	go w.watchLease()
+	return w
+}
+
+// listen opens a new address and serves it.
+func (w *Worker) listen() {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	check(err)
 	w.address = listener.Addr().String()
@@ -78,11 +91,61 @@
 	mux.HandleFunc("POST /run-start", w.handleStart)
 	mux.HandleFunc("POST /run-stop", w.handleStop)
 	mux.HandleFunc("POST /hold", w.handleHold)
-	w.server = &http.Server{Handler: mux}
-	go func() { _ = w.server.Serve(listener) }()
-	go w.beat()
-	go w.watchLease()
-	return w
+	server := &http.Server{Handler: w.link(mux)}
+	w.server = server
+	go func() { _ = server.Serve(listener) }()
+}
+
+// link loses the requests that arrive while the worker is cut off, and the responses that are due then.
+func (w *Worker) link(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		if w.isCut() {
+			w.lose(r)
+		}
+		next.ServeHTTP(rw, r)
+	})
+}
+
+func (w *Worker) isCut() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return time.Now().Before(w.cutUntil)
+}
+
+// lose keeps a request without response until its sender gives up or the cut ends, and ends the connection.
+func (w *Worker) lose(r *http.Request) {
+	for w.isCut() && r.Context().Err() == nil {
+		time.Sleep(10 * time.Millisecond)
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// cut cuts the worker off from the nodes for a time. It runs on.
+func (w *Worker) cut(d time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.cutUntil = time.Now().Add(d)
+	w.record.log("worker %s is cut off from the nodes for %v", w.id, d)
+}
+
+// restart ends the worker's process with all its runs and starts it again under the same id at another address. It returns the entry that the
+// ended process wrote last.
+func (w *Worker) restart() map[string]any {
+	w.mu.Lock()
+	last := w.entry()
+	_ = w.server.Close()
+	for k, r := range w.running {
+		r.history.Ended, r.history.How = time.Now(), "crashed"
+		delete(w.running, k)
+	}
+	w.highest, w.ended, w.ends, w.fence, w.until, w.sequence = map[string]int64{}, nil, 0, 0, 0, 0
+	w.born = time.Now()
+	old := w.address
+	w.listen()
+	w.record.log("worker %s restarts, at %s instead of %s", w.id, w.address, old)
+	w.mu.Unlock()
+	w.report()
+	return last
 }
 
 func (w *Worker) clock() int64 { return time.Since(w.born).Milliseconds() }
@@ -103,6 +166,11 @@
 		return false
 	}
 	w.sequence++
+	return w.store.put("keyed.servers", w.id, w.entry())
+}
+
+// entry returns the worker's entry. mu must be held.
+func (w *Worker) entry() map[string]any {
 	entry := map[string]any{
 		"service": "bladelab", "address": w.address, "zone": "tt-north-a", "version": "v1", "slots": 8, "state": w.state,
 		"cold_remaining_ms": 0, "capacity": w.capacity, "labels": w.labels, "clock_ms": w.clock(), "sequence": w.sequence,
@@ -111,7 +179,7 @@
 	if w.state == "draining" {
 		entry["remaining_ms"] = 2000
 	}
-	return w.store.put("keyed.servers", w.id, entry)
+	return entry
 }
 
 // drain announces that the worker leaves. It stays for the given time and then exits.
@@ -267,6 +335,8 @@
 	if result == "failed" && specNumber(request.Spec, "failms") > 0 {
 		n.length = time.Duration(specNumber(request.Spec, "failms")) * time.Millisecond
 	}
+	index, _ := strconv.Atoi(request.Task[strings.LastIndex(request.Task, ".")+1:])
+	n.length += time.Duration(index*specNumber(request.Spec, "spread")) * time.Millisecond
 	n.history = w.record.begin(request.Task, request.Run, w.id)
 	w.running[k] = n
 	w.record.log("%s run %d begins on %s, specification %q, token %d", request.Task, request.Run, w.id, request.Spec, request.Fence)
@@ -331,12 +401,15 @@
 		percent := int(100 * time.Since(n.begunAt) / n.length)
 		running = append(running, []any{n.task, n.run, "", min(percent, 99), 0})
 	}
-	ended := w.ended
+	ended := w.ended[:min(len(w.ended), maxEnds)]
 	if ended == nil {
 		ended = [][]any{}
 	}
 	body := map[string]any{"clock_ms": w.clock(), "born": w.born.UnixMilli(), "running": running, "ended": ended}
 	w.mu.Unlock()
+	if w.isCut() {
+		w.lose(r)
+	}
 	reply(rw, http.StatusOK, body)
 }
 
