--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -3,4 +3,4 @@
 folder=$(cd "$(dirname "$0")" && pwd)
 cd "$folder/../.." || exit 2
 [ -x review/bin/standin ] && [ -x target/redwing-node ] || { echo "not run: build target/ and review/bin first"; exit 2; }
-exec review/bin/standin public-route "$folder"
+exec review/bin/standin dropped-route "$folder"
