--- a/review/platform/worker.go
+++ b/review/platform/worker.go
@@ -300,6 +300,7 @@
 		return
 	}
 	refuse := func(reason string) {
+		w.record.log("%s run %d is refused on %s: %s", request.Task, request.Run, w.id, reason)
 		reply(rw, http.StatusConflict, map[string]any{"clock_ms": w.clock(), "reason": reason})
 	}
 	k := key(request.Task, request.Run)
