--- a/review/platform/main.go
+++ b/review/platform/main.go
@@ -5,7 +5,6 @@
 import (
 	"fmt"
 	"os"
-	"path/filepath"
 	"time"
 )
 
@@ -27,7 +26,7 @@
 
 func play() (code int) {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: standin CASE FOLDER, in the root of the repository")
+		fmt.Fprintln(os.Stderr, "usage: standin CASE RECORD, in the root of the repository")
 		return 2
 	}
 	var system *System
@@ -40,7 +39,7 @@
 			system.close()
 		}
 	}()
-	record := newRecord(filepath.Join(os.Args[2], "record.txt"))
+	record := newRecord(os.Args[2])
 	system = newSystem(record)
 	result := make(chan []string, 1)
 	failure := make(chan any, 1)
@@ -68,6 +67,7 @@
 		record.log("not run: %v", cause)
 		fmt.Println("not run:", cause)
 	case <-time.After(limit):
+		record.log("not run: out of time")
 		fmt.Println("not run: out of time")
 	}
 	return 2
--- a/review/platform/system.go
+++ b/review/platform/system.go
@@ -38,8 +38,9 @@
 	history []*History
 }
 
+// newRecord appends to the file at path.
 func newRecord(path string) *Record {
-	file, err := os.Create(path)
+	file, err := os.OpenFile(path, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
 	check(err)
 	return &Record{file: file, begun: time.Now()}
 }
--- a/review/platform/worker.go
+++ b/review/platform/worker.go
@@ -340,7 +340,7 @@
 	n.length += time.Duration(index*specNumber(request.Spec, "spread")) * time.Millisecond
 	n.history = w.record.begin(request.Task, request.Run, w.id)
 	w.running[k] = n
-	w.record.log("%s run %d begins on %s, specification %q, token %d", request.Task, request.Run, w.id, request.Spec, request.Fence)
+	w.record.log("%s run %d begins on %s, specification %q, token %d, answered 200", request.Task, request.Run, w.id, request.Spec, request.Fence)
 	time.AfterFunc(n.length, func() {
 		w.mu.Lock()
 		defer w.mu.Unlock()
@@ -357,7 +357,7 @@
 	if !w.admit(rw, r, &request) {
 		return
 	}
-	w.record.log("%s run %d is to stop on %s", request.Task, request.Run, w.id)
+	w.record.log("%s run %d is to stop on %s, answered 200", request.Task, request.Run, w.id)
 	k := key(request.Task, request.Run)
 	if n := w.running[k]; n != nil && !n.stopping {
 		n.stopping = true
