--- a/review/platform/system.go
+++ b/review/platform/system.go
@@ -93,6 +93,8 @@
 	workers []*Worker
 	client  *http.Client
 	nextJob int
+	// usedAddresses holds the addresses that the nodes were given.
+	usedAddresses map[string]bool
 }
 
 // Node is one redwing-node process.
@@ -108,22 +110,30 @@
 func newSystem(record *Record) *System {
 	folder, err := os.MkdirTemp("", "review-")
 	check(err)
-	return &System{record: record, store: newStore(record), folder: folder, client: &http.Client{Timeout: 3 * time.Second}}
+	return &System{record: record, store: newStore(record), folder: folder, client: &http.Client{Timeout: 3 * time.Second}, usedAddresses: map[string]bool{}}
 }
 
 // firstPort and lastPort bound the ports of the nodes; they are below those that the system gives to other listeners.
 const firstPort, lastPort = 20000, 32000
 
-// freePorts returns n addresses on which nothing listens.
-func freePorts(n int) []string {
+// nodeIP returns the loopback address of the nodes, which differs between runs side by side.
+func nodeIP() string {
+	const values = 250
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.1", 1+pid/values%values, pid%values)
+}
+
+// freePorts returns n addresses on which nothing listens, and returns none of them again.
+func (s *System) freePorts(n int) []string {
 	var addresses []string
 	for len(addresses) < n {
-		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.N(lastPort-firstPort))
+		address := fmt.Sprintf("%s:%d", nodeIP(), firstPort+rand.N(lastPort-firstPort))
 		listener, err := net.Listen("tcp", address)
-		if err != nil {
+		if err != nil || s.usedAddresses[address] {
 			continue
 		}
-		defer listener.Close()
+		_ = listener.Close()
+		s.usedAddresses[address] = true
 		addresses = append(addresses, address)
 	}
 	return addresses
@@ -134,10 +144,10 @@
 // addNodes starts n redwing-node processes.
 func (s *System) addNodes(n int) {
 	for i := range n {
-		ports := freePorts(4)
+		ports := s.freePorts(4)
 		node := &Node{name: fmt.Sprintf("frontend-tt-north-a-%d", i+1), callers: ports[0], ready: ports[1], system: s}
 		node.settings = filepath.Join(s.folder, node.name+".conf")
-		text := fmt.Sprintf(settingsText, node.name, ports[0], ports[1], ports[2], port(ports[3]), port(ports[3]), s.store.serve())
+		text := fmt.Sprintf(settingsText, node.name, nodeIP(), ports[0], ports[1], ports[2], port(ports[3]), port(ports[3]), s.store.serve())
 		check(os.WriteFile(node.settings, []byte(text), 0o644))
 		s.nodes = append(s.nodes, node)
 		node.start()
@@ -164,6 +174,13 @@
 	n.system.record.log("%s started, process %d", n.name, command.Process.Pid)
 }
 
+// lastLine returns the last line that the process has written.
+func (n *Node) lastLine() string {
+	text, _ := os.ReadFile(n.settings + ".log")
+	lines := strings.Split(strings.TrimSpace(string(text)), "\n")
+	return lines[len(lines)-1]
+}
+
 // signal sends a signal to the process.
 func (n *Node) signal(sig syscall.Signal) {
 	n.mu.Lock()
@@ -311,7 +328,7 @@
 				}
 			}
 			if time.Now().After(deadline) {
-				panic(fmt.Errorf("%w: %s is not ready", errAbort, n.name))
+				panic(fmt.Errorf("%w: %s is not ready: %s", errAbort, n.name, n.lastLine()))
 			}
 			time.Sleep(100 * time.Millisecond)
 		}
@@ -337,7 +354,7 @@
 role=node
 machine_class=frontend
 serves=frontend
-ip_address=127.0.0.1
+ip_address=%s
 zone=tt-north-a
 region=tt-north
 zones.tt-north-a=tt-north
