dispatch: a gang reserves room only if it is expected to fit, for a limited time

Cause: a gang that was blocked for 0.7 s reserved all free room up to its size in each plan. It was not asked whether it could ever fit, and there was no bound in time. The gang never started, so it never failed either.

Change: a gang reserves room only if it is expected to fit within 15 s, in free room and in that of runs that are expected to end by then. Reservations keep room in every plan for at most 1 s while less than half of the service is in use, and for at most 15 s otherwise; then one plan goes without, in which whatever fits starts. Tasks that last may use reserved room.

Work that waits though there is room: at most 1 s on a service that is less than half in use, at most 15 s on a busier one. Gangs that can fit: those that are expected to fit within 15 s reserve as before; one that needs more than half of the service may be passed while narrower work keeps coming. Runs beside live ones: not touched.

Measured: TestGangThatCannotFitHoldsNoRoom (4 of 5 cases), TestIdleServiceKeepsNoWorkWaiting, TestLastingTaskStartsBesideAReservation and TestReservationsOfABusyServiceEnd failed before and pass.

--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -10,6 +10,7 @@
 //   - units.go: the life cycle of a unit from start to end
 //   - plan.go: the order in which waiting steps are tried
 //   - place.go: placement of a step's tasks on workers
+//   - reserve.go: free capacity that is kept for blocked gangs
 //   - search.go: cache of placement searches that failed within a plan
 //   - reclaim.go: stops of running work for urgent work
 //   - assert.go: assertions on starts
@@ -109,9 +110,12 @@
 	tooManySlow bool
 	// typicalRates maps the name of each queue to the typical progress rates of its runs.
 	typicalRates map[string]*typicalRate
+	// serviceUse maps each service to what is in use of it, as of the current plan.
+	serviceUse map[string]*serviceUse
 	// searchCache caches the searches of the current plan that found no room.
-	searchCache failedSearches
-	events      []Event
+	searchCache  failedSearches
+	reservations reservations
+	events       []Event
 }
 
 // Event is a decision, or a change in what the core knows of a worker or run, that the owner logs.
@@ -233,6 +237,8 @@
 		changed:      map[workload.JobID]*job{},
 		accountUse:   map[string]int{},
 		typicalRates: map[string]*typicalRate{},
+		serviceUse:   map[string]*serviceUse{},
+		reservations: reservations{spans: map[string]reservationSpan{}},
 	}
 }
 
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -79,11 +79,15 @@
 	return !c.excluded(w) && c.allowedOnProbation(w, s)
 }
 
-// freeFor returns the capacity of the worker that is free for the step now; zero if it is held for urgent work.
+// freeFor returns the capacity of the worker that is free for the step now; zero if it is held for urgent work. Long-running tasks
+// may use what gangs have reserved: users expect them to start at once wherever there is room.
 func (c *Core) freeFor(w *worker, s *step) resource.Resources {
 	if c.heldForUrgent(w, s) {
 		return resource.Resources{}
 	}
+	if s.spec.LongRunning {
+		return w.free().Add(w.reserved)
+	}
 	return w.free()
 }
 
@@ -143,22 +147,52 @@
 	return waited >= max(minBusyLocalityWait, s.spec.Estimate)
 }
 
-// updateUtilization computes the number of racks and the fraction of accelerators in use, which is 1 if there are none.
+// updateUtilization computes the number of racks, the fraction of accelerators in use, which is 1 if there are none, and what is in
+// use of each service.
 func (c *Core) updateUtilization() {
-	var used, capacity int
+	all := &serviceUse{}
 	racks := map[string]bool{}
+	clear(c.serviceUse)
 	for _, w := range c.sortedWorkers {
-		if w.registered {
-			racks[w.info.Rack] = true
-			used += w.used.Accelerators
-			capacity += w.info.Capacity.Accelerators
+		if !w.registered {
+			continue
 		}
+		racks[w.info.Rack] = true
+		all.add(w)
+		c.useOf(w.info.Service).add(w)
 	}
 	c.racks = len(racks)
-	c.utilization = 1
-	if capacity > 0 {
-		c.utilization = float64(used) / float64(capacity)
+	c.utilization = fraction(float64(all.used.Accelerators), float64(all.capacity.Accelerators))
+}
+
+// serviceUse is the capacity of the registered workers of a service and the part that is in use.
+type serviceUse struct{ used, capacity resource.Resources }
+
+// useOf returns the record of the service, which it creates if necessary.
+func (c *Core) useOf(service string) *serviceUse {
+	if c.serviceUse[service] == nil {
+		c.serviceUse[service] = &serviceUse{}
+	}
+	return c.serviceUse[service]
+}
+
+func (u *serviceUse) add(w *worker) {
+	u.used = u.used.Add(w.used)
+	u.capacity = u.capacity.Add(w.info.Capacity)
+}
+
+// share returns the fraction of the capacity that is in use, by accelerators or by core equivalents, whichever is lower.
+func (u *serviceUse) share() float64 {
+	return min(fraction(float64(u.used.Accelerators), float64(u.capacity.Accelerators)),
+		fraction(coreEquivalents(u.used), coreEquivalents(u.capacity)))
+}
+
+// fraction returns part of whole as a fraction; 1 if whole is not positive.
+func fraction(part, whole float64) float64 {
+	if whole <= 0 {
+		return 1
 	}
+	return part / whole
 }
 
 // findWorker returns the best worker for a single task; nil if none has room.
@@ -379,27 +413,6 @@
 	return members
 }
 
-// reserve reserves free room for a blocked gang, where most of its members fit, so that later steps in the queue cannot use
-// it. Single tasks start as soon as there is room for one and need no reservation.
-func (c *Core) reserve(s *step) {
-	if !s.spec.Gang {
-		return
-	}
-	u := s.units[0]
-	best := c.largestRoom(u, func(w *worker) resource.Resources { return c.freeFor(w, s) })
-	if best == nil || best.total == 0 {
-		return
-	}
-	s.claim = &claim{step: s, members: map[*worker]int{}}
-	left := u.size
-	for i, w := range best.workers {
-		n := min(best.room[i], left)
-		s.claim.members[w] = n
-		left -= n
-	}
-	c.addClaim(s.claim)
-}
-
 // waitingTasks returns the number of the step's tasks that are waiting.
 func (s *step) waitingTasks() int {
 	n := 0
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/redwingthread/redwingthread/resource"
 	"github.com/redwingthread/redwingthread/workload"
 )
 
@@ -13,16 +14,10 @@
 	dueMargin = 20 * time.Millisecond
 	// claimDuration is how long the capacity of stopped work is kept for the step for which the work was stopped.
 	claimDuration = 2500 * time.Millisecond
-	// racksPerReservation limits the blocked steps that may reserve free capacity to one per so many racks;
-	// minReservations is the limit in small deployments.
-	racksPerReservation = 2
-	minReservations     = 2
 	// deferralPerTask is how far each task of a step that is not urgent moves the step back in the queue, so that narrower
 	// steps can pass it; maxDeferral is the limit.
 	deferralPerTask = 400 * time.Millisecond
 	maxDeferral     = 10 * time.Second
-	// reservationDelay is how long a step must have been ready before it may reserve capacity.
-	reservationDelay = 700 * time.Millisecond
 )
 
 // claim is capacity that is kept for a waiting step: members is the number of tasks on each worker. A claim with expiresAt 0
@@ -33,6 +28,9 @@
 	expiresAt time.Duration
 }
 
+// reservation reports whether the claim is a reservation.
+func (cl *claim) reservation() bool { return cl.expiresAt == 0 }
+
 // Plan decides which runs to start and stop now. It also returns the commands that other methods issued since the last plan.
 func (c *Core) Plan() Plan {
 	c.updateExclusions()
@@ -45,10 +43,12 @@
 	c.expireClaims(ready)
 	c.updateFreeAccelerators()
 	c.searchCache = failedSearches{}
+	c.reservations.begin()
 	if !stale {
 		c.startReady(ready)
 	}
 	c.dropReservations(ready)
+	c.reservations.end()
 	plan := Plan{Starts: c.starts, Stops: c.stops}
 	c.starts = nil
 	c.stops = nil
@@ -67,7 +67,6 @@
 
 // startReady starts what fits of the ready steps, in their order, and makes or reserves room for the others.
 func (c *Core) startReady(ready []*step) {
-	reservations := 0
 	for _, s := range ready {
 		if c.tryStart(s) {
 			continue
@@ -75,16 +74,12 @@
 		if c.mayReclaim(s) && c.reclaim(s) {
 			continue
 		}
-		if s.claim == nil && reservations < c.maxReservations() && c.now-s.readySince >= reservationDelay {
-			reservations++
+		if c.mayReserve(s) {
 			c.reserve(s)
 		}
 	}
 }
 
-// maxReservations returns how many blocked steps may reserve capacity.
-func (c *Core) maxReservations() int { return max(minReservations, c.racks/racksPerReservation) }
-
 // NextDue returns the due time of the next repetition of any scheduled job; the zero time if there is none. A repetition that
 // waits for earlier ones to end has no due time.
 func (c *Core) NextDue() time.Time {
@@ -269,14 +264,18 @@
 		return
 	}
 	for w, members := range cl.members {
-		w.claimed = w.claimed.Add(effectiveDemand(cl.step.spec).Times(sign * members))
+		demand := effectiveDemand(cl.step.spec).Times(sign * members)
+		w.claimed = w.claimed.Add(demand)
+		if cl.reservation() {
+			w.reserved = w.reserved.Add(demand)
+		}
 	}
 }
 
 // expireClaims drops expired claims and recomputes the claimed capacity of each worker from the steps that still wait.
 func (c *Core) expireClaims(ready []*step) {
 	for _, w := range c.sortedWorkers {
-		w.claimed = w.claimed.Sub(w.claimed)
+		w.claimed, w.reserved = resource.Resources{}, resource.Resources{}
 	}
 	for _, s := range ready {
 		if s.claim != nil && s.claim.expiresAt <= c.now {
@@ -285,13 +284,3 @@
 		c.addClaim(s.claim)
 	}
 }
-
-// dropReservations drops the claims that last for one plan only.
-func (c *Core) dropReservations(ready []*step) {
-	for _, s := range ready {
-		if s.claim != nil && s.claim.expiresAt == 0 {
-			c.removeClaim(s.claim)
-			s.claim = nil
-		}
-	}
-}
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -25,8 +25,8 @@
 	runs              map[workload.RunRef]*placement
 	// used is the capacity that the runs use.
 	used resource.Resources
-	// claimed is the capacity that is kept for waiting steps.
-	claimed resource.Resources
+	// claimed is the capacity that is kept for waiting steps, reserved the part of it that is reserved for gangs.
+	claimed, reserved resource.Resources
 	// incarnation is the worker's incarnation as of its latest listing; info may be of another one until its entry is read.
 	incarnation int64
 	// lastAppliedEnd is the highest sequence number of the ends of this incarnation that were applied.
