dispatch: an urgent gang starts in the room that it has claimed

Callers saw: guaranteed work that began late (RECLAIM), with the workers idle that had been cleared for it.

Cause: the free accelerators that decide whether a search for a gang is worthwhile left out what the gang itself had claimed. It waited until the claim ran out, 2.5 s.

Change: a gang counts its claim as free; the start of a step returns its claim to the free accelerators.

Work that waits though there is room: 2.5 s less for such a gang. Runs beside live ones: not touched.

--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -273,7 +273,7 @@
 // findGang returns workers for all members of a gang; nil if there is no room, or if the gang should wait for a rack.
 func (c *Core) findGang(u *unit) []*worker {
 	s := u.step
-	if !s.spec.SameRack && c.freeAccelerators < u.size*s.spec.Demand.Accelerators {
+	if !s.spec.SameRack && c.freeAccelerators+s.claimedAccelerators() < u.size*s.spec.Demand.Accelerators {
 		return nil
 	}
 	racks := c.roomsNow(u)
@@ -424,6 +424,18 @@
 	return n
 }
 
+// claimedAccelerators returns the number of accelerators that the step has claimed; Core.freeAccelerators does not include them.
+func (s *step) claimedAccelerators() int {
+	if s.claim == nil {
+		return 0
+	}
+	n := 0
+	for _, members := range s.claim.members {
+		n += members * s.spec.Demand.Accelerators
+	}
+	return n
+}
+
 // updateFreeAccelerators sums the free accelerators of the workers that accept work and are not excluded.
 func (c *Core) updateFreeAccelerators() {
 	c.freeAccelerators = 0
--- a/dispatch/units.go
+++ b/dispatch/units.go
@@ -93,11 +93,11 @@
 	u.state.Run++
 	u.state.Status = workload.UnitActive
 	u.startedAt = c.now
+	c.freeAccelerators += u.step.claimedAccelerators() - u.size*u.step.spec.Demand.Accelerators
 	u.step.claim = nil
 	if j.phase == workload.PhaseQueued {
 		j.phase = workload.PhaseRunning
 	}
-	c.freeAccelerators -= u.size * u.step.spec.Demand.Accelerators
 	for member, w := range workers {
 		p := u.newPlacement(member, w)
 		c.attach(p)
