dispatch: a state names the process that each run was meant for

A new holder sent the start of a first run again, under its number, to a worker that had restarted under its id; the first crashes before a takeover stayed uncounted.

Change: the process is always stored.

Runs beside live ones: a start is not sent again to another process. Work that waits: not touched.

Measured: TestFirstRestartBetweenHoldersCounts failed before (run 1 sent again) and passes.

--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -410,14 +410,10 @@
 		return state
 	}
 	state.Workers = make([]string, u.size)
-	if u.hasCrashes() {
-		state.Incarnations = make([]int64, u.size)
-	}
+	state.Incarnations = make([]int64, u.size)
 	for _, p := range u.placements {
 		state.Workers[p.member] = p.worker.id
-		if u.hasCrashes() {
-			state.Incarnations[p.member] = p.storedIncarnation()
-		}
+		state.Incarnations[p.member] = p.storedIncarnation()
 	}
 	return state
 }
--- a/dispatch/crash_takeover_test.go
+++ b/dispatch/crash_takeover_test.go
@@ -106,6 +106,21 @@
 	}
 }
 
+// TestFirstRestartBetweenHoldersCounts guards against the same for the first crash of a task: its state must name the process that the
+// start was meant for before any crash is counted.
+func TestFirstRestartBetweenHoldersCounts(t *testing.T) {
+	c := newCluster(t, 8)
+	c.submit("a", "normal", "large", tasks(1, 1))
+	start := c.plan().Starts[0]
+	c.restart(start.Worker)
+	c.takeOver()
+	c.listAll()
+	plan := c.plan()
+	if len(plan.Starts) != 1 || plan.Starts[0].Ref.Run <= start.Ref.Run {
+		t.Fatalf("the next holder starts %v, want one higher run", plan.Starts)
+	}
+}
+
 // TestCountedCrashIsNotCountedByTheNextHolder guards against a job that fails too early: a run whose crash is counted stays until its
 // stop is confirmed, and the next holder of the schedule finds the same process replaced.
 func TestCountedCrashIsNotCountedByTheNextHolder(t *testing.T) {
--- a/workload/state.go
+++ b/workload/state.go
@@ -63,7 +63,7 @@
 	// ended.
 	Workers []string
 	// Incarnations holds the incarnations of the workers' processes that the starts were meant for, in the order of Workers; 0 if not
-	// known, CountedIncarnation if the process has ended and is counted in Crashes. It is nil for a unit without crashes.
+	// known, CountedIncarnation if the process has ended and is counted in Crashes. It may be nil.
 	Incarnations []int64
 	// Checkpoint is the latest known checkpoint; empty for none.
 	Checkpoint string
@@ -114,8 +114,8 @@
 	Repetitions [][]StepState
 }
 
-// The first byte of an encoded state; states with another first byte are rejected. States without crashes keep the older format,
-// so that a VM with an earlier version of the program can read them during an upgrade.
+// The first byte of an encoded state; states with another first byte are rejected. States that name neither processes nor crashes keep
+// the older format.
 const (
 	stateFormat        = 1
 	stateFormatCrashes = 2
