leader: a worker that has removed its entry is gone once its process has ended

Cause: a removal of a draining worker's entry was taken for the end of its runs. The entry's age counted from the time at which it was read, so that one from before an outage of the store looked new, and its removal for silence looked like the worker's own.

Change: an entry is as old as the last complete read without it, and after a failed read a removal is not taken for the worker's own. A worker that has removed its entry counts as gone only when a connection to it was closed or refused and the next request fails as well. The line "dependency lost" of a worker names the last listed and stored ends, and errors of responses name the bytes that arrived; without them, lost ends could not be traced.

Runs beside live ones: none on a worker whose process has not been seen to end, until its lease has expired.

--- a/httpconn/conn.go
+++ b/httpconn/conn.go
@@ -10,6 +10,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -108,6 +109,7 @@
 	}
 	response, err := c.readResponse(r.Method)
 	if err != nil {
+		err = fmt.Errorf("httpconn: %d bytes of the response were read: %w", c.conn.received, err)
 		c.Close()
 		return nil, err
 	}
--- a/httpconn/conn_test.go
+++ b/httpconn/conn_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -199,3 +200,27 @@
 		t.Error("the connection stays open with unread bytes of the body")
 	}
 }
+
+// TestCutResponseTellsWhatArrived guards against an error that leaves open whether any of a response was read before its connection
+// ended, which tells a lost response from one that was never sent.
+func TestCutResponseTellsWhatArrived(t *testing.T) {
+	address := startServer(t, func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		conn, _, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		if r.URL.Path == "/part" {
+			_, _ = conn.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nfive."))
+		}
+		conn.Close()
+	})
+	for path, want := range map[string]string{"/nothing": "0 bytes", "/part": "44 bytes"} {
+		conn := &Conn{Address: address}
+		_, err := conn.Do(t.Context(), post(path), time.Second)
+		if !errors.Is(err, io.ErrUnexpectedEOF) || !strings.Contains(err.Error(), want) {
+			t.Errorf("%s: got error %v, want an unexpected EOF after %s", path, err, want)
+		}
+	}
+}
--- a/httpconn/timedconn.go
+++ b/httpconn/timedconn.go
@@ -11,6 +11,9 @@
 type timedConn struct {
 	net.Conn
 
+	// received is the number of bytes that were read in the current exchange. It is used only by the goroutine of the exchange.
+	received int
+
 	mu sync.Mutex
 	// deadline is that of the current exchange, limit the latest value that it can take; both are guarded by mu.
 	deadline, limit time.Time
@@ -23,6 +26,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.interrupted = false
+	c.received = 0
 	c.deadline = deadline
 	c.limit = deadline.Add(maxTransferTime)
 	_ = c.SetDeadline(deadline)
@@ -39,6 +43,7 @@
 // Read implements net.Conn.
 func (c *timedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	c.received += n
 	if n > 0 {
 		c.extend(time.Now())
 	}
--- a/leader/presence.go
+++ b/leader/presence.go
@@ -2,33 +2,38 @@
 
 import "time"
 
-const (
-	// maxMissedHeartbeats is the number of missed heartbeats after which the store removes an entry.
-	maxMissedHeartbeats = 3
-	// maxReadGap is the longest time between two reads of the list for which the time of a worker's last entry is
-	// meaningful: after a longer gap, an old entry and its removal are read together.
-	maxReadGap = 1200 * time.Millisecond
-)
+// maxMissedHeartbeats is the number of missed heartbeats after which the store removes an entry.
+const maxMissedHeartbeats = 3
 
-// presence distinguishes workers that removed their own entry from workers that stopped sending heartbeats, by the time
-// between the last entry and its removal. Times are on the boot clock.
+// presence distinguishes workers that removed their own entry from workers whose entry the store removed because they were silent, by
+// the time between the last entry and its removal. An entry is as old as the last read that did not return it yet, however late it is
+// read. Times are on the boot clock.
 type presence struct {
 	// interval is the time between two heartbeats of a worker.
 	interval time.Duration
-	// readAt is when the list was last read, seenAt when the newest entry of each worker was read.
-	readAt time.Duration
-	seenAt map[string]time.Duration
+	// readAt is the start of the last read that reached the end of the list, failedAt the end of the last read that failed; 0 if there
+	// was none.
+	readAt, failedAt time.Duration
+	// storedAfter maps each worker to a time after which its newest entry was stored.
+	storedAfter map[string]time.Duration
 }
 
 func newPresence(heartbeat time.Duration) presence {
-	return presence{interval: heartbeat, seenAt: map[string]time.Duration{}}
+	return presence{interval: heartbeat, storedAfter: map[string]time.Duration{}}
 }
 
-// removedByWorker reports whether a worker whose removal is read now has removed its entry itself.
+// entryRead records that a new entry of the worker was read.
+func (p *presence) entryRead(id string) { p.storedAfter[id] = p.readAt }
+
+// forget discards what is known of the worker's entry.
+func (p *presence) forget(id string) { delete(p.storedAfter, id) }
+
+// removedByWorker reports whether a worker whose removal is read now has removed its entry itself: the store cannot have missed so
+// many heartbeats yet. After an outage of the store that is not certain, because the store may then remove entries at any moment.
 func (p *presence) removedByWorker(id string, now time.Duration) bool {
-	seenAt, known := p.seenAt[id]
-	if !known || now-p.readAt > maxReadGap {
+	storedAfter, known := p.storedAfter[id]
+	if !known || p.failedAt >= storedAfter && p.failedAt > 0 {
 		return false
 	}
-	return now-seenAt < (maxMissedHeartbeats-1)*p.interval
+	return now-storedAfter < (maxMissedHeartbeats-1)*p.interval
 }
--- a/leader/session.go
+++ b/leader/session.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"sync"
 	"time"
 
@@ -45,10 +44,16 @@
 	lease leaseClock
 	// storedEnd is the sequence number up to which the ends of the current incarnation are stored.
 	storedEnd int64
+	// listedEnd is the highest sequence number of the ends that the current incarnation has listed.
+	listedEnd int64
 	// storedEndChanged is closed and replaced when storedEnd rises.
 	storedEndChanged chan struct{}
 	// incarnation is the worker's incarnation as of the last response.
 	incarnation int64
+	contact     contact
+
+	// deregistered is true if the worker announced that it leaves and then removed its entry. It is used only by the loop's goroutine.
+	deregistered bool
 }
 
 // newSession opens a session to the worker and starts to watch it.
@@ -85,7 +90,7 @@
 			s.leader.stepDown("worker " + s.id)
 			return
 		}
-		dependency.Observe(s.logger, "worker", err)
+		s.observe(&dependency, err)
 		if err != nil {
 			s.recordNoResponse(err)
 			boottime.Sleep(ctx, pause)
@@ -138,12 +143,28 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.lease.recordResponse(boottime.Now(), listing.ClockMS)
+	s.contact.recordResponse()
 	if s.incarnation != listing.Incarnation {
 		s.incarnation = listing.Incarnation
-		s.storedEnd = 0
+		s.storedEnd, s.listedEnd = 0, 0
+	}
+	if n := len(listing.Ended); n > 0 {
+		s.listedEnd = max(s.listedEnd, listing.Ended[n-1].Sequence)
 	}
 }
 
+// observe logs a change between responses and failures, the latter with the numbers of the last ends that the worker has listed and
+// that are stored.
+func (s *session) observe(dependency *telemetry.Dependency, err error) {
+	logger := s.logger
+	if err != nil {
+		s.mu.Lock()
+		logger = logger.With().Int64("listed_end", s.listedEnd).Int64("stored_end", s.storedEnd).Logger()
+		s.mu.Unlock()
+	}
+	dependency.Observe(logger, "worker", err)
+}
+
 // leaseUntil returns the expiry of a lease sent now, in milliseconds of the worker's clock; 0 while that clock is unknown. If
 // leases may not be extended, it is the expiry of the longest lease sent before.
 func (s *session) leaseUntil(now time.Duration) int64 {
@@ -162,6 +183,7 @@
 func (s *session) recordNoResponse(err error) {
 	s.mu.Lock()
 	s.lease.recordNoResponse()
+	s.contact.recordFailure(err)
 	expired := s.lease.allExpired(boottime.Now())
 	s.mu.Unlock()
 	replaced, silent := errors.Is(err, ErrOtherIncarnation), timedOut(err)
@@ -177,13 +199,23 @@
 		case expired:
 			c.MarkWorkerGone(s.id, dispatch.GoneLeaseExpired)
 		}
+		s.reportGoneIfDeregistered(c)
 	})
 }
 
-// timedOut reports whether a request failed because nothing arrived in time, and not because its connection was refused or ended.
-func timedOut(err error) bool {
-	var netErr net.Error
-	return errors.Is(err, context.DeadlineExceeded) || errors.As(err, &netErr) && netErr.Timeout()
+// reportGoneIfDeregistered reports the worker as gone if it has removed its entry and its process has ended. A removal alone does not
+// show that: the worker may still run what it was given. It runs in the loop.
+func (s *session) reportGoneIfDeregistered(c *dispatch.Core) {
+	if s.deregistered && s.processEnded() {
+		c.MarkWorkerGone(s.id, dispatch.GoneDeregistered)
+	}
+}
+
+// processEnded reports whether the requests to the worker show that its process has ended.
+func (s *session) processEnded() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.contact.processEnded()
 }
 
 // awaitStoredEnds waits up to unstoredEndsPause until the ends of the listing are stored: before that, the next watch request
--- a/leader/worker.go
+++ b/leader/worker.go
@@ -11,6 +11,7 @@
 //   - leaseclock.go: when the lease of a worker expires
 //   - workers.go: the worker list
 //   - presence.go: whether a worker has removed its own entry
+//   - contact.go: whether a worker's process has ended
 package leader
 
 import (
--- a/leader/workers.go
+++ b/leader/workers.go
@@ -50,35 +50,40 @@
 func (w *workerList) read(ctx context.Context) error {
 	update, err := w.cursor.Read(ctx, w.leader.Log, 0)
 	if err != nil {
+		w.presence.failedAt = boottime.Now()
 		return err
 	}
-	defer func() {
-		if update.Complete {
-			w.leader.enqueue(func(c *dispatch.Core) { c.WorkersRead(update.StartedAt) })
-		}
-	}()
 	if update.Loaded {
 		w.replace(ctx, update)
-		return nil
+	} else {
+		w.change(ctx, update)
+	}
+	if update.Complete {
+		w.presence.readAt = update.StartedAt
+		w.leader.enqueue(func(c *dispatch.Core) { c.WorkersRead(update.StartedAt) })
 	}
+	return nil
+}
+
+// change applies the records of an update in their order.
+func (w *workerList) change(ctx context.Context, update *store.Update) {
 	now := boottime.Now()
 	for _, r := range update.Records {
 		if len(r.Value) == 0 {
 			w.remove(r.Key, w.known[r.Key].Draining && w.presence.removedByWorker(r.Key, now))
 			continue
 		}
-		w.presence.seenAt[r.Key] = now
+		w.presence.entryRead(r.Key)
 		w.apply(ctx, r)
 	}
-	w.presence.readAt = now
-	return nil
 }
 
-// replace applies the newest entry of every worker and removes the workers that have none.
+// replace applies the newest entry of every worker and removes the workers that have none. The age of these entries is not known.
 func (w *workerList) replace(ctx context.Context, update *store.Update) {
 	present := map[string]bool{}
 	for _, r := range update.Records {
 		present[r.Key] = true
+		w.presence.forget(r.Key)
 		w.apply(ctx, r)
 	}
 	for id := range w.known {
@@ -109,7 +114,7 @@
 	l := w.leader
 	l.enqueue(func(c *dispatch.Core) {
 		c.SetWorker(info)
-		l.ensureSession(ctx, info)
+		l.ensureSession(ctx, info).deregistered = false
 	})
 }
 
@@ -127,32 +132,35 @@
 		a.Draining == b.Draining && a.Incarnation == b.Incarnation && a.FailureDomain == b.FailureDomain
 }
 
-// remove removes a worker from the list. runsEnded is true if the worker is known to have ended all its runs.
-func (w *workerList) remove(id string, runsEnded bool) {
+// remove removes a worker from the list. deregistered is true if the worker has removed its entry itself.
+func (w *workerList) remove(id string, deregistered bool) {
 	if _, known := w.known[id]; !known {
 		return
 	}
 	delete(w.known, id)
-	delete(w.presence.seenAt, id)
-	w.leader.logger.Info().Str("worker", id).Bool("ended", runsEnded).Msg("worker left the list")
+	w.presence.forget(id)
+	w.leader.logger.Info().Str("worker", id).Bool("deregistered", deregistered).Msg("worker left the list")
 	w.leader.enqueue(func(c *dispatch.Core) {
 		c.DropWorker(id)
-		if runsEnded {
-			c.MarkWorkerGone(id, dispatch.GoneDeregistered)
+		if s := w.leader.sessions[id]; s != nil {
+			s.deregistered = deregistered
+			s.reportGoneIfDeregistered(c)
 		}
 	})
 }
 
-// ensureSession opens a session to the worker, and replaces it if the address has changed. It runs in the loop.
-func (l *Leader) ensureSession(ctx context.Context, info workload.WorkerInfo) {
+// ensureSession returns the session to the worker, which it opens, or replaces if the address has changed. It runs in the loop.
+func (l *Leader) ensureSession(ctx context.Context, info workload.WorkerInfo) *session {
 	s := l.sessions[info.ID]
 	if s != nil && s.address == info.Address {
-		return
+		return s
 	}
 	if s != nil {
 		s.cancel()
 	}
-	l.sessions[info.ID] = l.newSession(ctx, info.ID, info.Address)
+	s = l.newSession(ctx, info.ID, info.Address)
+	l.sessions[info.ID] = s
+	return s
 }
 
 // closeUnusedSessions ends the sessions of workers that are no longer listed and have no runs. It runs in the loop.
--- a/leader/workers_test.go
+++ b/leader/workers_test.go
@@ -58,8 +58,8 @@
 		seenWhenAppended bool
 		want             string
 	}{
-		{"entry from the initial load", false, `"ended":false`},
-		{"entry read when appended", true, `"ended":true`},
+		{"entry from the initial load", false, `"deregistered":false`},
+		{"entry read when appended", true, `"deregistered":true`},
 	}
 	for _, c := range cases {
 		log := storetest.New()
