dispatch: a run does not end just when its worker leaves

Cause: a run ended in the last 2 ms before its worker's exit, and the list with its end was lost with the connection. No holder can know such an end. The removal of the entry is not the cause: without it, the task starts again when the lease has expired, and TWICE counts as well. Runs that resumed, or were restored, were expected to end much too early and stayed for the same reason.

Evidence: the holder's connection ends after 0 bytes of a response 2 to 3 ms after the end; the last stored end is the one before.

Change: a run that is expected to end within 0.7 s before the announced time leaves earlier, and one without checkpoints also if it is expected to end up to 0.3 s after it. The expected end follows from progress between listings, not from progress of earlier runs or holders.

Runs beside live ones: not touched. Work that waits: not touched; a run without checkpoints that ends in that second is stopped.

Measured: TestRunsThatEndWithTheirWorkerLeave and TestRestoredRunLeavesBeforeItsWorker failed before and pass.

--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -214,6 +214,11 @@
 	// the constant never before the first listing.
 	percent   int
 	percentAt time.Duration
+	// firstPercent is the progress in the run's first listing, firstPercentAt the worker's clock at that listing.
+	firstPercent   int
+	firstPercentAt time.Duration
+	// partial is true if the run had progress when the unit's startedAt began: it resumed from a checkpoint, or was restored.
+	partial bool
 	// window is the start of the current rate measurement. rate is the highest normal rate measured on the worker's clock,
 	// in percent per second; 0 if none was measured.
 	window rateWindow
@@ -493,7 +498,7 @@
 			continue
 		}
 		p := u.newPlacement(member, c.workerOf(name))
-		p.unverified = true
+		p.unverified, p.partial = true, true
 		p.incarnation = 0
 		if member < len(state.Incarnations) {
 			p.incarnation = state.Incarnations[member]
--- a/dispatch/evacuate.go
+++ b/dispatch/evacuate.go
@@ -10,6 +10,14 @@
 // 1.2 s later, and the stop must reach the worker.
 const evacuationMargin = 1500 * time.Millisecond
 
+// An end that is listed in the moment in which the worker leaves can be lost with its connection, and the task then starts again after
+// it was done. lastEndMargin is how long before the announced time a run must be expected to end to stay on its worker; a run without
+// checkpoints that is expected to end up to lateEndMargin after that time is not left to chance either.
+const (
+	lastEndMargin = 700 * time.Millisecond
+	lateEndMargin = 300 * time.Millisecond
+)
+
 // noteDraining records when a worker leaves that has just announced it, or that it does not leave any more.
 func (c *Core) noteDraining(w *worker) {
 	switch {
@@ -20,9 +28,9 @@
 	}
 }
 
-// evacuate stops checkpointing runs on workers that are about to leave, while their progress can still be saved: a run that is
-// lost with its worker starts again only once the worker's lease has expired. Runs without checkpoints stay, since their worker
-// may leave later than announced and a restart would only take room from other work.
+// evacuate stops runs on workers that are about to leave. Checkpointing runs can still save their progress: a run that is lost with
+// its worker starts again only once the worker's lease has expired. Runs without checkpoints stay, since their worker may leave later
+// than announced and a restart would only take room from other work, unless they are expected to end just when it leaves.
 func (c *Core) evacuate() {
 	for _, w := range c.sortedWorkers {
 		if w.leavesAt == 0 || len(w.runs) == 0 || !w.reachable {
@@ -37,29 +45,46 @@
 	}
 }
 
-// evacuateRun stops the run of the placement's unit unless it will probably end before the worker leaves.
+// evacuateRun stops the run of the placement's unit if it should not stay until its worker leaves.
 func (c *Core) evacuateRun(p *placement) {
-	if !p.live() || p.unit.state.Status != workload.UnitActive || p.unit.aborting || !p.unit.step.spec.Checkpointing {
-		return
-	}
-	if c.expectedRemaining(p) <= p.worker.leavesAt-c.now {
+	if !p.live() || p.unit.state.Status != workload.UnitActive || p.unit.aborting || !c.shouldLeave(p) {
 		return
 	}
 	c.event(Event{Name: "run moved off a leaving worker", Job: p.ref.Task.Job, Worker: p.worker.id, Detail: p.ref.Task.String()})
 	c.abortRun(p.unit, "worker is leaving")
 }
 
-// expectedRemaining estimates how long the run still takes on its worker, from its measured rate if there is one, else from
-// the progress that its worker listed last, else from the caller's estimate.
+// shouldLeave reports whether the run, whose worker is about to leave, should be stopped. Without listed progress, its end is known
+// too roughly to tell whether it coincides with that of the worker.
+func (c *Core) shouldLeave(p *placement) bool {
+	left, remaining := p.worker.leavesAt-c.now, c.expectedRemaining(p)
+	if remaining <= left-lastEndMargin {
+		return false
+	}
+	return p.unit.step.spec.Checkpointing || p.listedRate() > 0 && remaining <= left+lateEndMargin
+}
+
+// expectedRemaining estimates how long the run still takes on its worker, from its progress if that has been listed, else from the
+// caller's estimate.
 func (c *Core) expectedRemaining(p *placement) time.Duration {
-	sinceListing := c.now - p.worker.listedAt
-	left := float64(100 - p.percent)
-	ranUntilListing := p.worker.listedAt - p.unit.startedAt
+	if rate := p.listedRate(); rate > 0 {
+		return seconds(float64(100-p.percent)/rate) - (c.now - p.worker.listedAt)
+	}
+	return p.unit.step.spec.Estimate - (c.now - p.unit.startedAt)
+}
+
+// listedRate returns the rate of the run on its worker's clock in percent per second: the measured one if there is one, else that
+// between its listings, else that since its start; 0 if none of them is known.
+func (p *placement) listedRate() float64 {
+	progress, listed := p.percent-p.firstPercent, p.worker.clock-p.firstPercentAt
+	ran := p.worker.listedAt - p.unit.startedAt
 	switch {
 	case p.rate > 0:
-		return seconds(left/p.rate) - sinceListing
-	case p.percent > 0 && ranUntilListing > 0:
-		return time.Duration(float64(ranUntilListing)*left/float64(p.percent)) - sinceListing
+		return p.rate
+	case progress > 0 && listed > 0:
+		return float64(progress) / listed.Seconds()
+	case !p.partial && p.percent > 0 && ran > 0:
+		return float64(p.percent) / ran.Seconds()
 	}
-	return p.unit.step.spec.Estimate - (c.now - p.unit.startedAt)
+	return 0
 }
--- a/dispatch/evacuate_test.go
+++ b/dispatch/evacuate_test.go
@@ -114,6 +114,44 @@
 	}
 }
 
+// TestRunsThatEndWithTheirWorkerLeave guards against a task that starts again after it was done: its run ended in the moment in which
+// the worker left, so that the end was lost.
+func TestRunsThatEndWithTheirWorkerLeave(t *testing.T) {
+	const duration = 6 * time.Second
+	for _, checkpointing := range []bool{false, true} {
+		p := newPacedCluster(t, 4)
+		step := tasks(8, 2)
+		step.Checkpointing = checkpointing
+		p.submitTimed("a", "normal", duration, step)
+		p.runFor(duration - leaveNotice)
+		p.announceLeave(4)
+		p.runFor(leaveNotice - 200*time.Millisecond)
+		if len(p.stops) != step.Tasks {
+			t.Errorf("checkpointing=%v: %d runs were stopped before their workers left, want %d", checkpointing, len(p.stops), step.Tasks)
+		}
+	}
+}
+
+// TestRestoredRunLeavesBeforeItsWorker guards against a run that stays on a leaving worker because its end is expected too early: its
+// progress from before a takeover was taken for progress since then. The rate of tasks away from their data is not measured.
+func TestRestoredRunLeavesBeforeItsWorker(t *testing.T) {
+	p := newPacedCluster(t, 4)
+	step := tasks(8, 2)
+	step.Checkpointing = true
+	step.DataRack = "elsewhere"
+	p.submitTimed("a", "normal", 10*time.Second, step)
+	p.runSaving(5 * time.Second)
+	p.takeOver()
+	p.listAll()
+	p.runSaving(listingInterval + simTick)
+	p.announceLeave(4)
+	// A stop takes up to a second.
+	p.runSaving(leaveNotice - time.Second)
+	if len(p.stops) != step.Tasks {
+		t.Errorf("%d runs were stopped in time, want %d", len(p.stops), step.Tasks)
+	}
+}
+
 // TestNearlyDoneRunsStay guards against runs that are stopped although they end before their worker leaves.
 func TestNearlyDoneRunsStay(t *testing.T) {
 	p := newPacedCluster(t, 4)
--- a/dispatch/health.go
+++ b/dispatch/health.go
@@ -83,6 +83,9 @@
 
 // recordProgress records the progress of a run in its worker's latest listing, in percent.
 func (c *Core) recordProgress(p *placement, percent int) {
+	if p.percentAt < 0 {
+		p.firstPercent, p.firstPercentAt = percent, p.worker.clock
+	}
 	if p.percentAt < 0 || percent != p.percent {
 		p.percent = percent
 		p.percentAt = p.worker.clock
--- a/dispatch/units.go
+++ b/dispatch/units.go
@@ -43,7 +43,7 @@
 func (u *unit) newPlacement(member int, w *worker) *placement {
 	return &placement{
 		unit: u, member: member, worker: w, incarnation: w.incarnation, confirmedAt: never, beganAt: never, percentAt: never,
-		ref: workload.RunRef{Task: u.task(member), Run: u.state.Run},
+		ref: workload.RunRef{Task: u.task(member), Run: u.state.Run}, partial: u.state.Checkpoint != "",
 	}
 }
 
