dispatch: a missing run is lost only if all ends are listed

Cause: a worker lists 500 ends at a time. A run that was in neither list counted as lost, also if further ends were to follow; after a takeover it was sent again.

Change: a list of 500 ends is marked as one that may have more. Nothing is concluded from the absence of a run in it; the first complete list decides.

Runs beside live ones: a task does not start again while its end may follow. Work that waits: a run that is gone waits for the last page.

--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -201,6 +201,8 @@
 	stopReason string
 	// processEnded is true if the process that the start was meant for has ended, until a listing has the run.
 	processEnded bool
+	// restartUnhandled is true if that process has been replaced and handleRestart has not been called for the run yet.
+	restartUnhandled bool
 	// crashCounted is true once a crash of the worker was counted against the run's task.
 	crashCounted bool
 	// stopSentAt is when the stop command was last issued.
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -177,7 +177,7 @@
 }
 
 // ApplyListing applies a worker's listing of its runs. sentAt is when the request for it was sent, on the clock of Advance:
-// a run whose start was confirmed before that must be in the listing. It returns the highest sequence number of the ends of
+// a run whose start was confirmed before that must be in the listing, unless further ends follow. It returns the highest sequence number of the ends of
 // the worker's incarnation that were applied; 0 if none was.
 func (c *Core) ApplyListing(id string, sentAt time.Duration, listing *workload.Listing) int64 {
 	w := c.workerOf(id)
@@ -196,25 +196,36 @@
 		w.lastAppliedEnd = end.Sequence
 	}
 	w.clock = time.Duration(listing.ClockMS) * time.Millisecond
-	present := make(map[workload.RunRef]bool, len(listing.Running))
 	for i := range listing.Running {
-		present[listing.Running[i].RunRef] = true
 		c.applyRunning(w, &listing.Running[i])
 	}
-	absent := slices.DeleteFunc(w.sortedRuns(), func(p *placement) bool { return present[p.ref] })
-	c.handleAbsentRuns(w, absent, restarted, sentAt)
+	absent := w.absentRuns(listing)
+	for _, p := range absent {
+		p.processEnded = p.processEnded || restarted || p.restoredFromEndedProcess()
+		p.restartUnhandled = p.restartUnhandled || restarted
+	}
+	if !listing.MoreEnds {
+		c.handleAbsentRuns(w, absent, sentAt)
+	}
 	w.listed = true
 	w.listedAt = sentAt
 	w.reachable = true
 	return w.lastAppliedEnd
 }
 
-// handleAbsentRuns handles the known runs that are missing from the worker's listing. restarted is true for the first listing of a
-// new process.
-func (c *Core) handleAbsentRuns(w *worker, absent []*placement, restarted bool, sentAt time.Duration) {
+// absentRuns returns the known runs that the listing does not list as running.
+func (w *worker) absentRuns(listing *workload.Listing) []*placement {
+	present := make(map[workload.RunRef]bool, len(listing.Running))
+	for i := range listing.Running {
+		present[listing.Running[i].RunRef] = true
+	}
+	return slices.DeleteFunc(w.sortedRuns(), func(p *placement) bool { return present[p.ref] })
+}
+
+// handleAbsentRuns handles the known runs that are missing from a listing of the worker that has all its ends.
+func (c *Core) handleAbsentRuns(w *worker, absent []*placement, sentAt time.Duration) {
 	var crashed []*placement
 	for _, p := range absent {
-		p.processEnded = p.processEnded || restarted || p.restoredFromEndedProcess()
 		// A start that was confirmed after the listing was requested may have reached the new process; the next listing tells.
 		if p.processEnded && p.confirmedAt < sentAt {
 			crashed = append(crashed, p)
@@ -222,7 +233,8 @@
 	}
 	toGiveUp := c.recordCrash(w, crashed, true)
 	for _, p := range absent {
-		if restarted {
+		if p.restartUnhandled {
+			p.restartUnhandled = false
 			c.handleRestart(p)
 		}
 		c.handleAbsent(p, sentAt)
@@ -244,7 +256,7 @@
 		c.stopOrphan(w, r.RunRef)
 		return
 	}
-	p.processEnded = false
+	p.processEnded, p.restartUnhandled = false, false
 	if p.stopping && (p.unverified || c.now-p.stopSentAt > c.options.StopTimeout+stopRetryMargin) {
 		c.resendStop(p)
 	}
--- a/workload/cluster.go
+++ b/workload/cluster.go
@@ -168,4 +168,7 @@
 	ClockMS int64
 	Running []RunningRun
 	Ended   []EndedRun
+	// MoreEnds is true if further ends may follow that the worker lists only once these are acknowledged. A run that is missing may
+	// have ended then.
+	MoreEnds bool
 }
