dispatch, leader: the settings of a queue outlive the holder that saw them

Cause: the settings of a queue that has left the configuration were only in the memory of the holder that had seen it. A new holder made them up: one failed run, the highest priority.

Change: a submission is stored with its queue's priority and number of failed runs and the version of the configuration. A holder stores other settings of a queue with unfinished jobs in a record of the queue; the newer of the two counts if the queue is missing. A job whose queue is unknown gets the lowest priority. A change of priority moves placed work in or out of its account's use.

Runs beside live ones: not touched. Work that waits: a task that may still fail starts again; nothing is stopped for such a job.

--- a/dispatch/cluster_test.go
+++ b/dispatch/cluster_test.go
@@ -20,9 +20,10 @@
 	// workerIDs holds the workers' ids in the order in which they were added.
 	workerIDs []string
 	// stored is the latest encoded state of each job, as a store would hold it, and phases the phase in it.
-	stored map[workload.JobID][]byte
-	specs  map[workload.JobID]*workload.Job
-	phases map[workload.JobID]workload.Phase
+	stored   map[workload.JobID][]byte
+	policies map[string]workload.QueuePolicy
+	specs    map[workload.JobID]*workload.Job
+	phases   map[workload.JobID]workload.Phase
 	// submitted and endedAt are the times at which each job was submitted and its final phase was stored.
 	submitted, endedAt map[workload.JobID]time.Duration
 	// starts and stops hold the commands of all plans.
@@ -60,7 +61,8 @@
 		t: t, core: New(Options{StopTimeout: time.Second}),
 		wallStart: time.Unix(1_700_000_000, 0), now: time.Hour,
 		workers: map[string]*simWorker{}, stored: map[workload.JobID][]byte{},
-		specs: map[workload.JobID]*workload.Job{}, phases: map[workload.JobID]workload.Phase{},
+		policies: map[string]workload.QueuePolicy{},
+		specs:    map[workload.JobID]*workload.Job{}, phases: map[workload.JobID]workload.Phase{},
 		submitted: map[workload.JobID]time.Duration{}, endedAt: map[workload.JobID]time.Duration{},
 	}
 	c.config = &workload.Config{
@@ -109,6 +111,9 @@
 	if err := job.Validate(); err != nil {
 		c.t.Fatal(err)
 	}
+	if q := c.config.Queue(job.Queue); q != nil {
+		job.Priority, job.MaxFailedRuns, job.ConfigVersion = q.Priority, q.MaxFailedRuns, c.config.Version
+	}
 	c.specs[job.ID] = job
 	c.submitted[job.ID] = c.now
 	c.core.AddJob(job, nil)
@@ -142,6 +147,12 @@
 }
 
 func (c *cluster) store() {
+	for _, change := range c.core.TakePolicyChanges() {
+		delete(c.policies, change.Queue)
+		if change.Policy != nil {
+			c.policies[change.Queue] = *change.Policy
+		}
+	}
 	for _, change := range c.core.TakeChanges() {
 		c.stored[change.ID] = change.State
 		c.phases[change.ID] = change.Phase
@@ -232,6 +243,9 @@
 	for _, id := range c.workerIDs {
 		c.core.SetWorker(c.workers[id].info)
 	}
+	for queue, policy := range c.policies {
+		c.core.RestorePolicy(queue, policy)
+	}
 	for id, spec := range c.specs {
 		state, err := c.storedState(id)
 		if err != nil {
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -6,6 +6,7 @@
 // A Core is not safe for concurrent use.
 //
 //   - core.go: the data structures, and updates of jobs and configuration
+//   - policy.go: the settings of queues that jobs keep
 //   - workers.go: workers, their listings and their loss
 //   - units.go: the life cycle of a unit from start to end
 //   - plan.go: the order in which waiting steps are tried
@@ -87,6 +88,10 @@
 	sortedJobs []*job
 	// changed holds the jobs whose states have changed since the last call of TakeChanges.
 	changed map[workload.JobID]*job
+	// policies maps the names of queues to their last policies, as far as they differ from those with which jobs were accepted.
+	// changedPolicies holds the names of those that have changed since the last call of TakePolicyChanges.
+	policies        map[string]workload.QueuePolicy
+	changedPolicies map[string]bool
 	// starts and stops hold the commands issued since the last call of Plan.
 	starts []Start
 	stops  []Stop
@@ -127,9 +132,9 @@
 }
 
 type job struct {
-	spec  *workload.Job
-	queue workload.Queue
-	phase workload.Phase
+	spec   *workload.Job
+	policy workload.QueuePolicy
+	phase  workload.Phase
 	// repetitions holds the steps of each repetition that is due or was restored.
 	repetitions [][]*step
 	// placements is the number of placements of all units of the job.
@@ -236,12 +241,13 @@
 // New returns an empty core.
 func New(options Options) *Core {
 	return &Core{
-		options:      options,
-		config:       &workload.Config{},
-		workers:      map[string]*worker{},
-		jobs:         map[workload.JobID]*job{},
-		ended:        map[workload.JobID]endedJob{},
-		changed:      map[workload.JobID]*job{},
+		options:  options,
+		config:   &workload.Config{},
+		workers:  map[string]*worker{},
+		jobs:     map[workload.JobID]*job{},
+		ended:    map[workload.JobID]endedJob{},
+		changed:  map[workload.JobID]*job{},
+		policies: map[string]workload.QueuePolicy{}, changedPolicies: map[string]bool{},
 		accountUse:   map[string]int{},
 		typicalRates: map[string]*typicalRate{},
 		serviceUse:   map[string]*serviceUse{},
@@ -255,16 +261,6 @@
 	c.wall = wall
 }
 
-// SetConfig replaces the configuration. Jobs whose queue is missing in it keep the queue's previous settings.
-func (c *Core) SetConfig(config *workload.Config) {
-	c.config = config
-	for _, j := range c.sortedJobs {
-		if q := config.Queue(j.spec.Queue); q != nil {
-			j.queue = *q
-		}
-	}
-}
-
 // HasJob reports whether the core knows the job, be it unfinished or ended.
 func (c *Core) HasJob(id workload.JobID) bool {
 	_, ended := c.ended[id]
@@ -293,10 +289,8 @@
 		c.ended[spec.ID] = endedJob{spec: spec, endedAt: c.now}
 		return
 	}
-	j := &job{spec: spec, queue: workload.Queue{Name: spec.Queue, Service: spec.Service, MaxFailedRuns: 1}}
-	if q := c.config.Queue(spec.Queue); q != nil {
-		j.queue = *q
-	}
+	j := &job{spec: spec, policy: c.policyOf(spec)}
+	c.keepPolicy(j)
 	if state != nil {
 		c.restore(j, state)
 	}
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -70,7 +70,7 @@
 	if !w.acceptsWork() {
 		return false
 	}
-	if w.info.Service != s.job.queue.Service {
+	if w.info.Service != s.job.policy.Service {
 		return false
 	}
 	if s.spec.RequiredLabel != "" && !w.info.HasLabel(s.spec.RequiredLabel) {
@@ -95,10 +95,10 @@
 // is likely to arrive soon; a task placed here would be stopped for it and lose its progress. A service that is not busy has other
 // room for urgent work.
 func (c *Core) heldForUrgent(w *worker, s *step) bool {
-	if !c.busy(s.job.queue.Service) {
+	if !c.busy(s.job.policy.Service) {
 		return false
 	}
-	hold := time.Duration(min(s.job.queue.Priority, maxHoldPriority)) * urgentHold
+	hold := time.Duration(min(s.job.policy.Priority, maxHoldPriority)) * urgentHold
 	return hold > 0 && w.urgentEndedAt > 0 && c.now-w.urgentEndedAt < hold
 }
 
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -180,13 +180,13 @@
 	if c.withinGuarantee(s) {
 		return 0
 	}
-	return 1 + s.job.queue.Priority
+	return 1 + s.job.policy.Priority
 }
 
 // deferral returns by how much the step's sortTime is after its job's acceptance, so that narrower steps can pass wide ones
 // for a while; 0 for urgent steps.
 func (s *step) deferral() time.Duration {
-	if s.job.queue.Priority == 0 {
+	if s.job.policy.Priority == 0 {
 		return 0
 	}
 	return min(time.Duration(s.spec.Tasks)*deferralPerTask, maxDeferral)
@@ -196,7 +196,7 @@
 // to the account's placed work of priority 0.
 func (c *Core) withinGuarantee(s *step) bool {
 	j := s.job
-	if j.queue.Priority != 0 {
+	if j.policy.Priority != 0 {
 		return false
 	}
 	return c.accountUse[j.spec.Account]+c.waitingAccelerators(s) <= c.guarantee(j.spec.Account)
--- a/dispatch/rate.go
+++ b/dispatch/rate.go
@@ -65,7 +65,7 @@
 // allowedOnProbation reports whether probation allows the step to be placed on the worker. Probation lasts until a run on a
 // formerly slow worker has a normal rate or probationDuration has passed.
 func (c *Core) allowedOnProbation(w *worker, s *step) bool {
-	return w.probationUntil <= c.now || c.tooManySlow || !s.spec.Gang && s.job.queue.Priority > 0
+	return w.probationUntil <= c.now || c.tooManySlow || !s.spec.Gang && s.job.policy.Priority > 0
 }
 
 // measureRate measures the rate of a run from its listed progress once enough time has passed, and marks the worker as
@@ -124,7 +124,7 @@
 	if p.rate > 0 {
 		return p.rate, true
 	}
-	t := c.typicalRates[s.job.queue.Name]
+	t := c.typicalRates[s.job.spec.Queue]
 	if t == nil || t.runs < minTypicalRuns {
 		return 0, false
 	}
@@ -187,7 +187,7 @@
 
 // typicalOf returns the typical rate of the step's queue, which it creates if necessary.
 func (c *Core) typicalOf(s *step) *typicalRate {
-	name := s.job.queue.Name
+	name := s.job.spec.Queue
 	if c.typicalRates[name] == nil {
 		c.typicalRates[name] = &typicalRate{}
 	}
--- a/dispatch/reclaim.go
+++ b/dispatch/reclaim.go
@@ -24,7 +24,7 @@
 )
 
 // mayReclaim reports whether other work may be stopped for the step: only for urgent steps, those of priority 0.
-func (c *Core) mayReclaim(s *step) bool { return s.job.queue.Priority == 0 }
+func (c *Core) mayReclaim(s *step) bool { return s.job.policy.Priority == 0 }
 
 // reclaim stops the cheapest set of units that makes room for an urgent step, and claims that room for the step. It
 // reports whether the step holds a claim. Beyond the account's guarantee, only work of lower priority is stopped, and
@@ -262,7 +262,7 @@
 	if u.step.spec.LongRunning || j == s.job {
 		return false
 	}
-	if j.queue.Priority > 0 {
+	if j.policy.Priority > 0 {
 		return true
 	}
 	return c.withinGuarantee(s) && c.accountUse[j.spec.Account] > c.guarantee(j.spec.Account)
@@ -276,7 +276,7 @@
 	}
 	lost += restartLoss
 	cost := lost.Seconds() * coreEquivalents(u.step.spec.Demand) * float64(u.size)
-	switch u.step.job.queue.Priority {
+	switch u.step.job.policy.Priority {
 	case 0:
 		return cost * priority0CostFactor
 	case 1:
--- a/dispatch/reserve.go
+++ b/dispatch/reserve.go
@@ -71,7 +71,7 @@
 	if c.reservations.count >= max(minReservations, c.racks/racksPerReservation) {
 		return false
 	}
-	service := s.job.queue.Service
+	service := s.job.policy.Service
 	since, reserving := c.reservations.since[service]
 	return c.busy(service) && (!reserving || c.now-since < maxReservationTime)
 }
@@ -100,7 +100,7 @@
 		left -= n
 	}
 	c.addClaim(s.claim)
-	c.reservations.add(s.job.queue.Service, c.now)
+	c.reservations.add(s.job.policy.Service, c.now)
 }
 
 // roomToReserve returns the present room in the area where the gang is expected to fit within reservationHorizon: the rack with the
--- a/dispatch/units.go
+++ b/dispatch/units.go
@@ -65,7 +65,7 @@
 
 // detach reverts attach, and removes the worker if nothing is known of it any more.
 func (c *Core) detach(p *placement) {
-	if p.unit != nil && p.unit.step.job.queue.Priority == 0 {
+	if p.unit != nil && p.unit.step.job.policy.Priority == 0 {
 		p.worker.urgentEndedAt = c.now
 	}
 	delete(p.worker.runs, p.ref)
@@ -81,7 +81,7 @@
 // adjustAccountUse adds sign times the accelerators of a placement of priority 0 to its account's use.
 func (c *Core) adjustAccountUse(p *placement, sign int) {
 	j := p.unit.step.job
-	if j.queue.Priority == 0 {
+	if j.policy.Priority == 0 {
 		c.accountUse[j.spec.Account] += sign * p.unit.step.spec.Demand.Accelerators
 	}
 }
@@ -242,7 +242,7 @@
 	}
 	u.state.LastCountedRun = end.Run
 	u.state.Failures++
-	if u.state.Failures >= j.queue.MaxFailedRuns && !u.step.spec.LongRunning {
+	if u.state.Failures >= j.policy.MaxFailedRuns && !u.step.spec.LongRunning {
 		c.event(Event{Name: "job failed", Job: j.spec.ID, Detail: end.Task.String()})
 		c.finishJob(j, workload.PhaseFailed)
 	}
--- a/joblog/joblog_test.go
+++ b/joblog/joblog_test.go
@@ -252,3 +252,26 @@
 		t.Errorf("3 appends without response, then 5 rejections: got %v, want no error", err)
 	}
 }
+
+// TestPoliciesAreNoJobs guards against the record of a queue that is taken for one of a job, and against a policy that is lost on its way
+// through the store.
+func TestPoliciesAreNoJobs(t *testing.T) {
+	want := workload.QueuePolicy{Service: "svc", Priority: 1, MaxFailedRuns: 4, Version: 9}
+	v := NewView()
+	for _, policy := range []*workload.QueuePolicy{&want, nil} {
+		record, err := PolicyRecord("scan", policy)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if id, err := v.Apply(record); id != "" || err != nil {
+			t.Errorf("the record of a queue is applied to job %q with error %v", id, err)
+		}
+		got, known := v.Policies()["scan"]
+		if known != (policy != nil) || known && got != want {
+			t.Errorf("got policy %+v, known %v, want %+v", got, known, policy)
+		}
+	}
+	if _, err := PolicyRecord(strings.Repeat("q", 254), &want); err == nil {
+		t.Error("a name that does not fit into a key gives a record, which would make the store reject the whole append")
+	}
+}
--- a/joblog/view.go
+++ b/joblog/view.go
@@ -1,5 +1,7 @@
 // Package joblog stores the records of jobs and keeps a view of all jobs on every VM.
 //
+// Beside those of jobs, the states topic has a record for each queue whose policy has changed since its jobs were accepted.
+//
 // A job has up to three records, each under its own key, so that a repeated append overwrites the first one with the same
 // value. The submission and the cancellation are in one part of the intake topic, to which any VM appends before it responds
 // to the caller. The parts share the load: a part executes one append at a time, and each takes long on a slow store. The
@@ -13,6 +15,7 @@
 
 import (
 	"hash/fnv"
+	"maps"
 	"sync"
 
 	"github.com/fxamacker/cbor/v2"
@@ -27,8 +30,13 @@
 	keySubmission = "s/"
 	keyCancel     = "c/"
 	keyState      = "j/"
+	// keyPolicy is the prefix of the record of a queue, which names no job.
+	keyPolicy = "q/"
 )
 
+// maxKeyBytes is the length of the longest key that the store accepts.
+const maxKeyBytes = 255
+
 // IntakeParts is the number of parts of the intake topic.
 const IntakeParts = 4
 
@@ -71,6 +79,20 @@
 	return []store.Record{{Key: keyCancel + string(id)}, {Key: keySubmission + string(id)}}
 }
 
+// PolicyRecord returns the record of a queue's policy, or the one that deletes it if policy is nil, or the error of its encoding.
+func PolicyRecord(queue string, policy *workload.QueuePolicy) (store.Record, error) {
+	record := store.Record{Key: keyPolicy + queue}
+	if len(record.Key) > maxKeyBytes {
+		return record, errkind.New(errkind.TooLarge, "give the queue a shorter name", "the name of the queue has %d bytes", len(queue))
+	}
+	if policy == nil {
+		return record, nil
+	}
+	value, err := encoding.Marshal(policy)
+	record.Value = value
+	return record, err
+}
+
 // StateTombstone returns the record that deletes a job's state.
 func StateTombstone(id workload.JobID) store.Record { return store.Record{Key: keyState + string(id)} }
 
@@ -115,14 +137,16 @@
 	entries map[workload.JobID]*entry
 	// waiting maps the name of each queue to its number of accepted jobs that have not started and are not cancelled.
 	waiting map[string]int
+	// policies maps the names of queues to their stored policies.
+	policies map[string]workload.QueuePolicy
 }
 
 // NewView returns an empty view.
 func NewView() *View {
-	return &View{entries: map[workload.JobID]*entry{}, waiting: map[string]int{}}
+	return &View{entries: map[workload.JobID]*entry{}, waiting: map[string]int{}, policies: map[string]workload.QueuePolicy{}}
 }
 
-// Apply folds one record and returns the id of its job; empty if the key has no id. It returns a BadInput error for a record
+// Apply folds one record and returns the id of its job; empty if the key names none. It returns a BadInput error for a record
 // that cannot be decoded, which has no effect.
 func (v *View) Apply(r store.Record) (workload.JobID, error) {
 	v.mu.Lock()
@@ -131,6 +155,9 @@
 		return "", unreadable("the key names no job")
 	}
 	prefix, id := r.Key[:len(keySubmission)], workload.JobID(r.Key[len(keySubmission):])
+	if prefix == keyPolicy {
+		return "", v.foldPolicy(string(id), r.Value)
+	}
 	e := v.entries[id]
 	if e == nil {
 		if len(r.Value) == 0 {
@@ -147,6 +174,27 @@
 	return id, err
 }
 
+// foldPolicy applies the record of a queue's policy, or returns an error if it cannot be decoded. mu must be held.
+func (v *View) foldPolicy(queue string, value []byte) error {
+	if len(value) == 0 {
+		delete(v.policies, queue)
+		return nil
+	}
+	var policy workload.QueuePolicy
+	if err := cbor.Unmarshal(value, &policy); err != nil {
+		return unreadable(err.Error())
+	}
+	v.policies[queue] = policy
+	return nil
+}
+
+// Policies returns the stored policies of queues by their names.
+func (v *View) Policies() map[string]workload.QueuePolicy {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return maps.Clone(v.policies)
+}
+
 // unreadable returns the error for a record that cannot be decoded.
 func unreadable(reason string) error {
 	return errkind.New(errkind.BadInput, "check which program wrote the record", "unreadable job record: %s", reason)
--- a/leader/cleanup.go
+++ b/leader/cleanup.go
@@ -17,8 +17,9 @@
 	cleanupMargin = 60 * time.Second
 )
 
-// cleanUpEndedJobs deletes the records of ended jobs whose state no longer has to be readable.
+// cleanUpEndedJobs deletes the records of ended jobs whose state no longer has to be readable, and those of queues that are not used.
 func (l *Leader) cleanUpEndedJobs(ctx context.Context) {
+	l.core.DropUnusedPolicies()
 	if l.appendDone != nil {
 		return
 	}
--- a/leader/effects.go
+++ b/leader/effects.go
@@ -4,6 +4,8 @@
 	"context"
 
 	"github.com/redwingthread/redwingthread/dispatch"
+	"github.com/redwingthread/redwingthread/joblog"
+	"github.com/redwingthread/redwingthread/store"
 )
 
 // endMark holds the sequence number up to which the run ends of one incarnation of a worker were processed.
@@ -25,15 +27,31 @@
 	l.inFlight = effects{starts: l.starts, processed: l.processedEnds}
 	l.starts = nil
 	l.processedEnds = map[*session]endMark{}
-	changes := l.core.TakeChanges()
-	l.logChanges(changes)
-	if len(changes) == 0 {
+	records := l.changedRecords()
+	if len(records) == 0 {
 		l.applyEffects(ctx)
 		return
 	}
 	done := make(chan error, 1)
 	l.appendDone = done
-	go func() { done <- l.journal.write(ctx, stateRecords(changes)) }()
+	go func() { done <- l.journal.write(ctx, records) }()
+}
+
+// changedRecords returns the records of the policies and job states that have changed since its last call.
+func (l *Leader) changedRecords() []store.Record {
+	var records []store.Record
+	for _, change := range l.core.TakePolicyChanges() {
+		record, err := joblog.PolicyRecord(change.Queue, change.Policy)
+		if err != nil {
+			l.logger.Error().Err(err).Str("queue", change.Queue).Msg("policy of a queue cannot be encoded; its jobs keep it until the schedule changes hands")
+			continue
+		}
+		l.logger.Info().Str("queue", change.Queue).Bool("deleted", change.Policy == nil).Msg("policy of a queue changed")
+		records = append(records, record)
+	}
+	changes := l.core.TakeChanges()
+	l.logChanges(changes)
+	return append(records, stateRecords(changes)...)
 }
 
 // appendEnded processes the result of the append that was in flight. An error ends the leader, since the journal returns
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -209,6 +209,9 @@
 	l.configMu.Lock()
 	l.core.SetConfig(l.config)
 	l.configMu.Unlock()
+	for queue, policy := range l.View.Policies() {
+		l.core.RestorePolicy(queue, policy)
+	}
 	l.View.Each(func(e joblog.Entry) { l.admit(e) })
 }
 
--- a/node/frontend.go
+++ b/node/frontend.go
@@ -71,6 +71,9 @@
 func (n *Node) Submit(ctx context.Context, access Access, job *workload.Job) error {
 	job.Queue = access.Queue.Name
 	job.Service = access.Queue.Service
+	job.Priority = access.Queue.Priority
+	job.MaxFailedRuns = access.Queue.MaxFailedRuns
+	job.ConfigVersion = access.ConfigVersion
 	job.Account = access.Account
 	job.AcceptedAt = time.Now()
 	if err := job.Validate(); err != nil {
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -136,6 +136,25 @@
 	})
 }
 
+// TestSubmissionKeepsThePolicyOfItsQueue guards against a job whose number of failed runs is unknown once its queue has left the
+// configuration.
+func TestSubmissionKeepsThePolicyOfItsQueue(t *testing.T) {
+	log, first := newConfiguredVM(t)
+	if err := first.Submit(t.Context(), first.access(), testJob()); err != nil {
+		t.Fatal(err)
+	}
+	second := newVM(t, log)
+	second.access()
+	entry, known := second.view.Get(testID)
+	want := workload.QueuePolicy{Service: "svc", MaxFailedRuns: 2, Version: 1}
+	if !known {
+		t.Fatal("another VM does not know the job")
+	}
+	if got := entry.Job.AcceptedPolicy(); got != want {
+		t.Errorf("another VM reads the policy %+v, want %+v", got, want)
+	}
+}
+
 // TestStaleVMDoesNotDenyAJob guards against a VM that cannot reach the store and reports an unknown job as not found: a caller
 // took that for a completed cancellation, and the job continued to run.
 func TestStaleVMDoesNotDenyAJob(t *testing.T) {
--- a/workload/cluster.go
+++ b/workload/cluster.go
@@ -27,6 +27,26 @@
 	Target      time.Duration
 }
 
+// QueuePolicy holds the settings of a queue that its jobs depend on. The jobs keep the last ones if the queue leaves the
+// configuration. Version is the version of the configuration from which they are; 0 if it is not known.
+type QueuePolicy struct {
+	Service       string
+	Priority      int
+	MaxFailedRuns int
+	Version       int64
+}
+
+// Policy returns the queue's policy as of the given version of the configuration.
+func (q *Queue) Policy(version int64) QueuePolicy {
+	return QueuePolicy{Service: q.Service, Priority: q.Priority, MaxFailedRuns: q.MaxFailedRuns, Version: version}
+}
+
+// SameTerms reports whether the policies are equal apart from their versions.
+func (p QueuePolicy) SameTerms(o QueuePolicy) bool {
+	o.Version = p.Version
+	return p == o
+}
+
 // Account is a client account.
 type Account struct {
 	Name string
--- a/workload/job.go
+++ b/workload/job.go
@@ -65,6 +65,11 @@
 	Queue string
 	// Service is the service of the queue when the job was accepted.
 	Service string
+	// Priority and MaxFailedRuns are those of the queue when the job was accepted, ConfigVersion is the version of the configuration
+	// then. MaxFailedRuns is 0 in records of versions that did not store them.
+	Priority      int
+	MaxFailedRuns int
+	ConfigVersion int64
 	// Account is the client account whose key authorised the submission; empty on a public queue.
 	Account string
 	// Specification is passed to the workers without being interpreted.
@@ -79,6 +84,17 @@
 	AcceptedAt time.Time
 }
 
+// unknownPriority is the priority of a job whose queue is not known: below that of all other work.
+const unknownPriority = 2
+
+// AcceptedPolicy returns the policy of the queue when the job was accepted. For a record that lacks it, the job may fail once.
+func (j *Job) AcceptedPolicy() QueuePolicy {
+	if j.MaxFailedRuns == 0 {
+		return QueuePolicy{Service: j.Service, Priority: unknownPriority, MaxFailedRuns: 1}
+	}
+	return QueuePolicy{Service: j.Service, Priority: j.Priority, MaxFailedRuns: j.MaxFailedRuns, Version: j.ConfigVersion}
+}
+
 // RepetitionCount returns how many times the steps of the job run, at least 1.
 func (j *Job) RepetitionCount() int { return max(1, j.Repetitions) }
 
