leader, node: a configuration that arrives while the schedule is taken counts

Work would be placed by an old configuration until the next version.

Cause: a version that arrived between the read of the configuration and the registration of the new leader reached neither.

Change: the newest version is set once the leader is registered; a leader ignores versions that are not newer, and applies the newest one it has.

Runs beside live ones, and work that waits: not touched.

--- a/leader/leader.go
+++ b/leader/leader.go
@@ -117,12 +117,23 @@
 	return RenewalWithoutStore + maxElapsed(l.lease)
 }
 
-// SetConfig passes a new version of the configuration to the core.
+// SetConfig passes a version of the configuration to the core, unless that has the same or a newer one.
 func (l *Leader) SetConfig(config *workload.Config) {
 	l.configMu.Lock()
+	if config.Version <= l.config.Version {
+		l.configMu.Unlock()
+		return
+	}
 	l.config = config
 	l.configMu.Unlock()
-	l.enqueue(func(c *dispatch.Core) { c.SetConfig(config) })
+	l.enqueue(func(c *dispatch.Core) { c.SetConfig(l.newestConfig()) })
+}
+
+// newestConfig returns the newest version of the configuration that was set.
+func (l *Leader) newestConfig() *workload.Config {
+	l.configMu.Lock()
+	defer l.configMu.Unlock()
+	return l.config
 }
 
 // enqueue adds an event to the loop's queue and reports whether it did. While the queue is full it waits: a lost event could bind a
@@ -206,9 +217,7 @@
 func (l *Leader) load() {
 	l.core = dispatch.New(l.DispatchOptions)
 	l.core.Advance(boottime.Now(), time.Now())
-	l.configMu.Lock()
-	l.core.SetConfig(l.config)
-	l.configMu.Unlock()
+	l.core.SetConfig(l.newestConfig())
 	for queue, policy := range l.View.Policies() {
 		l.core.RestorePolicy(queue, policy)
 	}
--- a/node/membership.go
+++ b/node/membership.go
@@ -213,6 +213,9 @@
 	done := make(chan struct{})
 	m.leader, m.cancelLeader, m.leaderDone = l, cancel, done
 	n.setLeader(l)
+	// A version that arrived since config was read has not reached the leader.
+	newest, _ := n.config.current()
+	l.SetConfig(newest)
 	go func() {
 		defer close(done)
 		l.Run(leaderCtx)
