--- a/infra/client.go
+++ b/infra/client.go
@@ -215,12 +215,12 @@
 	return &VMListClient{service: s}, nil
 }
 
-// VMs implements VMList. It omits entries in an unknown state. The list must not be modified, since later calls may return
+// VMs implements VMList. It omits entries that cannot be used. The list must not be modified, since later calls may return
 // it again.
 func (c *VMListClient) VMs(ctx context.Context) ([]VM, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	request := c.service.sling.New().Get("v1/vms")
+	request := c.service.sling.New().Get("v1/vms").ResponseDecoder(vmListDecoder{})
 	if c.tag != "" {
 		request.Set("If-None-Match", c.tag)
 	}
@@ -232,12 +232,6 @@
 	if err != nil {
 		return nil, err
 	}
-	vms := make([]VM, 0, len(resp.VMs))
-	for _, vm := range resp.VMs {
-		if vm.State == VMLive || vm.State == VMLeaving {
-			vms = append(vms, vm)
-		}
-	}
-	c.vms, c.tag = vms, header.Get("ETag")
-	return vms, nil
+	c.vms, c.tag = resp.VMs, header.Get("ETag")
+	return c.vms, nil
 }
--- a/infra/vmlist_test.go
+++ b/infra/vmlist_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 )
 
@@ -42,3 +43,37 @@
 		t.Fatalf("full list was sent %d times, want 2", fullResponses)
 	}
 }
+
+// TestOddEntryDoesNotHideTheOtherVMs guards against daemons that stop following the list because another writer has left one entry that
+// cannot be decoded or used.
+func TestOddEntryDoesNotHideTheOtherVMs(t *testing.T) {
+	const depth = 20_000
+	odd := map[string]string{
+		"nested too deeply":             `{"id":"odd","state":"live","address":` + strings.Repeat("[", depth) + strings.Repeat("]", depth) + `}`,
+		"nested too deeply, unknown":    `{"id":"odd","state":7,"x":` + strings.Repeat(`{"a":`, depth) + "1" + strings.Repeat("}", depth) + `}`,
+		"number too large":              `{"id":"odd","state":1e999}`,
+		"number in place of a text":     `{"id":99999999999999999999,"state":"live"}`,
+		"port out of range":             `{"id":"odd","state":"live","address":"10.0.0.1:99999"}`,
+		"port 0":                        `{"id":"odd","state":"live","address":"10.0.0.1:0"}`,
+		"no object":                     `"odd"`,
+		"nothing":                       `null`,
+		"unknown state":                 `{"id":"odd","state":"gone"}`,
+		"address without port":          `{"id":"odd","state":"live","address":"10.0.0.1"}`,
+		"braces in a text, not a state": `{"id":"]}","state":"[{"}`,
+	}
+	for name, entry := range odd {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Type", "application/json")
+			fmt.Fprintf(w, `{"x":[1,{"vms":[]}],"vms":[{"id":"a","state":"live","address":"10.0.0.1:80"}, %s ,{"id":"b","state":"leaving"}]}`, entry)
+		}))
+		client, err := NewVMListClient(server.URL)
+		if err != nil {
+			t.Fatal(err)
+		}
+		vms, err := client.VMs(t.Context())
+		if err != nil || len(vms) != 2 || vms[0].ID != "a" || vms[1].ID != "b" {
+			t.Errorf("%s: got %v, error %v, want the two other VMs", name, vms, err)
+		}
+		server.Close()
+	}
+}
--- a/leader/workers.go
+++ b/leader/workers.go
@@ -5,7 +5,9 @@
 
 	"github.com/redwingthread/redwingthread/boottime"
 	"github.com/redwingthread/redwingthread/dispatch"
+	"github.com/redwingthread/redwingthread/errkind"
 	"github.com/redwingthread/redwingthread/store"
+	"github.com/redwingthread/redwingthread/telemetry"
 	"github.com/redwingthread/redwingthread/workload"
 )
 
@@ -96,7 +98,7 @@
 
 // apply updates the worker of an entry, and removes the worker if the entry cannot be decoded.
 func (w *workerList) apply(ctx context.Context, r store.Record) {
-	info, err := w.leader.DecodeWorker(r.Key, r.Value)
+	info, err := w.decode(r)
 	if err != nil {
 		w.leader.logger.Warn().Err(err).Str("worker", r.Key).Msg("worker entry cannot be decoded")
 		w.remove(r.Key, false)
@@ -118,6 +120,15 @@
 	})
 }
 
+// decode decodes an entry. A panic of the decoder is reported as an error: each new holder would read the same entry.
+func (w *workerList) decode(r store.Record) (info workload.WorkerInfo, err error) {
+	returned := telemetry.Contain(w.leader.logger, "decode a worker entry", func() { info, err = w.leader.DecodeWorker(r.Key, r.Value) })
+	if !returned {
+		return info, errkind.New(errkind.Internal, "remove the entry from the worker list", "the decoder of worker entries has panicked")
+	}
+	return info, err
+}
+
 // equalInfo reports whether two entries are equal apart from RemainingLife, which may change with every heartbeat.
 func equalInfo(a, b workload.WorkerInfo) bool {
 	if len(a.Labels) != len(b.Labels) {
--- a/leader/workers_test.go
+++ b/leader/workers_test.go
@@ -107,3 +107,29 @@
 		t.Errorf("got %+v, want only the worker that leaves as draining", list.known)
 	}
 }
+
+// TestOddEntryDoesNotStopTheList guards against a holder that ends, as does each one after it, because one entry of another writer makes
+// the decoder panic, and against one that no longer follows the other entries.
+func TestOddEntryDoesNotStopTheList(t *testing.T) {
+	log := storetest.New()
+	l := newTestLeader(t, log, &bytes.Buffer{})
+	decode := l.DecodeWorker
+	l.DecodeWorker = func(id string, text []byte) (workload.WorkerInfo, error) {
+		if id == "odd" {
+			panic("decoder")
+		}
+		return decode(id, text)
+	}
+	list := workerList{leader: l, cursor: store.Cursor{Stream: store.Workers}, known: map[string]workload.WorkerInfo{}, presence: newPresence(l.HeartbeatInterval)}
+	for _, id := range []string{"odd", "a"} {
+		putWorker(t, log, id, "ready")
+	}
+	readList(t, &list)
+	for _, id := range []string{"odd", "b"} {
+		putWorker(t, log, id, "ready")
+	}
+	readList(t, &list)
+	if len(list.known) != 2 {
+		t.Errorf("%d workers are known, want the two that can be decoded", len(list.known))
+	}
+}
