leader: a late entry neither counts nor ends a lease

Cause: a session to another address of a worker forgot the leases that this holder had granted through the one before. For a holder older than 13.2 s they counted as expired, and the first refused request gave up the runs. The address came from a heartbeat of an ended process that the store executed late.

Change: a new session begins with the leases of the one before. An entry that precedes the known one, by the start of its process and its number, does not count while newer ones arrive.

Runs beside live ones: none before the lease has expired. Work that waits: a worker whose clock was set back by a restart gets work up to 4.5 s later.

--- a/leader/session.go
+++ b/leader/session.go
@@ -56,15 +56,16 @@
 	deregistered bool
 }
 
-// newSession opens a session to the worker and starts to watch it.
-func (l *Leader) newSession(ctx context.Context, id, address string) *session {
+// newSession opens a session to the worker and starts to watch it. The leases that this holder and earlier ones have granted to the
+// worker expire at leaseEnd at the latest.
+func (l *Leader) newSession(ctx context.Context, id, address string, leaseEnd time.Duration) *session {
 	ctx, cancel := context.WithCancel(ctx)
 	s := &session{
 		id: id, address: address, leader: l, ctx: ctx, cancel: cancel,
 		conn:             l.Workers.Connect(id, address),
 		logger:           l.logger.With().Str("worker", id).Logger(),
 		requestSlots:     make(chan struct{}, maxRequests),
-		lease:            leaseClock{lease: l.lease, expiresAt: l.startedAt + l.earlierLeaseBound()},
+		lease:            leaseClock{lease: l.lease, expiresAt: leaseEnd},
 		storedEndChanged: make(chan struct{}),
 	}
 	l.goroutines.Add(1)
@@ -75,6 +76,13 @@
 	return s
 }
 
+// leaseEnd returns the latest time at which the leases that were granted in the session expire.
+func (s *session) leaseEnd() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lease.expiresAt
+}
+
 // watch renews the lease and reports the worker's listings to the core until ctx ends.
 func (s *session) watch(ctx context.Context) {
 	defer s.conn.Close()
--- a/leader/workers.go
+++ b/leader/workers.go
@@ -75,8 +75,9 @@
 			w.remove(r.Key, w.known[r.Key].Draining && w.presence.removedByWorker(r.Key, now))
 			continue
 		}
-		w.presence.entryRead(r.Key)
-		w.apply(ctx, r)
+		if w.apply(ctx, r) {
+			w.presence.entryRead(r.Key)
+		}
 	}
 }
 
@@ -96,19 +97,24 @@
 	w.leader.logger.Info().Int("workers", len(w.known)).Int64("offset", update.Next).Msg("worker list loaded")
 }
 
-// apply updates the worker of an entry, and removes the worker if the entry cannot be decoded.
-func (w *workerList) apply(ctx context.Context, r store.Record) {
+// apply updates the worker of an entry, and removes the worker if the entry cannot be decoded. It returns false for an entry that does
+// not count.
+func (w *workerList) apply(ctx context.Context, r store.Record) bool {
 	info, err := w.decode(r)
 	if err != nil {
 		w.leader.logger.Warn().Err(err).Str("worker", r.Key).Msg("worker entry cannot be decoded")
 		w.remove(r.Key, false)
-		return
+		return false
 	}
 	old, known := w.known[r.Key]
-	if known && equalInfo(old, info) {
-		return
+	if known && w.late(&info, &old) {
+		return false
 	}
 	w.known[r.Key] = info
+	w.presence.heard(r.Key, boottime.Now())
+	if known && equalInfo(old, info) {
+		return true
+	}
 	if !known || old.Draining != info.Draining || old.Incarnation != info.Incarnation || old.Address != info.Address {
 		w.leader.logger.Info().Str("worker", info.ID).Str("address", info.Address).Bool("draining", info.Draining).
 			Int64("incarnation", info.Incarnation).Int64("offset", r.Offset).Msg("worker changed")
@@ -118,6 +124,18 @@
 		c.SetWorker(info)
 		l.ensureSession(ctx, info).deregistered = false
 	})
+	return true
+}
+
+// late reports whether the store has executed the write of an entry after that of a newer one. An entry that is only seemingly older,
+// because the worker's clock was set back, counts once no newer one arrives any more.
+func (w *workerList) late(info, known *workload.WorkerInfo) bool {
+	if !info.Precedes(known) || w.presence.silent(info.ID, boottime.Now()) {
+		return false
+	}
+	w.leader.logger.Info().Str("worker", info.ID).Int64("incarnation", info.Incarnation).Int64("sequence", info.Sequence).
+		Msg("late worker entry ignored")
+	return true
 }
 
 // decode decodes an entry. A panic of the decoder is reported as an error: each new holder would read the same entry.
@@ -129,7 +147,7 @@
 	return info, err
 }
 
-// equalInfo reports whether two entries are equal apart from RemainingLife, which may change with every heartbeat.
+// equalInfo reports whether two entries are equal apart from RemainingLife and Sequence, which may change with every heartbeat.
 func equalInfo(a, b workload.WorkerInfo) bool {
 	if len(a.Labels) != len(b.Labels) {
 		return false
@@ -166,10 +184,12 @@
 	if s != nil && s.address == info.Address {
 		return s
 	}
+	leaseEnd := l.startedAt + l.earlierLeaseBound()
 	if s != nil {
 		s.cancel()
+		leaseEnd = max(leaseEnd, s.leaseEnd())
 	}
-	s = l.newSession(ctx, info.ID, info.Address)
+	s = l.newSession(ctx, info.ID, info.Address, leaseEnd)
 	l.sessions[info.ID] = s
 	return s
 }
--- a/workload/cluster.go
+++ b/workload/cluster.go
@@ -125,6 +125,17 @@
 	RemainingLife time.Duration
 	// Incarnation is the start time of the worker's process in Unix milliseconds.
 	Incarnation int64
+	// Sequence is the number of the entry among those of the incarnation; 0 if unknown.
+	Sequence int64
+}
+
+// Precedes reports whether the entry was written before o, by the same process or an earlier one. Processes are not compared if the
+// start of one is unknown.
+func (w *WorkerInfo) Precedes(o *WorkerInfo) bool {
+	if w.Incarnation != o.Incarnation {
+		return w.Incarnation != 0 && w.Incarnation < o.Incarnation
+	}
+	return w.Sequence != 0 && w.Sequence < o.Sequence
 }
 
 // HasLabel reports whether the worker carries the label.
