--- a/infra/vmlist.go
+++ b/infra/vmlist.go
@@ -41,7 +41,8 @@
 	return nil
 }
 
-// usable reports whether the VM is in a known state and its address, if it has one, can be connected to.
+// usable reports whether the VM is in a known state and its address, if it has one, is a host and a port; port 0 stands for one that is
+// not known.
 func (vm *VM) usable() bool {
 	if vm.State != VMLive && vm.State != VMLeaving {
 		return false
@@ -50,8 +51,8 @@
 		return true
 	}
 	host, port, err := net.SplitHostPort(vm.Address)
-	n, portErr := strconv.ParseUint(port, 10, 16)
-	return err == nil && portErr == nil && n > 0 && host != ""
+	_, portErr := strconv.ParseUint(port, 10, 16)
+	return err == nil && portErr == nil && host != ""
 }
 
 // listEntries returns the encoded elements of the array with that name in a JSON object. It reads token by token: json.Unmarshal
