--- /dev/null
+++ b/review/lab-2/platform/wide.go
@@ -0,0 +1,43 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+)
+
+func init() { cases["wide"] = playWide }
+
+const (
+	// wideJobs large jobs come at once, wideRate a second, each with wideCount work items of a thousandth of a core and 1 MB.
+	wideJobs  = 22
+	wideRate  = 5
+	wideCount = 4000
+	wideWork  = 30 * time.Second
+	wideWatch = 75 * time.Second
+)
+
+// playWide hands in a burst of large jobs of small work items, all of which the minions have room for, and watches the memory of the
+// nodes. Without the disruption, the same jobs have one work item each.
+func playWide(s *system, trouble bool) int {
+	s.fleet.quiet = true
+	if !s.addMinions(6, amount{32000, 65536, 8}) || !s.setUp(3, smallMemoryMB) {
+		return notRun
+	}
+	guard := s.guardMemory()
+	until := time.Now().Add(wideWatch)
+	count := 1
+	if trouble {
+		count = wideCount
+	}
+	go func() {
+		for i := range wideJobs {
+			id := fmt.Sprintf("%016x", 0xabc0000+i)
+			demand := amount{1, 1, 0}
+			s.prepare(id, work{demand: demand, duration: wideWork})
+			s.logged(s.nodes[i%3], http.MethodPost, "/normal/"+id, submission(count, demand, wideWork, nil), 3*time.Second)
+			time.Sleep(time.Second / wideRate)
+		}
+	}()
+	return s.watchCrowd(guard, until)
+}
