--- a/review/lab-2/platform/main.go
+++ b/review/lab-2/platform/main.go
@@ -1,7 +1,7 @@
 // Command reviewlab runs the cases of the review that cannot be put as a day of the users' bench: redwing-node as processes, against
 // stand-ins of the platform's store, minions and clients in this program.
 //
-//	reviewlab CASE FOLDER
+//	reviewlab CASE RECORD
 //
 // It exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run. With TROUBLE=0 in the environment it leaves the
 // disruption out.
@@ -10,7 +10,9 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"time"
 )
 
@@ -26,18 +28,18 @@
 
 func main() {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: reviewlab CASE FOLDER")
+		fmt.Fprintln(os.Stderr, "usage: reviewlab CASE RECORD")
 		os.Exit(notRun)
 	}
 	os.Exit(runCase(cases[os.Args[1]], os.Args[2]))
 }
 
-func runCase(play func(*system, bool) int, folder string) int {
+func runCase(play func(*system, bool) int, path string) int {
 	root, err := filepath.Abs(".")
 	if err != nil {
 		return fail(err)
 	}
-	r, err := newRecord(filepath.Join(folder, "record.txt"))
+	r, err := newRecord(path)
 	if err != nil {
 		return fail(err)
 	}
@@ -60,8 +62,12 @@
 	trouble := os.Getenv("TROUBLE") != "0"
 	result := make(chan int, 1)
 	go func() { result <- play(s, trouble) }()
+	interrupted := make(chan os.Signal, 1)
+	signal.Notify(interrupted, syscall.SIGTERM, syscall.SIGINT)
 	code := notRun
 	select {
+	case <-interrupted:
+		r.line("the case was interrupted")
 	case code = <-result:
 	case <-time.After(caseLimit):
 		r.line("the case took too long")
--- a/review/lab-2/platform/nodes.go
+++ b/review/lab-2/platform/nodes.go
@@ -31,8 +31,9 @@
 	from time.Time
 }
 
+// newRecord returns a record that appends to the file: the script has written its first line.
 func newRecord(path string) (*record, error) {
-	file, err := os.Create(path)
+	file, err := os.OpenFile(path, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
 	return &record{file: file, from: time.Now()}, err
 }
 
