Log the leases that are sent to a worker's process, and its clock

Callers saw a task run twice after its worker was restarted and cut off. The log named neither the expiry of a lease in a request nor the clock of the process that answered it, so that three of five hypotheses could not be told apart.

No decision changes. The parameters of the two functions that log a start are now the attempts themselves.

--- a/leader/evacuation_test.go
+++ b/leader/evacuation_test.go
@@ -223,7 +223,7 @@
 	e.setAge(testBound - evacuationMargin)
 	conn := &recordingConn{}
 	s, _ := newTestSession(t, l, conn)
-	s.recordResponse(&workload.Listing{Incarnation: 1, ClockMS: 1000})
+	s.recordResponse(&workload.Listing{Incarnation: 1, ClockMS: 1000}, 0)
 	stopLoop := make(chan struct{})
 	defer close(stopLoop)
 	go func() {
--- a/leader/metrics.go
+++ b/leader/metrics.go
@@ -16,6 +16,8 @@
 	counterSlowMoves      = "schedule.stops.slow"
 	counterSlowWorkers    = "schedule.workers.slow"
 	counterSpeedsLearned  = "schedule.workers.speed"
+	// counterWorkersRestarted counts the processes that respond under the id and address of a former one.
+	counterWorkersRestarted = "schedule.workers.restarted"
 	// counterStartsEvacuated counts the starts that were given up because the failure domain is evacuated, counterStartsHeld the
 	// attempts that were put off because the evacuations were not known.
 	counterStartsEvacuated = "schedule.starts.evacuated"
--- a/leader/permission_test.go
+++ b/leader/permission_test.go
@@ -58,7 +58,7 @@
 		lease: leaseClock{lease: l.lease},
 	}
 	t.Cleanup(cancel)
-	s.recordResponse(&workload.Listing{ClockMS: 1000})
+	s.recordResponse(&workload.Listing{ClockMS: 1000}, 0)
 	return s, s.leaseUntil(boottime.Now())
 }
 
--- a/leader/queue_test.go
+++ b/leader/queue_test.go
@@ -136,9 +136,9 @@
 	s, _ := newTestSession(t, l, &idleConn{})
 	l.sessions = map[string]*session{s.id: s}
 	old := &workload.Listing{Incarnation: 1, ClockMS: 1000, Ended: []workload.EndedRun{{Sequence: 57, RunRef: testRun, Reason: workload.EndStopped}}}
-	s.recordResponse(old)
+	s.recordResponse(old, 0)
 	l.enqueue(func(c *dispatch.Core) { s.applyListing(c, boottime.Now(), old) })
-	s.recordResponse(&workload.Listing{Incarnation: 2, ClockMS: 10})
+	s.recordResponse(&workload.Listing{Incarnation: 2, ClockMS: 10}, 0)
 	l.applyPending()
 	l.inFlight = effects{processed: l.processedEnds}
 	l.applyEffects(t.Context())
--- a/leader/requests.go
+++ b/leader/requests.go
@@ -5,6 +5,8 @@
 	"errors"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/redwingthread/redwingthread/boottime"
 	"github.com/redwingthread/redwingthread/dispatch"
 )
@@ -48,10 +50,11 @@
 		err := s.conn.Start(ctx, request, requestTimeout)
 		attempts.count++
 		attempts.sent = attempts.sent || !errors.Is(err, ErrNotSent)
-		if s.reportStartOutcome(planned, err, attempts.count) {
+		attempts.leaseUntilMS = request.LeaseUntilMS
+		if s.reportStartOutcome(&attempts, err) {
 			return
 		}
-		s.logFailedAttempt(planned, err, attempts.count)
+		s.logFailedAttempt(&attempts, err)
 		if !s.awaitRetry(ctx, &attempts) {
 			return
 		}
@@ -66,6 +69,8 @@
 	count       int
 	// sent is true if part of an attempt, be it an earlier holder's, may have reached the worker.
 	sent bool
+	// leaseUntilMS is the lease in the last attempt.
+	leaseUntilMS int64
 }
 
 // awaitRetry waits until a start without response may be sent again, and reports whether it may. While the worker does not
@@ -132,8 +137,8 @@
 }
 
 // reportStartOutcome reports the outcome of a start request to the core. It returns false if the request has to be retried.
-func (s *session) reportStartOutcome(planned dispatch.Start, err error, attempt int) bool {
-	ref := planned.Ref
+func (s *session) reportStartOutcome(a *startAttempts, err error) bool {
+	ref := a.planned.Ref
 	switch {
 	case err == nil, errors.Is(err, ErrRunEnded):
 		s.leader.enqueue(func(c *dispatch.Core) { c.StartAccepted(s.id, ref) })
@@ -143,37 +148,41 @@
 		// The next watch request reports the worker as gone.
 	case errors.Is(err, ErrNoResponse), errors.Is(err, ErrLeaseExpired):
 		return false
-	case errors.Is(err, ErrUnhealthy) && attempt < maxUnhealthyAttempts:
+	case errors.Is(err, ErrUnhealthy) && a.count < maxUnhealthyAttempts:
 		return false
-	case attempt > 1 || planned.Repeated:
+	case a.count > 1 || a.planned.Repeated:
 		// An earlier attempt may have been executed, or may be executed later; the worker must rule that out first.
 		s.leader.enqueue(func(c *dispatch.Core) { c.AbandonStart(s.id, ref, err.Error()) })
 	default:
 		s.leader.enqueue(func(c *dispatch.Core) { c.StartRejected(s.id, ref, err.Error()) })
 	}
-	s.logOutcome(planned, err, attempt)
+	s.logOutcome(a, err)
 	return true
 }
 
 // logOutcome logs and counts the outcome of a start.
-func (s *session) logOutcome(planned dispatch.Start, err error, attempt int) {
+func (s *session) logOutcome(a *startAttempts, err error) {
 	if err == nil {
 		count(counterStartsAccepted)
 	} else {
 		count(counterStartsRefused)
 	}
-	ref := planned.Ref
-	s.logger.Info().Str("job", string(ref.Task.Job)).Str("task", ref.Task.String()).Int64("run", ref.Run).
-		Int("attempt", attempt).Bool("resumed", planned.Checkpoint != "").AnErr("refusal", err).Msg("start answered")
+	s.logAttempt(a).Bool("resumed", a.planned.Checkpoint != "").AnErr("refusal", err).Msg("start answered")
 }
 
 // logFailedAttempt logs the first attempt of a start and then one in loggedAttempts of those that have to be repeated.
-func (s *session) logFailedAttempt(planned dispatch.Start, err error, attempt int) {
-	if attempt%loggedAttempts != 1 {
+func (s *session) logFailedAttempt(a *startAttempts, err error) {
+	if a.count%loggedAttempts != 1 {
 		return
 	}
-	s.logger.Info().Str("job", string(planned.Ref.Task.Job)).Str("task", planned.Ref.Task.String()).Int64("run", planned.Ref.Run).
-		Int("attempt", attempt).Int64("incarnation", s.currentIncarnation()).Err(err).Msg("start not answered")
+	s.logAttempt(a).Err(err).Msg("start not answered")
+}
+
+// logAttempt begins a log line about the last attempt of a start.
+func (s *session) logAttempt(a *startAttempts) *zerolog.Event {
+	ref := a.planned.Ref
+	return s.logger.Info().Str("job", string(ref.Task.Job)).Str("task", ref.Task.String()).Int64("run", ref.Run).
+		Int("attempt", a.count).Int64("incarnation", s.currentIncarnation()).Int64("lease_until_ms", a.leaseUntilMS)
 }
 
 // stop sends a stop request until the worker confirms it or the core no longer wants it. It sends nothing while this VM may
--- a/leader/session.go
+++ b/leader/session.go
@@ -51,6 +51,8 @@
 	// incarnation is the worker's incarnation as of the last response.
 	incarnation int64
 	contact     contact
+	// expiryLogged is true once the expiry of the lease has been logged, until the worker responds again.
+	expiryLogged bool
 	// failureDomain is the failure domain that the worker's entry names.
 	failureDomain string
 
@@ -144,17 +146,20 @@
 	if err != nil {
 		return nil, sentAt, err
 	}
-	s.recordResponse(listing)
+	s.recordResponse(listing, request.LeaseUntilMS)
 	return listing, sentAt, nil
 }
 
-// recordResponse records the worker's clock and incarnation from a listing.
-func (s *session) recordResponse(listing *workload.Listing) {
+// recordResponse records the worker's clock and incarnation from a listing. untilMS is the lease in the request for it.
+func (s *session) recordResponse(listing *workload.Listing, untilMS int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.lease.recordResponse(boottime.Now(), listing.ClockMS)
+	now := boottime.Now()
+	s.lease.recordResponse(now, listing.ClockMS)
 	s.contact.recordResponse()
+	s.expiryLogged = false
 	if s.incarnation != listing.Incarnation {
+		s.logProcess(listing, untilMS, now)
 		s.incarnation = listing.Incarnation
 		s.storedEnd, s.listedEnd = 0, 0
 	}
@@ -163,6 +168,17 @@
 	}
 }
 
+// logProcess logs and counts the first response of a worker's process. Of the lease in the request, the process grants what lies after
+// its own clock. mu must be held.
+func (s *session) logProcess(listing *workload.Listing, untilMS int64, now time.Duration) {
+	if s.incarnation != 0 {
+		count(counterWorkersRestarted)
+	}
+	s.logger.Info().Int64("incarnation", listing.Incarnation).Int64("former_incarnation", s.incarnation).
+		Int64("clock_ms", listing.ClockMS).Int64("lease_until_ms", untilMS).Dur("lease_expires_in", s.lease.expiresAt-now).
+		Msg("first response of a worker's process")
+}
+
 // observe logs a change between responses and failures, the latter with the numbers of the last ends that the worker has listed and
 // that are stored.
 func (s *session) observe(dependency *telemetry.Dependency, err error) {
@@ -194,7 +210,13 @@
 	s.mu.Lock()
 	s.lease.recordNoResponse()
 	s.contact.recordFailure(err)
-	expired := s.lease.allExpired(boottime.Now())
+	now := boottime.Now()
+	expired := s.lease.allExpired(now)
+	if expired && !s.expiryLogged {
+		s.expiryLogged = true
+		s.logger.Info().Int64("incarnation", s.incarnation).Int64("lease_until_ms", s.lease.untilMS).
+			Int64("clock_ms", s.lease.clockMS).Dur("clock_age", now-s.lease.clockAt).Msg("lease of a silent worker has expired")
+	}
 	s.mu.Unlock()
 	replaced, silent := errors.Is(err, ErrOtherIncarnation), timedOut(err)
 	s.leader.enqueue(func(c *dispatch.Core) {
