Bind leases and starts to the process of a worker, not to its address

Callers saw a task run twice at the same time: its worker was restarted under its old id and cut off soon after, and the task was started elsewhere 0.3 to 0.8 s before its first run lapsed.

Cause: the expiry of a lease is a time on the clock of one process, but the holder kept it with the worker's id and address. It sent the expiry of the former process to the next one, in the first watch request on a new connection (which repeats the last expiry after a request without response) and in starts until the restart was noticed. On the new clock the expiry lies far ahead, so the worker shortened it to the longest lease, 10 s, while the holder counted 9.18 s from its own renewal.

The change: - Package workerlease keeps the account of one process. A response of another process, told by its start time and not by a clock that goes back, begins a new account, and whatever that process was granted before is bounded by the longest lease that workers accept. - The first request on a connection renews nothing. A connection counts as known once a listing has come over it. - A start names the process for which it was decided and is sent only on a connection that a listing has shown to lead to that process. A connection ends with the process that has accepted it, so no other process can execute the start, however late it arrives. The id that the request names cannot tell them apart. - A start that meets another process is given up, and the watch request that still waits for the former one is ended.

--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -55,10 +55,12 @@
 	ColdOverage, ColdSlack float64
 }
 
-// Start is a command that tells a worker to begin a run, from the checkpoint unless that is empty.
+// Start is a command that tells a worker to begin a run, from the checkpoint unless that is empty. It is meant only for the worker's
+// process with the given incarnation: what was decided by may not hold for another one, and its runs and leases are not known.
 type Start struct {
 	Ref           workload.RunRef
 	Worker        string
+	Incarnation   int64
 	Specification string
 	Checkpoint    string
 	// Repeated is true if an earlier holder may have sent the start.
--- a/dispatch/units.go
+++ b/dispatch/units.go
@@ -114,6 +114,7 @@
 	return Start{
 		Ref:           p.ref,
 		Worker:        p.worker.id,
+		Incarnation:   p.incarnation,
 		Specification: p.unit.step.job.spec.Specification,
 		Checkpoint:    p.unit.state.Checkpoint,
 	}
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -357,6 +357,7 @@
 		c.runLost(p, "did not reach the worker before the takeover")
 		return
 	}
+	p.incarnation = p.worker.incarnation
 	start := c.startCommand(p)
 	start.Repeated = true
 	c.starts = append(c.starts, start)
--- a/httpconn/conn.go
+++ b/httpconn/conn.go
@@ -85,6 +85,9 @@
 	reader *bufio.Reader
 	// responses counts the complete responses on conn.
 	responses int
+	// Peer names the process at the other end of the open connection, if the owner has found out; 0 if not. A connection ends with the
+	// process that has accepted it, so that no other process can receive what is sent on it.
+	Peer int64
 }
 
 // Reusable reports whether the connection is open and has delivered at least one complete response, so that another
@@ -100,6 +103,7 @@
 	c.conn = nil
 	c.reader = nil
 	c.responses = 0
+	c.Peer = 0
 }
 
 // Do sends the request and reads the complete response. The response must begin within timeout; after that, it may take
@@ -226,16 +230,26 @@
 	p.closeIdleConnsLocked()
 }
 
-// Do sends one request on an idle or a new connection. Its errors are those of Conn.Do. If the request fails
-// before ctx ends, the idle connections are closed: they may no longer reach the peer either.
+// Do sends one request on a connection of With. Its errors are those of Conn.Do.
 func (p *Pool) Do(ctx context.Context, r Request, timeout time.Duration) (*Response, error) {
+	var response *Response
+	err := p.With(ctx, func(conn *Conn) (err error) {
+		response, err = conn.Do(ctx, r, timeout)
+		return err
+	})
+	return response, err
+}
+
+// With calls use with an idle or a new connection, which use must not keep. If use fails before ctx ends, the idle connections are
+// closed: they may no longer reach the peer either.
+func (p *Pool) With(ctx context.Context, use func(*Conn) error) error {
 	conn := p.acquire()
-	response, err := conn.Do(ctx, r, timeout)
+	err := use(conn)
 	p.release(conn)
 	if err != nil && ctx.Err() == nil {
 		p.closeIdleConns()
 	}
-	return response, err
+	return err
 }
 
 // acquire removes an idle connection from the pool or returns a new one.
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -14,6 +14,7 @@
 	"github.com/redwingthread/redwingthread/joblog"
 	"github.com/redwingthread/redwingthread/store"
 	"github.com/redwingthread/redwingthread/telemetry"
+	"github.com/redwingthread/redwingthread/workerlease"
 	"github.com/redwingthread/redwingthread/workload"
 )
 
@@ -124,7 +125,7 @@
 // earlierLeaseBound returns the time within which all leases expire, both those that an earlier holder has granted and
 // those that it may still grant to workers that only it can reach.
 func (l *Leader) earlierLeaseBound() time.Duration {
-	return RenewalWithoutStore + maxElapsed(l.lease)
+	return RenewalWithoutStore + workerlease.MaxElapsed(l.lease)
 }
 
 // SetConfig passes a version of the configuration to the core, unless that has the same or a newer one.
--- a/leader/permission_test.go
+++ b/leader/permission_test.go
@@ -11,6 +11,7 @@
 	"github.com/redwingthread/redwingthread/dispatch"
 	"github.com/redwingthread/redwingthread/resource"
 	"github.com/redwingthread/redwingthread/store/storetest"
+	"github.com/redwingthread/redwingthread/workerlease"
 	"github.com/redwingthread/redwingthread/workload"
 )
 
@@ -55,11 +56,11 @@
 	s = &session{
 		id: "w", conn: conn, leader: l, logger: l.logger, ctx: ctx, cancel: cancel,
 		requestSlots: make(chan struct{}, maxRequests), storedEndChanged: make(chan struct{}),
-		lease: leaseClock{lease: l.lease},
+		lease: workerlease.New(l.lease, l.MaxLease, 0),
 	}
 	t.Cleanup(cancel)
 	s.recordResponse(&workload.Listing{ClockMS: 1000}, 0)
-	return s, s.leaseUntil(boottime.Now())
+	return s, s.leaseUntil(boottime.Now(), s.currentIncarnation())
 }
 
 var testRun = workload.RunRef{Task: workload.TaskID{Job: "0123456789abcdef"}, Run: 1}
@@ -91,7 +92,7 @@
 	s, granted := newTestSession(t, l, &recordingConn{})
 	beforePause := boottime.Now()
 	time.Sleep(50 * time.Millisecond)
-	if got := s.leaseUntil(beforePause); got-granted >= 50 {
+	if got := s.leaseUntil(beforePause, s.currentIncarnation()); got-granted >= 50 {
 		t.Errorf("the lease was extended by the %d ms of the pause", got-granted)
 	}
 }
--- a/leader/requests.go
+++ b/leader/requests.go
@@ -30,8 +30,8 @@
 // errHolderUnconfirmed means that a request was not sent because another VM may hold the schedule.
 var errHolderUnconfirmed = errors.New("leader: the store has not confirmed that this VM holds the schedule")
 
-// start sends a start request until its outcome is known or the core no longer wants the start. It abandons the start if the
-// address or the process of the worker changes, or if the worker's failure domain is evacuated.
+// start sends a start request until its outcome is known or the core no longer wants the start. It gives the start up if the
+// address of the worker changes, if its process is not the one for which the start was decided, or if its failure domain is evacuated.
 func (s *session) start(ctx context.Context, planned dispatch.Start) {
 	waited := s.acquireRequestSlot()
 	defer func() { <-s.requestSlots }()
@@ -40,17 +40,25 @@
 	}
 	startedAt := boottime.Now()
 	defer func() { observe(timerStart, boottime.Now()-startedAt) }()
-	attempts := startAttempts{planned: planned, incarnation: s.currentIncarnation(), sent: planned.Repeated}
+	attempts := startAttempts{planned: planned, sent: planned.Repeated}
 	for s.awaitPermission(ctx, &attempts) {
+		if s.processReplaced(planned.Incarnation) {
+			s.giveUpStart(&attempts, ErrProcessReplaced.Error())
+			return
+		}
 		request := StartRequest{
-			Ref: planned.Ref, Specification: planned.Specification, Checkpoint: planned.Checkpoint,
-			LeaseUntilMS: s.leaseUntil(boottime.Now()), Epoch: s.leader.Epoch,
+			Ref: planned.Ref, Incarnation: planned.Incarnation, Specification: planned.Specification, Checkpoint: planned.Checkpoint,
+			LeaseUntilMS: s.leaseUntil(boottime.Now(), planned.Incarnation), Epoch: s.leader.Epoch,
 			Withdraw: s.leader.Evacuations != nil,
 		}
 		err := s.conn.Start(ctx, request, requestTimeout)
 		attempts.count++
 		attempts.sent = attempts.sent || !errors.Is(err, ErrNotSent)
 		attempts.leaseUntilMS = request.LeaseUntilMS
+		if errors.Is(err, ErrProcessReplaced) {
+			s.reportReplaced(&attempts)
+			return
+		}
 		if s.reportStartOutcome(&attempts, err) {
 			return
 		}
@@ -64,9 +72,7 @@
 // startAttempts holds the attempts of a start that had no response so far.
 type startAttempts struct {
 	planned dispatch.Start
-	// incarnation is the worker's incarnation before the first attempt.
-	incarnation int64
-	count       int
+	count   int
 	// sent is true if part of an attempt, be it an earlier holder's, may have reached the worker.
 	sent bool
 	// leaseUntilMS is the lease in the last attempt.
@@ -74,8 +80,7 @@
 }
 
 // awaitRetry waits until a start without response may be sent again, and reports whether it may. While the worker does not
-// respond to watch requests, its process may have ended with the start; another process must not get the same start. A start that
-// was never sent does not wait for such a worker.
+// respond to watch requests, its process may have ended with the start. A start that was never sent does not wait for such a worker.
 func (s *session) awaitRetry(ctx context.Context, a *startAttempts) bool {
 	for {
 		boottime.Sleep(s.ctx, requestRetryInterval)
@@ -86,10 +91,10 @@
 		if !s.wantsStart(ctx, a.planned) {
 			return false
 		}
-		incarnation, responding := s.process()
+		responding := s.responding()
 		switch {
-		case incarnation != a.incarnation:
-			s.giveUpStart(a, "the worker has restarted")
+		case s.processReplaced(a.planned.Incarnation):
+			s.giveUpStart(a, ErrProcessReplaced.Error())
 			return false
 		case !a.sent && (!responding || a.count >= maxUnsentAttempts):
 			s.giveUpStart(a, ErrNotSent.Error())
@@ -112,12 +117,29 @@
 	})
 }
 
-// process returns the worker's incarnation as of its last response to a watch request, and whether the worker has responded to
-// the latest one that ended.
-func (s *session) process() (incarnation int64, responding bool) {
+// reportReplaced gives up a start that was not sent because the worker's process has been replaced. Unless the session has noticed that
+// already, the open watch request still waits for the former process; it is ended, so that the runs of the new one are listed soon.
+func (s *session) reportReplaced(a *startAttempts) {
+	s.logAttempt(a).Msg("start not sent: the worker's process has been replaced")
+	if !s.processReplaced(a.planned.Incarnation) {
+		s.leader.enqueue(func(c *dispatch.Core) { c.SetUnreachable(s.id, false) })
+		s.interruptWatch(a.planned.Incarnation)
+	}
+	s.giveUpStart(a, ErrProcessReplaced.Error())
+}
+
+// processReplaced reports whether another process than the given one has responded last in the session.
+func (s *session) processReplaced(incarnation int64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.incarnation != 0 && s.incarnation != incarnation
+}
+
+// responding reports whether the worker has responded to the latest watch request that ended.
+func (s *session) responding() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.incarnation, !s.lease.noResponse
+	return !s.lease.Silent()
 }
 
 // acquireRequestSlot waits for a request slot and reports whether it had to wait.
--- a/leader/restart_lease_test.go
+++ b/leader/restart_lease_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"sync"
 	"testing"
 	"time"
@@ -10,6 +11,7 @@
 	"github.com/redwingthread/redwingthread/boottime"
 	"github.com/redwingthread/redwingthread/dispatch"
 	"github.com/redwingthread/redwingthread/store/storetest"
+	"github.com/redwingthread/redwingthread/workerlease"
 	"github.com/redwingthread/redwingthread/workload"
 )
 
@@ -84,6 +86,9 @@
 func (w *restartingWorker) Start(_ context.Context, r StartRequest, _ time.Duration) error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if r.Incarnation != w.incarnation {
+		return errors.Join(ErrNoResponse, ErrNotSent, ErrProcessReplaced)
+	}
 	w.renew(r.LeaseUntilMS)
 	w.started = append(w.started, r.Ref)
 	return nil
@@ -100,7 +105,7 @@
 	t.Cleanup(cancel)
 	s := &session{
 		id: "w", conn: w, leader: l, logger: l.logger, ctx: ctx, cancel: cancel,
-		requestSlots: make(chan struct{}, maxRequests), storedEndChanged: make(chan struct{}), lease: leaseClock{lease: l.lease},
+		requestSlots: make(chan struct{}, maxRequests), storedEndChanged: make(chan struct{}), lease: workerlease.New(l.lease, l.MaxLease, 0),
 	}
 	for first := true; ; first = false {
 		if _, _, err := s.watchOnce(ctx, first); err != nil {
@@ -147,6 +152,6 @@
 	w := newRestartingWorker(10 * time.Second)
 	s := watchedSession(t, w)
 	w.restart(2_900_000)
-	s.start(t.Context(), dispatch.Start{Worker: "w", Ref: testRun})
+	s.start(t.Context(), dispatch.Start{Worker: "w", Ref: testRun, Incarnation: 1})
 	expectLeaseCovered(t, s, w)
 }
--- a/leader/session.go
+++ b/leader/session.go
@@ -11,6 +11,7 @@
 	"github.com/redwingthread/redwingthread/boottime"
 	"github.com/redwingthread/redwingthread/dispatch"
 	"github.com/redwingthread/redwingthread/telemetry"
+	"github.com/redwingthread/redwingthread/workerlease"
 	"github.com/redwingthread/redwingthread/workload"
 )
 
@@ -41,7 +42,7 @@
 	requestSlots chan struct{}
 
 	mu    sync.Mutex
-	lease leaseClock
+	lease workerlease.Lease
 	// storedEnd is the sequence number up to which the ends of the current incarnation are stored.
 	storedEnd int64
 	// listedEnd is the highest sequence number of the ends that the current incarnation has listed.
@@ -55,6 +56,8 @@
 	expiryLogged bool
 	// failureDomain is the failure domain that the worker's entry names.
 	failureDomain string
+	// cancelWatch ends the watch request in flight; nil if there is none that may be ended.
+	cancelWatch context.CancelFunc
 
 	// deregistered is true if the worker announced that it leaves and then removed its entry. It is used only by the loop's goroutine.
 	deregistered bool
@@ -69,7 +72,7 @@
 		conn:             l.Workers.Connect(id, address),
 		logger:           l.logger.With().Str("worker", id).Logger(),
 		requestSlots:     make(chan struct{}, maxRequests),
-		lease:            leaseClock{lease: l.lease, expiresAt: leaseEnd},
+		lease:            workerlease.New(l.lease, l.MaxLease, leaseEnd),
 		storedEndChanged: make(chan struct{}),
 	}
 	l.goroutines.Add(1)
@@ -84,7 +87,7 @@
 func (s *session) leaseEnd() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.lease.expiresAt
+	return s.lease.ExpiresAt()
 }
 
 // watch renews the lease and reports the worker's listings to the core until ctx ends.
@@ -126,8 +129,8 @@
 }
 
 // watchOnce sends one watch request and returns the listing and the time at which the request was sent. The first request
-// of a session or connection does not wait, and acknowledges no ends: it may reach another incarnation, which numbers its
-// ends from 1 again.
+// of a session or connection does not wait, acknowledges no ends and renews no lease: it may reach another process, which numbers its
+// ends from 1 again and has another clock.
 func (s *session) watchOnce(ctx context.Context, first bool) (*workload.Listing, time.Duration, error) {
 	request := WatchRequest{Epoch: s.leader.Epoch, Wait: watchWait}
 	fresh := first || !s.conn.SameConnection()
@@ -139,10 +142,10 @@
 	}
 	s.mu.Unlock()
 	sentAt := boottime.Now()
-	if s.leader.mayRenew(sentAt) {
-		request.LeaseUntilMS = s.leaseUntil(sentAt)
+	if !fresh && s.leader.mayRenew(sentAt) {
+		request.LeaseUntilMS = s.leaseUntil(sentAt, s.currentIncarnation())
 	}
-	listing, err := s.conn.Watch(ctx, request, request.Wait+watchMargin)
+	listing, err := s.sendWatch(ctx, request, fresh)
 	if err != nil {
 		return nil, sentAt, err
 	}
@@ -150,12 +153,43 @@
 	return listing, sentAt, nil
 }
 
+// sendWatch sends a watch request. interruptWatch can end it unless it is the first one of a connection, which does not wait.
+func (s *session) sendWatch(ctx context.Context, request WatchRequest, fresh bool) (*workload.Listing, error) {
+	if !fresh {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithCancel(ctx)
+		s.setCancelWatch(cancel)
+		defer func() {
+			s.setCancelWatch(nil)
+			cancel()
+		}()
+	}
+	return s.conn.Watch(ctx, request, request.Wait+watchMargin)
+}
+
+// setCancelWatch sets how interruptWatch ends the watch request in flight; nil if it must not.
+func (s *session) setCancelWatch(cancel context.CancelFunc) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cancelWatch = cancel
+}
+
+// interruptWatch ends the watch request in flight if it waits for the given process, which has been replaced. The next request is sent
+// on a new connection.
+func (s *session) interruptWatch(process int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.cancelWatch != nil && s.incarnation == process {
+		s.cancelWatch()
+	}
+}
+
 // recordResponse records the worker's clock and incarnation from a listing. untilMS is the lease in the request for it.
 func (s *session) recordResponse(listing *workload.Listing, untilMS int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := boottime.Now()
-	s.lease.recordResponse(now, listing.ClockMS)
+	s.lease.RecordResponse(now, listing.Incarnation, listing.ClockMS)
 	s.contact.recordResponse()
 	s.expiryLogged = false
 	if s.incarnation != listing.Incarnation {
@@ -175,7 +209,7 @@
 		count(counterWorkersRestarted)
 	}
 	s.logger.Info().Int64("incarnation", listing.Incarnation).Int64("former_incarnation", s.incarnation).
-		Int64("clock_ms", listing.ClockMS).Int64("lease_until_ms", untilMS).Dur("lease_expires_in", s.lease.expiresAt-now).
+		Int64("clock_ms", listing.ClockMS).Int64("lease_until_ms", untilMS).Dur("lease_expires_in", s.lease.ExpiresAt()-now).
 		Msg("first response of a worker's process")
 }
 
@@ -191,16 +225,16 @@
 	dependency.Observe(logger, "worker", err)
 }
 
-// leaseUntil returns the expiry of a lease sent now, in milliseconds of the worker's clock; 0 while that clock is unknown. If
-// leases may not be extended, it is the expiry of the longest lease sent before.
-func (s *session) leaseUntil(now time.Duration) int64 {
+// leaseUntil returns the expiry of a lease that is sent now to the worker's process, in milliseconds of its clock; 0 if another
+// process has responded last. If leases may not be extended, it is the expiry of the longest lease sent before.
+func (s *session) leaseUntil(now time.Duration, process int64) int64 {
 	mayRenew := s.leader.mayRenew(now)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !mayRenew {
-		return s.lease.untilMS
+		return s.lease.Granted(process)
 	}
-	return s.lease.renew(now)
+	return s.lease.Renew(now, process)
 }
 
 // recordNoResponse records a watch request that failed with err. It reports the worker to the core as unreachable, and as gone
@@ -208,14 +242,15 @@
 // because the core may restore runs of the worker later.
 func (s *session) recordNoResponse(err error) {
 	s.mu.Lock()
-	s.lease.recordNoResponse()
+	s.lease.RecordNoResponse()
 	s.contact.recordFailure(err)
 	now := boottime.Now()
-	expired := s.lease.allExpired(now)
+	expired := s.lease.Expired(now)
 	if expired && !s.expiryLogged {
 		s.expiryLogged = true
-		s.logger.Info().Int64("incarnation", s.incarnation).Int64("lease_until_ms", s.lease.untilMS).
-			Int64("clock_ms", s.lease.clockMS).Dur("clock_age", now-s.lease.clockAt).Msg("lease of a silent worker has expired")
+		clockMS, age := s.lease.Clock(now)
+		s.logger.Info().Int64("incarnation", s.incarnation).Int64("lease_until_ms", s.lease.Granted(s.incarnation)).
+			Int64("clock_ms", clockMS).Dur("clock_age", age).Msg("lease of a silent worker has expired")
 	}
 	s.mu.Unlock()
 	replaced, silent := errors.Is(err, ErrOtherIncarnation), timedOut(err)
--- a/leader/worker.go
+++ b/leader/worker.go
@@ -10,7 +10,6 @@
 //   - session.go: the lease and the listings of one worker
 //   - evacuation.go: the evacuations before each plan and each attempt of a start
 //   - requests.go: the start and stop requests to one worker
-//   - leaseclock.go: when the lease of a worker expires
 //   - workers.go: the worker list
 //   - presence.go: whether a worker has removed its own entry
 //   - contact.go: whether a worker's process has ended
@@ -42,6 +41,9 @@
 	ErrUnhealthy = errors.New("leader: the worker is not healthy")
 	// ErrOtherIncarnation means that the request was meant for a process that has ended.
 	ErrOtherIncarnation = errors.New("leader: another process runs at the worker's address")
+	// ErrProcessReplaced means that a start was not sent because the worker's process is not the one that it was meant for. The error
+	// also matches ErrNotSent.
+	ErrProcessReplaced = errors.New("leader: the worker's process has been replaced by another one under its id")
 	// ErrInvalidRequest means that the worker cannot process the request.
 	ErrInvalidRequest = errors.New("leader: the worker rejected the request as invalid")
 )
@@ -60,7 +62,9 @@
 
 // StartRequest is a request to start a run. LeaseUntilMS is in milliseconds of the worker's clock.
 type StartRequest struct {
-	Ref           workload.RunRef
+	Ref workload.RunRef
+	// Incarnation is the start time of the only process that may get the request.
+	Incarnation   int64
 	Specification string
 	Checkpoint    string
 	LeaseUntilMS  int64
@@ -81,9 +85,10 @@
 type WorkerConn interface {
 	// Watch renews the lease of the worker's runs and returns its listing.
 	Watch(ctx context.Context, request WatchRequest, timeout time.Duration) (*workload.Listing, error)
-	// SameConnection reports whether the next Watch reaches the process that responded to the last one.
+	// SameConnection reports whether the next Watch can only reach the process that has sent the last listing.
 	SameConnection() bool
-	// Start makes the worker start a run. The error also matches ErrNotSent if the request was not sent.
+	// Start makes the worker's process with the request's incarnation start a run. No other process can execute the request, however
+	// late it arrives. The error also matches ErrNotSent if the request was not sent.
 	Start(ctx context.Context, request StartRequest, timeout time.Duration) error
 	// Stop makes the worker end a run, and keeps it from starting the run later.
 	Stop(ctx context.Context, request StopRequest, timeout time.Duration) error
