List a new process soon, whenever a start meets it

A start that meets another process than its own interrupts the watch request to the former one. Three faults of that, each with a test that failed before:

- Each of the starts that were planned for the former process interrupted the request that would have listed the new one.
The first request on a connection reaches the process that runs now, so it is no longer interrupted.
- An interruption between two watch requests was lost, and the next request waited 2.2 s on the connection to the former process.
It is now kept until the next request, which uses a new connection.
- A rejection that came after the new process was listed made the worker unreachable until its next listing, and interrupted its watch request.
It now changes nothing.

The other tests passed before: a start whose process has ended, as the session knows, is given up without a request; a start that meets another process is rejected, or abandoned if an earlier attempt may have been executed; eight starts at a worker whose restart is not known for 1 s cause 8 rejections and 5 appends; interruptions at any time leave the worker's runs and its lease.

--- a/leader/requests.go
+++ b/leader/requests.go
@@ -121,11 +121,13 @@
 // already, the open watch request still waits for the former process; it is ended, so that the runs of the new one are listed soon.
 func (s *session) reportReplaced(a *startAttempts) {
 	s.logAttempt(a).Msg("start not sent: the worker's process has been replaced")
-	if !s.processReplaced(a.planned.Incarnation) {
-		s.leader.enqueue(func(c *dispatch.Core) { c.SetUnreachable(s.id, false) })
-		s.interruptWatch(a.planned.Incarnation)
-	}
+	s.leader.enqueue(func(c *dispatch.Core) {
+		if !s.processReplaced(a.planned.Incarnation) {
+			c.SetUnreachable(s.id, false)
+		}
+	})
 	s.giveUpStart(a, ErrProcessReplaced.Error())
+	s.interruptWatch(a.planned.Incarnation)
 }
 
 // processReplaced reports whether another process than the given one has responded last in the session.
--- a/leader/session.go
+++ b/leader/session.go
@@ -56,8 +56,10 @@
 	expiryLogged bool
 	// failureDomain is the failure domain that the worker's entry names.
 	failureDomain string
-	// cancelWatch ends the watch request in flight; nil if there is none that may be ended.
+	// cancelWatch ends the watch request in flight, or the last one; nil if that is the first one on its connection.
 	cancelWatch context.CancelFunc
+	// reconnect is true if the connection of the watch requests leads to a process that has been replaced.
+	reconnect bool
 
 	// deregistered is true if the worker announced that it leaves and then removed its entry. It is used only by the loop's goroutine.
 	deregistered bool
@@ -133,7 +135,8 @@
 // ends from 1 again and has another clock.
 func (s *session) watchOnce(ctx context.Context, first bool) (*workload.Listing, time.Duration, error) {
 	request := WatchRequest{Epoch: s.leader.Epoch, Wait: watchWait}
-	fresh := first || !s.conn.SameConnection()
+	ctx, cancel, fresh := s.beginWatch(ctx, first)
+	defer cancel()
 	s.mu.Lock()
 	if fresh {
 		request.Wait = 0
@@ -145,7 +148,7 @@
 	if !fresh && s.leader.mayRenew(sentAt) {
 		request.LeaseUntilMS = s.leaseUntil(sentAt, s.currentIncarnation())
 	}
-	listing, err := s.sendWatch(ctx, request, fresh)
+	listing, err := s.conn.Watch(ctx, request, request.Wait+watchMargin)
 	if err != nil {
 		return nil, sentAt, err
 	}
@@ -153,33 +156,34 @@
 	return listing, sentAt, nil
 }
 
-// sendWatch sends a watch request. interruptWatch can end it unless it is the first one of a connection, which does not wait.
-func (s *session) sendWatch(ctx context.Context, request WatchRequest, fresh bool) (*workload.Listing, error) {
-	if !fresh {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithCancel(ctx)
-		s.setCancelWatch(cancel)
-		defer func() {
-			s.setCancelWatch(nil)
-			cancel()
-		}()
-	}
-	return s.conn.Watch(ctx, request, request.Wait+watchMargin)
-}
-
-// setCancelWatch sets how interruptWatch ends the watch request in flight; nil if it must not.
-func (s *session) setCancelWatch(cancel context.CancelFunc) {
+// beginWatch returns the context for a watch request, and whether the request is the first one of the session or its connection. Such a
+// request reaches the process that runs now, and does not wait, so interruptWatch ends only the others.
+func (s *session) beginWatch(ctx context.Context, first bool) (watchCtx context.Context, cancel context.CancelFunc, fresh bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.cancelWatch = cancel
+	if s.reconnect {
+		s.reconnect = false
+		s.conn.Close()
+	}
+	fresh = first || !s.conn.SameConnection()
+	watchCtx, cancel = context.WithCancel(ctx)
+	s.cancelWatch = nil
+	if !fresh {
+		s.cancelWatch = cancel
+	}
+	return watchCtx, cancel, fresh
 }
 
-// interruptWatch ends the watch request in flight if it waits for the given process, which has been replaced. The next request is sent
-// on a new connection.
+// interruptWatch ends the watch request in flight and makes the next one use a new connection, if the process that has responded last is
+// the given one, which has been replaced.
 func (s *session) interruptWatch(process int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.cancelWatch != nil && s.incarnation == process {
+	if s.incarnation != process {
+		return
+	}
+	s.reconnect = true
+	if s.cancelWatch != nil {
 		s.cancelWatch()
 	}
 }
@@ -196,6 +200,7 @@
 		s.logProcess(listing, untilMS, now)
 		s.incarnation = listing.Incarnation
 		s.storedEnd, s.listedEnd = 0, 0
+		s.reconnect = false
 	}
 	if n := len(listing.Ended); n > 0 {
 		s.listedEnd = max(s.listedEnd, listing.Ended[n-1].Sequence)
