--- a/workload/state_test.go
+++ b/workload/state_test.go
@@ -155,6 +155,29 @@
 	}
 }
 
+// TestFormatWithProcessesIsKept guards against a takeover between VMs of different versions that loses the states which name processes
+// and crashes: these bytes are the output of Encode before leases were counted per process.
+func TestFormatWithProcessesIsKept(t *testing.T) {
+	stored, err := hex.DecodeString("020102027731fcd095ffbc3102773200010301000101ac020201030100020163010201010002010100000101000000000000000000")
+	if err != nil {
+		t.Fatal(err)
+	}
+	const incarnation = 1_700_000_000_123
+	gang := UnitState{
+		Status: UnitActive, Run: 300, LastCountedRun: 2, Failures: 1, Workers: []string{"w1", "", "w2"},
+		Incarnations: []int64{incarnation, 0, CountedIncarnation}, Checkpoint: "c", Crashes: []MemberCrashes{{Member: 2, Count: 1, Certain: 1}},
+	}
+	task := UnitState{Status: UnitActive, Run: 1, Workers: []string{"w1"}, Incarnations: []int64{incarnation}}
+	want := &JobState{Phase: PhaseRunning, Repetitions: [][]StepState{{{Done: true}, {Units: []UnitState{gang}}, {Units: []UnitState{task, {}}}}}}
+	got, err := DecodeState(stored)
+	if err != nil || !reflect.DeepEqual(got, want) {
+		t.Errorf("decoded %+v (%v), want %+v", got, err, want)
+	}
+	if !bytes.Equal(want.Encode(), stored) {
+		t.Errorf("encoded %x, want %x", want.Encode(), stored)
+	}
+}
+
 // TestCorruptStateIsRejected guards against a VM that crashes on bytes that are no encoded state, such as a record of
 // another writer, or that accepts a truncated state.
 func TestCorruptStateIsRejected(t *testing.T) {
