--- a/leader/replaced_process_test.go
+++ b/leader/replaced_process_test.go
@@ -449,3 +449,42 @@
 		t.Error("the connection to the new process was closed")
 	}
 }
+
+// TestTakeoverFromAnEarlierVersion guards against a task that never starts, or starts twice, when a holder takes over from one of a former
+// version: the state names no process, and the process that runs now may be the one to which the start was sent or the next one.
+func TestTakeoverFromAnEarlierVersion(t *testing.T) {
+	for _, process := range []int64{1, 2} {
+		for _, executed := range []bool{false, true} {
+			for _, incarnations := range [][]int64{nil, {0}} {
+				conn := newReplaceableConn()
+				conn.process = process
+				if executed {
+					conn.runs = []workload.RunRef{testRun}
+				}
+				var sent []int64
+				conn.responseTo = func(r StartRequest) (error, bool) {
+					sent = append(sent, r.Incarnation)
+					return nil, false
+				}
+				l := runTestLeader(t, testWorkers{"w": conn}, map[string]int{"w": 8})
+				unit := workload.UnitState{Status: workload.UnitActive, Run: testRun.Run, Workers: []string{"w"}, Incarnations: incarnations}
+				state := &workload.JobState{Phase: workload.PhaseRunning, Repetitions: [][]workload.StepState{{{Units: []workload.UnitState{unit}}}}}
+				l.enqueue(func(c *dispatch.Core) { c.AddJob(testJob(), state) })
+				if !await(2*time.Second, func() bool { return conn.runCount() > 0 && conn.answeredBy(process) > 0 }) {
+					t.Fatalf("process %d, incarnations %v: the task was not started", process, incarnations)
+				}
+				time.Sleep(100 * time.Millisecond)
+				conn.with(func() {
+					if len(conn.runs) != 1 || conn.runs[0] != testRun {
+						t.Errorf("process %d, executed %v, incarnations %v: the worker has runs %v, want the restored one", process, executed, incarnations, conn.runs)
+					}
+					for _, incarnation := range sent {
+						if incarnation != process || executed {
+							t.Errorf("process %d, executed %v, incarnations %v: a start was sent to process %d", process, executed, incarnations, incarnation)
+						}
+					}
+				})
+			}
+		}
+	}
+}
