Test rejected listings before a start, and the wait after a takeover

The successor of a holder waits 13.18 s from its start for workers that it cannot reach, 14.48 s after the membership of the earlier one was last confirmed; the longest lease that this one can have caused ends 14.20 s after that. The margin is the membership's 1.3 s: a group that hands the schedule over without waiting for them leaves 1.02 s uncovered, if the earlier holder is of a former version.

--- a/leader/lease_test.go
+++ b/leader/lease_test.go
@@ -25,3 +25,14 @@
 		t.Error("runs are given up before their lease has ended")
 	}
 }
+
+// TestTakeoverOutwaitsTheLongestLease guards against a worker that the new holder cannot reach and that outlives the leases which it
+// counts for the earlier one: a holder of a former version may have granted the longest lease that workers accept. Such a holder renews
+// until RenewalWithoutStore after its last confirmation, and its successor starts no earlier than the membership's end.
+func TestTakeoverOutwaitsTheLongestLease(t *testing.T) {
+	l := New(Options{MaxLease: 10 * time.Second}, nil)
+	successorWaits := testTTL + l.earlierLeaseBound()
+	if held := RenewalWithoutStore + workerlease.MaxElapsed(l.MaxLease); successorWaits < held {
+		t.Errorf("a lease of the earlier holder lasts up to %s, its successor waits %s", held, successorWaits)
+	}
+}
--- a/leader/replaced_process_test.go
+++ b/leader/replaced_process_test.go
@@ -488,3 +488,52 @@
 		}
 	}
 }
+
+// TestRejectedListingBeforeAStart guards against a rejection of the listing before a start that is ignored, tried again without an end, or
+// taken for the outcome of the start, which was not sent.
+func TestRejectedListingBeforeAStart(t *testing.T) {
+	for _, test := range []struct {
+		rejection        error
+		attempts         int
+		wanted, stepDown bool
+	}{
+		{rejection: ErrStaleEpoch, attempts: 1, wanted: true, stepDown: true},
+		// The next watch request reports the worker as gone.
+		{rejection: ErrOtherIncarnation, attempts: 1, wanted: true},
+		{rejection: ErrUnhealthy, attempts: maxUnsentAttempts},
+		{rejection: errors.New("no listing"), attempts: maxUnsentAttempts},
+	} {
+		t.Run(test.rejection.Error(), func(t *testing.T) {
+			l, start := leaderWithStart(t)
+			l.cancel = func() {}
+			attempts := 0
+			conn := newReplaceableConn()
+			conn.responseTo = func(StartRequest) (error, bool) {
+				attempts++
+				return errors.Join(ErrNoResponse, ErrNotSent, test.rejection), true
+			}
+			s, _ := newTestSession(t, l, conn)
+			s.recordResponse(&workload.Listing{Incarnation: 1, ClockMS: 1000}, 0)
+			done := make(chan struct{})
+			go func() {
+				defer close(done)
+				s.start(t.Context(), start)
+			}()
+			for running := true; running; {
+				select {
+				case <-done:
+					running = false
+				case f := <-l.events:
+					l.apply(f)
+				}
+			}
+			drain(l)
+			if attempts != test.attempts || l.core.WantsStart("w", start.Ref) != test.wanted || l.ended.Load() != test.stepDown {
+				t.Errorf("%d attempts, wanted %v, stepped down %v; want %+v", attempts, l.core.WantsStart("w", start.Ref), l.ended.Load(), test)
+			}
+			if stops := l.core.Plan().Stops; len(stops) > 0 {
+				t.Errorf("got stops %+v of a start that was not sent", stops)
+			}
+		})
+	}
+}
