Do not count an interrupted watch request as silence of the worker

Callers saw a task that crashes its workers get another worker: the crash counted as uncertain although the next process had proven it. A start that finds another process than the one that it is meant for ends the open watch request, so that the next one lists the new process soon. The ended request looks like a timeout, so the session reported the worker as silent, which replaced the report of the start that it is not. Such a worker's runs may have ended before, so their crashes do not count as certain, and a suspect is given up after 4 crashes instead of 3. The interruption also counted as one of the two failures in a row that show the end of a leaving process.

watchOnce returns an error of its own for a request that the session has ended, and the loop continues with the next request without a report: what this VM does shows nothing about the worker.

--- a/leader/session.go
+++ b/leader/session.go
@@ -29,6 +29,9 @@
 	maxWatchRetryInterval = 800 * time.Millisecond
 )
 
+// errInterrupted means that this VM ended a watch request, so that the lack of a response says nothing about the worker.
+var errInterrupted = errors.New("leader: the watch request was ended because another process runs at the worker's address")
+
 // session manages one worker: it renews the lease, watches the worker's runs, and sends start and stop requests.
 type session struct {
 	id      string
@@ -107,6 +110,9 @@
 			s.leader.stepDown("worker " + s.id)
 			return
 		}
+		if errors.Is(err, errInterrupted) {
+			continue
+		}
 		s.observe(&dependency, err)
 		if err != nil {
 			s.recordNoResponse(err)
@@ -135,7 +141,7 @@
 // ends from 1 again and has another clock.
 func (s *session) watchOnce(ctx context.Context, first bool) (*workload.Listing, time.Duration, error) {
 	request := WatchRequest{Epoch: s.leader.Epoch, Wait: watchWait}
-	ctx, cancel, fresh := s.beginWatch(ctx, first)
+	watchCtx, cancel, fresh := s.beginWatch(ctx, first)
 	defer cancel()
 	s.mu.Lock()
 	if fresh {
@@ -148,7 +154,10 @@
 	if !fresh && s.leader.mayRenew(sentAt) {
 		request.LeaseUntilMS = s.leaseUntil(sentAt, s.currentIncarnation())
 	}
-	listing, err := s.conn.Watch(ctx, request, request.Wait+watchMargin)
+	listing, err := s.conn.Watch(watchCtx, request, request.Wait+watchMargin)
+	if err != nil && watchCtx.Err() != nil && ctx.Err() == nil {
+		return nil, sentAt, errInterrupted
+	}
 	if err != nil {
 		return nil, sentAt, err
 	}
