Ignore a late report that a worker's process has been replaced

Callers would see work wait although a worker is free. A start that finds another process than its own reports the worker as unreachable and ends the open watch request. If the new process had responded to the session while the start was on its way, both hit the new process: it got no work until the next listing, and up to three starts in flight each cost a request and a connection. The report was also applied if the worker had another address by now, unlike all other reports of a session.

--- a/leader/replaced_test.go
+++ b/leader/replaced_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/redwingthread/redwingthread/boottime"
 	"github.com/redwingthread/redwingthread/dispatch"
+	"github.com/redwingthread/redwingthread/resource"
 	"github.com/redwingthread/redwingthread/workload"
 )
 
@@ -53,6 +54,12 @@
 	return &workload.Listing{Incarnation: c.incarnation, ClockMS: boottime.Now().Milliseconds(), Running: c.running}, ctx.Err()
 }
 
+func (c *silentlyReplacedConn) SameConnection() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.watched != 0
+}
+
 // replace ends the worker's process and starts another one.
 func (c *silentlyReplacedConn) replace() {
 	c.mu.Lock()
@@ -111,3 +118,48 @@
 		t.Errorf("the crash was recorded as %q, want a certain one", line)
 	}
 }
+
+// overtakenConn is a worker whose new process responds to a watch request while a start for the former one finds it.
+type overtakenConn struct {
+	idleConn
+	session *session
+}
+
+func (c *overtakenConn) Start(context.Context, StartRequest, time.Duration) error {
+	c.session.recordResponse(&workload.Listing{Incarnation: 2, ClockMS: 1000}, 0)
+	return errors.Join(ErrNoResponse, ErrNotSent, ErrProcessReplaced)
+}
+
+func (c *overtakenConn) SameConnection() bool { return true }
+
+// TestLateReportOfAReplacedProcessSparesTheNext guards against work that is withheld from a worker, and a watch request that is ended,
+// because a start for its former process reports the replacement after the new process has already responded to the session.
+func TestLateReportOfAReplacedProcessSparesTheNext(t *testing.T) {
+	l, _ := unconfirmedLeader(t)
+	conn := &overtakenConn{}
+	s, _ := newTestSession(t, l, conn)
+	conn.session = s
+	s.recordResponse(&workload.Listing{Incarnation: 1, ClockMS: 1000}, 0)
+	l.sessions["w"] = s
+	watchCtx, cancel, _ := s.beginWatch(t.Context(), false)
+	defer cancel()
+	s.start(t.Context(), dispatch.Start{Worker: "w", Ref: testRun, Incarnation: 1})
+	if watchCtx.Err() != nil {
+		t.Error("the watch request to the new process was ended")
+	}
+	config := &workload.Config{Version: 1, Queues: []workload.Queue{{Name: "q", Service: "svc", MaxFailedRuns: 1, SlackFactor: 3}}}
+	config.Index()
+	core := dispatch.New(l.DispatchOptions)
+	core.Advance(boottime.Now(), time.Now())
+	core.SetConfig(config)
+	room := resource.Resources{Accelerators: 8, MilliCPU: 8000, MemoryMB: 8000}
+	core.SetWorker(workload.WorkerInfo{ID: "w", Address: "127.0.0.1:1", Service: "svc", Rack: "r1", Capacity: room, Incarnation: 2})
+	core.ApplyListing("w", boottime.Now(), &workload.Listing{Incarnation: 2})
+	for len(l.events) > 0 {
+		(<-l.events)(core)
+	}
+	core.AddJob(testJob(), nil)
+	if starts := core.Plan().Starts; len(starts) != 1 {
+		t.Errorf("%d starts on the new process, want 1", len(starts))
+	}
+}
--- a/leader/requests.go
+++ b/leader/requests.go
@@ -122,7 +122,7 @@
 func (s *session) reportReplaced(a *startAttempts) {
 	s.logAttempt(a).Msg("start not sent: the worker's process has been replaced")
 	s.leader.enqueue(func(c *dispatch.Core) {
-		if !s.processReplaced(a.planned.Incarnation) {
+		if s.leader.sessions[s.id] == s && !s.processReplaced(a.planned.Incarnation) {
 			c.SetUnreachable(s.id, false)
 		}
 	})
