Renew no lease in a session that has been replaced

Callers could see a task run twice. When a worker's entry names another address, its next session takes over the account of its leases. A start that waited for a request slot in the old session was still sent, and extended the lease at the old address after that. If the new address does not respond, the holder gives the runs up by the account, which does not cover the extension.

A cancelled session grants nothing beyond what it has granted before.

--- a/leader/replaced_test.go
+++ b/leader/replaced_test.go
@@ -163,3 +163,21 @@
 		t.Errorf("%d starts on the new process, want 1", len(starts))
 	}
 }
+
+// TestReplacedSessionRenewsNothing guards against a task that runs twice: a start that waits in a session whose worker has another
+// address by now extended the lease at the old address, after the next session had taken over the account of the worker's leases.
+func TestReplacedSessionRenewsNothing(t *testing.T) {
+	l, _ := unconfirmedLeader(t)
+	s, _ := newTestSession(t, l, &recordingConn{})
+	s.address = "127.0.0.1:1"
+	l.sessions["w"] = s
+	l.cancel = func() {}
+	ctx, cancel := context.WithCancel(t.Context())
+	next := l.ensureSession(ctx, workload.WorkerInfo{ID: "w", Address: "127.0.0.1:2"})
+	s.leaseUntil(boottime.Now()+RenewalWithoutStore/2, s.currentIncarnation())
+	if s.leaseEnd() > next.leaseEnd() {
+		t.Errorf("the worker keeps its runs at the old address %s longer than the holder waits", s.leaseEnd()-next.leaseEnd())
+	}
+	cancel()
+	l.goroutines.Wait()
+}
--- a/leader/session.go
+++ b/leader/session.go
@@ -88,7 +88,8 @@
 	return s
 }
 
-// leaseEnd returns the latest time at which the leases that were granted in the session expire.
+// leaseEnd returns the latest time at which the leases that were granted in the session expire. That is final once the session has been
+// cancelled.
 func (s *session) leaseEnd() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -240,12 +241,13 @@
 }
 
 // leaseUntil returns the expiry of a lease that is sent now to the worker's process, in milliseconds of its clock; 0 if another
-// process has responded last. If leases may not be extended, it is the expiry of the longest lease sent before.
+// process has responded last. If leases may not be extended, or the worker has another session by now, it is the expiry of the longest
+// lease sent before.
 func (s *session) leaseUntil(now time.Duration, process int64) int64 {
 	mayRenew := s.leader.mayRenew(now)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !mayRenew {
+	if !mayRenew || s.ctx.Err() != nil {
 		return s.lease.Granted(process)
 	}
 	return s.lease.Renew(now, process)
