Attribute a drain to the process that has announced it

Callers would see a job fail although its workers only left as announced. The runs that end with a draining process do not count as crashes of their tasks. Whether the process drained was taken from the worker's newest entry. A worker that comes back under its id writes its entry at once, while the holder learns of the end of the former process from the first listing of the next one, which may be a timeout later. By then the entry is that of the new process, so each such drain counted as a crash, and a job was given up after 3 or 4 of them. In the same way, a drain of the new process hid a crash of the former one.

The core now keeps which process has announced that it leaves, and compares it with the process for which the run was decided. If either is unknown, as in states of old versions, the newest entry decides as before.

TestDrainedWorkerThatReturnsIsNoCrash failed before in both directions: the job failed after 4 drains, and ran on after 4 crashes.

--- a/dispatch/crash.go
+++ b/dispatch/crash.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/redwingthread/redwingthread/workload"
@@ -23,10 +24,7 @@
 // up. lost holds the worker's runs. proven is true if another process was seen. Otherwise the worker was missing from the worker list
 // since a takeover, or refused connections until its lease expired; a crash is the most frequent cause of both and counts as uncertain.
 func (c *Core) recordCrash(w *worker, lost []*placement, proven bool) []*unit {
-	if w.info.Draining {
-		// The process has ended as announced.
-		return nil
-	}
+	lost = slices.DeleteFunc(slices.Clone(lost), (*placement).leftAsAnnounced)
 	suspects := c.suspects(w, lost)
 	var toGiveUp []*unit
 	for _, p := range lost {
@@ -41,6 +39,16 @@
 	return toGiveUp
 }
 
+// leftAsAnnounced reports whether the run's process has announced that it leaves. The worker's entry may be that of the next process by
+// now.
+func (p *placement) leftAsAnnounced() bool {
+	w := p.worker
+	if p.incarnation == 0 || w.info.Incarnation == 0 {
+		return w.info.Draining
+	}
+	return p.incarnation == w.drainingIncarnation
+}
+
 // countCrash counts a crash against the task of the run and returns the task's counts. suspects is the number of units that may have
 // caused the crash, for the log.
 func (c *Core) countCrash(p *placement, proven bool, suspects int) workload.MemberCrashes {
--- a/dispatch/crash_test.go
+++ b/dispatch/crash_test.go
@@ -392,3 +392,34 @@
 		}
 	}
 }
+
+// TestDrainedWorkerThatReturnsIsNoCrash guards against a job that fails because its workers drained, left as announced and came back
+// under their ids: the entry of the new process, which does not drain, is often read before its first listing. A drain that the new
+// process announces says nothing about the end of the former one.
+func TestDrainedWorkerThatReturnsIsNoCrash(t *testing.T) {
+	for _, formerDrains := range []bool{true, false} {
+		c := newCluster(t, 16)
+		c.submit("a", "normal", "large", tasks(1, 1))
+		for range maxCrashes {
+			starts := c.plan().Starts
+			if len(starts) == 0 {
+				break
+			}
+			start := starts[0]
+			c.advance(simTick)
+			w := c.workers[start.Worker]
+			w.info.Draining = formerDrains
+			c.core.SetWorker(w.info)
+			next := w.info
+			next.Incarnation++
+			next.Draining = !formerDrains
+			c.core.SetWorker(next)
+			c.restart(start.Worker)
+			w.info.Draining = next.Draining
+		}
+		c.plan()
+		if failed := c.phases["a"] == workload.PhaseFailed; failed == formerDrains {
+			t.Errorf("former processes drain: %v; the job is %v after %d of them have ended", formerDrains, c.phases["a"], maxCrashes)
+		}
+	}
+}
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -47,6 +47,8 @@
 	notable int
 	// leavesAt is the earliest time at which a draining worker leaves; 0 if the worker does not drain or has not announced it.
 	leavesAt time.Duration
+	// drainingIncarnation is the incarnation of the last process whose entry has announced that it leaves; 0 if none has.
+	drainingIncarnation int64
 	// lastStartAt is when the last start on the worker was decided; 0 if none was. Until isolatedUntil, other units should not start
 	// there, so that a crash can be attributed.
 	lastStartAt, isolatedUntil time.Duration
@@ -81,6 +83,9 @@
 	before := w.info
 	w.info = info
 	w.registered = true
+	if info.Draining {
+		w.drainingIncarnation = info.Incarnation
+	}
 	c.noteHardware(w)
 	c.noteDraining(w)
 	c.noteCold(w, &before)
