Give the schedule back if another VM has held it in between

Callers could see a task run twice, and runs stopped for no reason. A holder that was frozen, or cut off from the store, asks who holds the schedule once its membership may have expired, and goes on if nobody does. Another VM may have held the schedule and left, or lost it, in the meantime. The first holder then went on with the jobs and workers as it knew them before, under its lower epoch, and the store confirmed it: it extended leases, repeated starts of runs that the other VM had given up, and sent stops, until its next append was rejected. Workers that the other VM had not reached have not seen its epoch and obey.

Each holder registers its epoch with the store before it does anything else. A holder whose membership may have expired now sends an append without records under its epoch before it counts as confirmed, and gives the schedule back if that is rejected. It joins first, so that the check does not leave the schedule to others. Without an answer within 400 ms it goes on as before, because otherwise the leases of all runs would expire in an outage of the store's appends alone, and repeats the check at each join.

--- a/leader/journal.go
+++ b/leader/journal.go
@@ -56,6 +56,15 @@
 	return ctx.Err()
 }
 
+// superseded reports whether another holder has registered a higher epoch.
+func (j *journal) superseded(ctx context.Context) (bool, error) {
+	_, err := j.send(ctx, nil, &store.Producer{Name: producerName, Epoch: j.epoch})
+	if errors.Is(err, store.ErrFenced) {
+		return true, nil
+	}
+	return false, store.IgnoreRejection(err)
+}
+
 // write appends the records. It retries until they are stored, and returns an error only if another holder has taken over
 // or ctx has ended.
 func (j *journal) write(ctx context.Context, records []store.Record) error {
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -176,12 +176,21 @@
 	l.cancel()
 }
 
+// Superseded reports whether another VM has held the schedule since this leader took it: each holder registers its epoch with the store
+// before it does anything else.
+func (l *Leader) Superseded(ctx context.Context) (bool, error) { return l.newJournal().superseded(ctx) }
+
+// newJournal returns a journal that is not open.
+func (l *Leader) newJournal() *journal {
+	return &journal{log: l.Log, hedge: l.Hedge, epoch: l.Epoch, retryInterval: journalRetryInterval, logger: l.logger.With().Stringer("stream", store.States).Logger()}
+}
+
 // Run holds the schedule until ctx ends or a newer holder exists.
 func (l *Leader) Run(ctx context.Context) {
 	ctx, l.cancel = context.WithCancel(ctx)
 	defer l.cancel()
 	l.startedAt = boottime.Now()
-	l.journal = &journal{log: l.Log, hedge: l.Hedge, epoch: l.Epoch, retryInterval: journalRetryInterval, logger: l.logger.With().Stringer("stream", store.States).Logger()}
+	l.journal = l.newJournal()
 	if err := l.journal.open(ctx); err != nil {
 		l.logger.Warn().Err(err).Msg("schedule not taken: epoch not registered with the store")
 		return
--- a/node/membership.go
+++ b/node/membership.go
@@ -28,6 +28,8 @@
 	// smallCPUShare is the share of a core below which smallCPUStandby is added to the standby delay of a VM.
 	smallCPUShare   = 0.3
 	smallCPUStandby = 800 * time.Millisecond
+	// checkTimeout bounds the check whether another VM has held the schedule: with joinInterval and a join it must stay below memberTTL.
+	checkTimeout = 400 * time.Millisecond
 	// leaveTimeout bounds the request to leave the group.
 	leaveTimeout = 800 * time.Millisecond
 )
@@ -51,6 +53,8 @@
 	// confirmedAt is the start of the join that last confirmed that this VM holds the schedule, in nanoseconds on the boot
 	// clock.
 	confirmedAt atomic.Int64
+	// unchecked is true from when the membership may have expired until it is known that no other VM has held the schedule since.
+	unchecked bool
 	// leader is nil while this VM does not hold the schedule. leaderDone is closed when its Run has returned.
 	leader       *leader.Leader
 	cancelLeader context.CancelFunc
@@ -163,6 +167,10 @@
 		m.release("the group assigned the schedule to another VM")
 		return
 	}
+	if m.leader != nil && m.superseded(ctx) {
+		m.release("another VM has held the schedule")
+		return
+	}
 	m.confirmedAt.Store(int64(startedAt))
 	if m.leader == nil {
 		m.startLeader(ctx, config)
@@ -174,6 +182,24 @@
 	}
 }
 
+// superseded reports whether another VM has held the schedule since the leader took it, which is possible once the membership may have
+// expired: what the leader knows is from before that VM. While the store does not answer in time this is not known, and the leader goes
+// on: otherwise the leases of all runs would expire. The check is repeated with each join.
+func (m *membership) superseded(ctx context.Context) bool {
+	m.unchecked = m.unchecked || m.mayHaveExpired()
+	if !m.unchecked {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
+	defer cancel()
+	superseded, err := m.leader.Superseded(ctx)
+	if err != nil {
+		m.node.Logger.Debug().Err(err).Msg("not known whether another VM has held the schedule")
+	}
+	m.unchecked = err != nil
+	return superseded
+}
+
 // release stops the leader and leaves the group. It has no effect if neither applies.
 func (m *membership) release(reason string) {
 	m.stopLeader(reason)
@@ -212,6 +238,7 @@
 	if n.config.evacuations.enabled() {
 		options.Evacuations, options.EvacuationBound = n.config.evacuations.current, n.Settings.Bounds.Evacuation
 	}
+	m.unchecked = false
 	l := leader.New(options, config)
 	leaderCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	done := make(chan struct{})
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -308,9 +309,13 @@
 
 // startMembership runs the membership of v under the given name until stop is called or the test ends.
 func startMembership(t *testing.T, v *vm, name string) (stop func()) {
+	return runMembership(t, &membership{node: v.Node, member: name})
+}
+
+// runMembership runs the membership until stop is called or the test ends.
+func runMembership(t *testing.T, m *membership) (stop func()) {
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan struct{})
-	m := &membership{node: v.Node, member: name}
 	go func() {
 		defer close(done)
 		m.run(ctx)
@@ -406,6 +411,79 @@
 	}
 }
 
+// TestHolderDoesNotOutliveAnother guards against a task that runs twice, and against runs that are stopped: a holder that was cut off while
+// another VM held the schedule, and reached the store again after that VM had left, went on with what it knew before, under an epoch
+// lower than that of the other VM.
+func TestHolderDoesNotOutliveAnother(t *testing.T) {
+	log, first := newConfiguredVM(t)
+	link := &partitionedStore{Log: log}
+	first.Log = link
+	m := &membership{node: first.Node, member: "a"}
+	runMembership(t, m)
+	eventually(t, "the first VM holds the schedule", func() bool { return first.holdsSchedule() })
+	held := first.heldLeader()
+	eventually(t, "the first holder has registered its epoch", func() bool { return epochFenced(t, log, 0) })
+	link.disconnected.Store(true)
+	second := newVM(t, log)
+	stopSecond := startMembership(t, second, "b")
+	eventually(t, "the second VM has taken over", func() bool { return second.holdsSchedule() })
+	eventually(t, "the second holder has registered its epoch", func() bool { return epochFenced(t, log, held.Epoch) })
+	stopSecond()
+	confirmed := m.confirmedAt.Load()
+	link.disconnected.Store(false)
+	eventually(t, "the first VM has given its old schedule back", func() bool {
+		if now := m.confirmedAt.Load(); now != confirmed && first.heldLeader() == held {
+			t.Fatal("the first VM was confirmed as holder with its state from before the second one")
+		}
+		return first.heldLeader() != held
+	})
+}
+
+// epochFenced reports whether a holder with a higher epoch has registered with the store.
+func epochFenced(t *testing.T, log store.Log, epoch int64) bool {
+	err := log.Append(t.Context(), store.States, nil, &store.Producer{Name: "schedule", Epoch: epoch}, time.Second)
+	return errors.Is(err, store.ErrFenced)
+}
+
+// hangingAppends is a connection to the store on which appends get no response while hang is set.
+type hangingAppends struct {
+	*partitionedStore
+	hang atomic.Bool
+}
+
+func (c *hangingAppends) Append(ctx context.Context, stream store.Stream, records []store.Record, p *store.Producer, timeout time.Duration) error {
+	if c.hang.Load() {
+		<-ctx.Done()
+		return store.ErrUnknown
+	}
+	return c.Log.Append(ctx, stream, records, p, timeout)
+}
+
+// TestHangingAppendsKeepTheSchedule guards against the loss of all runs in an outage of the store's appends alone: a holder that cannot
+// find out whether another VM has held the schedule would renew no leases.
+func TestHangingAppendsKeepTheSchedule(t *testing.T) {
+	log, first := newConfiguredVM(t)
+	link := &hangingAppends{partitionedStore: &partitionedStore{Log: log}}
+	first.Log = link
+	m := &membership{node: first.Node, member: "a"}
+	runMembership(t, m)
+	eventually(t, "the VM holds the schedule", func() bool { return first.holdsSchedule() })
+	held := first.heldLeader()
+	link.disconnected.Store(true)
+	link.hang.Store(true)
+	time.Sleep(m.ttl() + joinInterval)
+	confirmed := m.confirmedAt.Load()
+	link.disconnected.Store(false)
+	eventually(t, "the VM is confirmed as holder", func() bool { return m.confirmedAt.Load() != confirmed })
+	startMembership(t, newVM(t, log), "b")
+	for range 30 {
+		time.Sleep(100 * time.Millisecond)
+		if first.heldLeader() != held {
+			t.Fatal("the holder released the schedule")
+		}
+	}
+}
+
 // lossyStore is a connection to the store that loses the responses to two of three joins.
 type lossyStore struct {
 	store.Log
