Do not take the late response of an earlier endpoint process for a newer one

A gateway takes an incarnation that it has not seen before for the newer one and ignores the replaced one from then on. If the first response of an earlier process ends after one of the next process, as a long streamed response does, the earlier process took the place of the present one: its leaving state applied to the endpoint, and everything that the present process said of itself was ignored, until a third process answered.

The report of an unknown incarnation now counts as that of a newer one only if its exchange began after the known incarnation had responded to this gateway. If its order is not known, a leaving endpoint is asked for its incarnation with the next probe, so that it cannot stay out of use because of an ignored response.

TestFirstResponseOfAnOldIncarnation failed before: the new incarnation was leaving after a report of the old one and got no more requests.

--- a/routing/health.go
+++ b/routing/health.go
@@ -124,7 +124,7 @@
 		e.load.update(e.config.Slots, e.inflight, now)
 	}
 	if r.Incarnation != "" {
-		t.observeIncarnation(e, r.Incarnation, r.Leaving, now)
+		t.observeIncarnation(e, r.Incarnation, r.Leaving, c.pickedAt, now)
 	}
 	t.updateHealth(e, c.Probe, r, now)
 	e.load.meanExchange = e.health.exchangeTime
@@ -255,7 +255,7 @@
 	if h.state == ejected {
 		return
 	}
-	e.incarnation.listenerClosed = true
+	e.incarnation.mayBeReplaced = true
 	if h.state == usable {
 		h.outages = append(h.outages, now)
 		h.backoff = probeBase
--- a/routing/leaving.go
+++ b/routing/leaving.go
@@ -28,8 +28,11 @@
 	id string
 	// retired lists replaced incarnations, whose late responses say nothing about the current one.
 	retired []string
-	// listenerClosed is true once a leaving incarnation refused a connection, since its listener is closed then.
-	listenerClosed bool
+	// respondedAt is the time of the first own response of the incarnation; zero before it.
+	respondedAt time.Time
+	// mayBeReplaced is true once a leaving incarnation refused a connection, since its listener is closed then, or another one has
+	// responded whose order is not known.
+	mayBeReplaced bool
 	// liveSince is the time since which the VM list shows the endpoint as live; zero while it does not.
 	liveSince time.Time
 	// probeAt is the time of the next probe while the incarnation is leaving.
@@ -61,20 +64,32 @@
 		return
 	}
 	t.leaving[e.name()] = now
-	e.incarnation.listenerClosed = false
+	e.incarnation.mayBeReplaced = false
 	e.incarnation.probeAt = now.Add(leavingProbeInterval)
 }
 
-// observeIncarnation applies the incarnation and the leaving state that an endpoint reported itself.
-func (t *Table) observeIncarnation(e *endpoint, id string, leaving bool, now time.Time) {
+// observeIncarnation applies the incarnation and the leaving state that an endpoint reported itself in an exchange or a probe. startedAt
+// is when that began; zero if it is not known. The report of an unknown incarnation shows that it is newer than the current one only if
+// the exchange began after the current one had responded: a long response of an earlier one may end later.
+func (t *Table) observeIncarnation(e *endpoint, id string, leaving bool, startedAt, now time.Time) {
 	for _, old := range e.incarnation.retired {
 		if old == id {
 			return
 		}
 	}
+	if id != e.incarnation.id && !startedAt.IsZero() && startedAt.Before(e.incarnation.respondedAt) {
+		e.incarnation.mayBeReplaced = true
+		if leaving {
+			t.noteLeaving(inner.EndpointIncarnation{Service: e.service.name, Endpoint: e.config.ID, Incarnation: id}, now)
+		}
+		return
+	}
 	if id != e.incarnation.id {
 		t.replaceIncarnation(e, id, now)
 	}
+	if e.incarnation.respondedAt.IsZero() {
+		e.incarnation.respondedAt = now
+	}
 	if leaving {
 		t.markLeaving(e, now)
 	}
@@ -86,7 +101,7 @@
 	since, wasLeaving := t.leaving[old]
 	delete(t.leaving, old)
 	e.incarnation.id = id
-	e.incarnation.liveSince = time.Time{}
+	e.incarnation.liveSince, e.incarnation.respondedAt = time.Time{}, time.Time{}
 	if old.Incarnation != "" {
 		e.incarnation.retired = append(e.incarnation.retired, old.Incarnation)
 		if len(e.incarnation.retired) > maxRetired {
@@ -130,7 +145,12 @@
 		t.markLeaving(e, now)
 		return
 	}
-	// The next response of the endpoint shows whether the reported incarnation is older or newer than the known one.
+	t.noteLeaving(name, now)
+}
+
+// noteLeaving marks an incarnation as leaving that is not known as the current one. The next response of the endpoint shows whether it
+// is older or newer than that.
+func (t *Table) noteLeaving(name inner.EndpointIncarnation, now time.Time) {
 	if _, ok := t.leaving[name]; !ok {
 		t.leaving[name] = now
 	}
--- a/routing/probe.go
+++ b/routing/probe.go
@@ -26,7 +26,8 @@
 
 // Probes returns the probes that are due and marks them as in progress. Unreachable endpoints are probed by opening a
 // connection. A leaving endpoint is probed by opening a connection too, which is no work for it, until it has refused a
-// connection or the VM list has shown it as live for minListedLive; from then on it is asked for its incarnation.
+// connection, another incarnation has responded, or the VM list has shown it as live for minListedLive; from then on it
+// is asked for its incarnation.
 func (t *Table) Probes(now time.Time) []Probe {
 	var due []Probe
 	for _, s := range t.services {
@@ -56,7 +57,7 @@
 			return false, false
 		}
 		live := e.incarnation.liveSince
-		return e.incarnation.listenerClosed || !live.IsZero() && now.Sub(live) >= minListedLive, true
+		return e.incarnation.mayBeReplaced || !live.IsZero() && now.Sub(live) >= minListedLive, true
 	}
 	switch e.health.state {
 	case unreachable:
@@ -110,5 +111,5 @@
 	if e.incarnation.id == "" && !r.Leaving {
 		delete(t.leaving, e.name())
 	}
-	t.observeIncarnation(e, r.Incarnation, r.Leaving, now)
+	t.observeIncarnation(e, r.Incarnation, r.Leaving, time.Time{}, now)
 }
--- a/routing/table.go
+++ b/routing/table.go
@@ -81,6 +81,8 @@
 	Local bool
 	// Probe is true if the exchange probes an ejected endpoint. At most one such exchange is in progress per endpoint.
 	Probe bool
+	// pickedAt is when Pick chose the endpoint.
+	pickedAt time.Time
 }
 
 // NewTable returns an empty table for a gateway in the failure domain. The seed determines the random choices.
@@ -173,6 +175,7 @@
 		MaxConnections: e.connections,
 		Local:          e.config.FailureDomain == t.failureDomain,
 		Probe:          probe,
+		pickedAt:       now,
 	}, true
 }
 
--- a/routing/table_test.go
+++ b/routing/table_test.go
@@ -204,3 +204,28 @@
 		}
 	}
 }
+
+// TestFirstResponseOfAnOldIncarnation guards against a leaving endpoint that gets requests: the response of an incarnation that was not
+// known before arrives after that of the next one, as the end of a long response does. It took the place of the next incarnation, whose
+// own responses were then ignored as those of a replaced one.
+func TestFirstResponseOfAnOldIncarnation(t *testing.T) {
+	table := testTable(1, 64)
+	pick := func(at time.Time) Choice {
+		c, ok := table.Pick("s", nil, false, at)
+		if !ok {
+			t.Fatal("the endpoint gets no requests")
+		}
+		return c
+	}
+	long := pick(start)
+	later := pick(start.Add(10 * time.Second))
+	table.Done(later, Report{Incarnation: "new"}, start.Add(11*time.Second))
+	table.Done(long, Report{Incarnation: "old", Leaving: true}, start.Add(12*time.Second))
+	if table.Status()[0].Leaving {
+		t.Error("the new incarnation is leaving after a report of the old one")
+	}
+	table.Done(pick(start.Add(13*time.Second)), Report{Incarnation: "new", Leaving: true}, start.Add(14*time.Second))
+	if !table.Status()[0].Leaving {
+		t.Error("the new incarnation is not leaving after its own report")
+	}
+}
