Do not take the first heartbeat of a member for its restart

A member of the settings is known without its incarnation until its first heartbeat. If the platform's list had shown its VM as leaving before that, the first heartbeat ended the mark, as if another process had replaced the leaving one; that of any other member does not. The mark came back with the next list, unless that had reverted to an older state. A scheduler that is drained waits for another one that is not leaving, and could have suspended itself for one that leaves.

Only a change from one known incarnation to another shows a restart.

TestFirstHeartbeatIsNoRestart failed before with "the member is not leaving after its first heartbeat".

--- a/membership/table.go
+++ b/membership/table.go
@@ -124,7 +124,7 @@
 		SchedulerChanged: heartbeat.Member.FailureDomain == t.self.FailureDomain &&
 			(previous.Active != heartbeat.Active || previous.Epoch != heartbeat.Epoch),
 	}
-	if restarted {
+	if restarted && e.peer.Member.Incarnation != "" {
 		delete(t.leavingVMs, heartbeat.Member.VM)
 	}
 	e.peer.Member = heartbeat.Member
--- a/membership/table_test.go
+++ b/membership/table_test.go
@@ -165,3 +165,18 @@
 		}
 	}
 }
+
+// TestFirstHeartbeatIsNoRestart guards against a leaving VM that counts as staying: the list of VMs shows a member of the settings as
+// leaving before its first heartbeat arrives, which does not show that it has restarted.
+func TestFirstHeartbeatIsNoRestart(t *testing.T) {
+	table := newTable()
+	member := gatewayMember("vm-2", "fd-a", "")
+	table.AddSeed(member, startTime)
+	vm := infra.VM{ID: "vm-2", Role: infra.RoleEntry, State: infra.VMLeaving}
+	table.ObserveVMs([]infra.VM{vm})
+	member.Incarnation = "i1"
+	table.ObserveHeartbeat(inner.Heartbeat{Member: member}, startTime)
+	if !table.Live(RoleGateway, startTime)[0].Leaving {
+		t.Error("the member is not leaving after its first heartbeat")
+	}
+}
