Ask for the whole inventory after the first response on a connection

Callers would see a job at the own interface wait on a member that does not run. The scheduler sends the revision of the inventory that it knows, and a worker whose inventory has that revision sends none. Revisions start again with each process of a worker. After a failed request the scheduler therefore asks for the whole inventory; a worker that restarts between two requests fails none, because the next request opens another connection. If the new process has reached the same revision, the tasks of the former one count as running until the inventory changes again.

The client now reports whether a request has opened its connection, and the scheduler asks for the whole inventory after such a response that has none: requests on one connection reach one process.

TestRestartBetweenRequests failed before with "8 of 9 members run 20 s after the restart of a worker".

--- a/control/control_test.go
+++ b/control/control_test.go
@@ -6,6 +6,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/redwingthread/redwingthread/infra"
 	"github.com/redwingthread/redwingthread/jobs"
 	"github.com/redwingthread/redwingthread/resource"
 )
@@ -192,3 +193,60 @@
 		}
 	})
 }
+
+// TestRestartBetweenRequests guards against a gang that runs without one of its members for as long as the worker's inventory does not
+// change: its worker restarted between two requests, and its inventory has reached the revision that the scheduler knew of the former
+// process, so that the worker did not send it.
+func TestRestartBetweenRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := startScenario(t)
+		for _, w := range s.workers {
+			w.update(func() { w.extraRunTime = time.Hour })
+		}
+		s.submitJob("p9-running", 9, false)
+		time.Sleep(2 * time.Second)
+		s.restartOneUnderItsRevision("p9-running")
+		time.Sleep(20 * time.Second)
+		if n := s.membersAtWork("p9-running"); n != 9 {
+			t.Errorf("%d of 9 members run 20 s after the restart of a worker", n)
+		}
+		s.shutDown()
+	})
+}
+
+// restartOneUnderItsRevision replaces the process of one worker that runs the job by one whose inventory has the same revision.
+func (s *scenario) restartOneUnderItsRevision(job string) {
+	for _, w := range s.workers {
+		w.mu.Lock()
+		for key := range w.tasks {
+			if key.attempt.Job != job {
+				continue
+			}
+			w.incarnation++
+			w.tasks = map[taskKey]*fakeTask{}
+			w.epoch, w.holder, w.leaseUntil = 0, "", time.Time{}
+			w.mu.Unlock()
+			return
+		}
+		w.mu.Unlock()
+	}
+}
+
+// membersAtWork returns the number of running tasks of the newest attempt at the job.
+func (s *scenario) membersAtWork(job string) int {
+	newest, count := uint64(0), 0
+	for _, w := range s.workers {
+		w.mu.Lock()
+		for key, task := range w.tasks {
+			if key.attempt.Job != job || task.State != infra.TaskRunning || key.attempt.Attempt < newest {
+				continue
+			}
+			if key.attempt.Attempt > newest {
+				newest, count = key.attempt.Attempt, 0
+			}
+			count++
+		}
+		w.mu.Unlock()
+	}
+	return count
+}
--- a/control/fakes_test.go
+++ b/control/fakes_test.go
@@ -284,6 +284,8 @@
 	requestsLost    map[string]bool
 	responsesLost   map[string]bool
 	lossProbability float64
+	// connected maps each worker to the incarnation to which the scheduler's connection leads.
+	connected map[string]int
 }
 
 func (n *fakeNet) faults(worker string) (requestsLost, responsesLost bool, lossProbability float64) {
@@ -315,6 +317,7 @@
 	go func() {
 		time.Sleep(delay)
 		response, err := n.workers[address].commands(req, time.Now())
+		response.NewConnection = n.connect(address)
 		done <- result{response, err}
 	}()
 	select {
@@ -332,6 +335,19 @@
 	}
 }
 
+// connect reports whether a request to the worker's present process opens a connection.
+func (n *fakeNet) connect(address string) (opened bool) {
+	w := n.workers[address]
+	w.mu.Lock()
+	incarnation := w.incarnation
+	w.mu.Unlock()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	known, connected := n.connected[address]
+	n.connected[address] = incarnation
+	return !connected || known != incarnation
+}
+
 func (n *fakeNet) Inventory(context.Context, string) (infra.Inventory, error) {
 	return infra.Inventory{}, errors.New("not used")
 }
--- a/control/requests.go
+++ b/control/requests.go
@@ -132,6 +132,10 @@
 		return
 	}
 	w.retryAt = time.Time{}
+	if r.response.NewConnection && r.response.Inventory == nil {
+		// As after a failed request: the worker may have restarted in between.
+		w.revision = 0
+	}
 	c.lease.ApplyResponse(r.worker, r.kind, r.request.Epoch, r.sent, lease.Response{
 		Granted:   r.response.Granted,
 		Epoch:     r.response.Epoch,
--- a/control/scenario_test.go
+++ b/control/scenario_test.go
@@ -123,7 +123,7 @@
 	p.incarnation++
 	p.stopped = false
 	p.gate = &gate{}
-	p.net = &fakeNet{workers: s.workers, random: s.random, gate: p.gate, requestsLost: map[string]bool{}, responsesLost: map[string]bool{}}
+	p.net = &fakeNet{workers: s.workers, random: s.random, gate: p.gate, requestsLost: map[string]bool{}, responsesLost: map[string]bool{}, connected: map[string]int{}}
 	ctx, cancel := context.WithCancel(context.Background())
 	g := p.gate
 	name := fmt.Sprintf("s%d.%d", i, p.incarnation)
--- a/infra/worker.go
+++ b/infra/worker.go
@@ -83,6 +83,9 @@
 	Results []CommandResult `json:"results,omitempty"`
 	// Inventory is set if its revision differs from KnownRevision.
 	Inventory *Inventory `json:"inventory,omitempty"`
+	// NewConnection is true if the request opened its connection. Only requests on the connection of an earlier one are certain to
+	// reach the same process, so without an inventory the response does not show that the known one is current.
+	NewConnection bool `json:"-"`
 }
 
 // CommandResult is the result of one command.
--- a/infra/workerclient.go
+++ b/infra/workerclient.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"net/http/httptrace"
 	"time"
 
 	"github.com/dghubble/sling"
@@ -63,9 +64,12 @@
 		return response, errkind.Wrap(err, errkind.BadInput, "check the worker's address in the configuration",
 			"build a request to worker %s", address)
 	}
-	if err := h.do(ctx, request, &response); err != nil {
+	opened := false
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { opened = !info.Reused }}
+	if err := h.do(httptrace.WithClientTrace(ctx, trace), request, &response); err != nil {
 		return CommandsResponse{}, err
 	}
+	response.NewConnection = opened
 	if response.Granted && len(response.Results) != len(req.Commands) {
 		return CommandsResponse{}, errkind.New(errkind.Unknown, "check the worker's version",
 			"worker %s returned %d results for %d commands", address, len(response.Results), len(req.Commands))
--- a/infra/workerclient_test.go
+++ b/infra/workerclient_test.go
@@ -65,8 +65,11 @@
 	defer client.Close()
 	for i, fails := range []bool{false, true, false} {
 		ctx, cancel := context.WithTimeout(t.Context(), 500*time.Millisecond)
-		_, err := client.Commands(ctx, strings.TrimPrefix(server.URL, "http://"), CommandsRequest{})
+		response, err := client.Commands(ctx, strings.TrimPrefix(server.URL, "http://"), CommandsRequest{})
 		cancel()
+		if err == nil && !response.NewConnection {
+			t.Errorf("request %d is not marked as the first one on its connection", i)
+		}
 		if (err != nil) != fails {
 			t.Fatalf("request %d: got error %v, want one only for request 1, which gets no response", i, err)
 		}
@@ -75,3 +78,27 @@
 		t.Fatal("bytes are not counted")
 	}
 }
+
+// TestWorkerClientMarksNewConnections guards against a restarted worker whose inventory is taken for that of its former process, because
+// the request that reached the new process was not marked as the first one on its connection.
+func TestWorkerClientMarksNewConnections(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write([]byte(`{"granted":true}`))
+	}))
+	defer server.Close()
+	client := NewHTTPWorkers(metrics.NewRegistry())
+	defer client.Close()
+	for i, opens := range []bool{true, false, true} {
+		if i == 2 {
+			server.CloseClientConnections()
+			time.Sleep(50 * time.Millisecond)
+		}
+		response, err := client.Commands(t.Context(), strings.TrimPrefix(server.URL, "http://"), CommandsRequest{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if response.NewConnection != opens {
+			t.Errorf("request %d: got %v for a new connection, want %v", i, response.NewConnection, opens)
+		}
+	}
+}
