Count the time of a start attempt from its permission

Callers could see a start in an evacuated domain after the bound. A start attempt is permitted as of a moment, and the bound on evacuations reserves the time of one attempt after it. The attempt took its time from when its request was sent, so a VM that was frozen, or got no processor time, between the permission and the request added the pause to the bound.

The time of the attempt now counts from the permission, on the boot clock. The connection sends nothing once it has passed.

TestPauseOutlivesNoStartPermission failed before with "a start may be sent 400.5 ms after the end of its permission", the length of the pause.

--- a/leader/evacuation.go
+++ b/leader/evacuation.go
@@ -48,7 +48,8 @@
 )
 
 // startPermission reports whether a start may be sent to the worker as of now on the boot clock. It is asked before every attempt, by
-// the goroutine that sends it, so that no queue is between the answer and the request.
+// the goroutine that sends it, so that no queue is between the answer and the request. The time of the attempt counts from now: the VM
+// may be frozen before it sends the request.
 func (s *session) startPermission(now time.Duration) startPermission {
 	set, known := s.leader.evacuations(now)
 	s.mu.Lock()
@@ -74,8 +75,10 @@
 // worker. It holds no request slot while the evacuations are not known, so that stops can pass.
 func (s *session) awaitPermission(ctx context.Context, a *startAttempts) bool {
 	for ctx.Err() == nil {
-		switch s.startPermission(boottime.Now()) {
+		now := boottime.Now()
+		switch s.startPermission(now) {
 		case startPermitted:
+			a.permittedAt = now
 			return true
 		case startEvacuated:
 			count(counterStartsEvacuated)
--- a/leader/permission_test.go
+++ b/leader/permission_test.go
@@ -143,3 +143,34 @@
 		t.Errorf("a confirmed holder planned %d starts, want 1", len(l.starts))
 	}
 }
+
+// deadlineConn records the latest time at which each start may still be sent.
+type deadlineConn struct {
+	recordingConn
+	sendBy []time.Duration
+}
+
+func (c *deadlineConn) Start(ctx context.Context, r StartRequest, timeout time.Duration) error {
+	c.sendBy = append(c.sendBy, boottime.Now()+timeout)
+	return c.recordingConn.Start(ctx, r, timeout)
+}
+
+// TestPauseOutlivesNoStartPermission guards against a start in an evacuated domain: the VM is frozen between the permission for an
+// attempt and the attempt, which then had its full time from the end of the pause, beyond the bound on evacuations.
+func TestPauseOutlivesNoStartPermission(t *testing.T) {
+	l, _ := unconfirmedLeader(t)
+	conn := &deadlineConn{}
+	s, _ := newTestSession(t, l, conn)
+	confirmedAt := l.ConfirmedAt()
+	pause := time.Duration(0)
+	l.ConfirmedAt = func() time.Duration {
+		time.Sleep(pause)
+		return confirmedAt
+	}
+	pause = 400 * time.Millisecond
+	permittedAt := boottime.Now()
+	s.start(t.Context(), dispatch.Start{Worker: "w", Ref: testRun})
+	if late := conn.sendBy[0] - permittedAt - requestTimeout; late > pause/2 {
+		t.Errorf("a start may be sent %s after the end of its permission", late)
+	}
+}
--- a/leader/requests.go
+++ b/leader/requests.go
@@ -51,7 +51,7 @@
 			LeaseUntilMS: s.leaseUntil(boottime.Now(), planned.Incarnation), Epoch: s.leader.Epoch,
 			Withdraw: s.leader.Evacuations != nil,
 		}
-		err := s.conn.Start(ctx, request, requestTimeout)
+		err := s.conn.Start(ctx, request, requestTimeout-(boottime.Now()-attempts.permittedAt))
 		attempts.count++
 		attempts.sent = attempts.sent || !errors.Is(err, ErrNotSent)
 		attempts.leaseUntilMS = request.LeaseUntilMS
@@ -75,6 +75,8 @@
 	count   int
 	// sent is true if part of an attempt, be it an earlier holder's, may have reached the worker.
 	sent bool
+	// permittedAt is the time as of which the last attempt was permitted.
+	permittedAt time.Duration
 	// leaseUntilMS is the lease in the last attempt.
 	leaseUntilMS int64
 }
