Give up a start that was never sent as soon as it is not wanted

Callers saw a gang wait for up to 13 s with workers free. A start that cannot be sent, because its worker does not accept connections, is not tried again once another member of the gang has been rejected. The core had issued a stop for it and waited until the worker confirmed that, or its lease expired, although no request with the start had left the VM. Since starts ask for the worker's process first, most starts at a worker that has been cut off end this way; before, they were sent on a dead connection and had to wait.

TestUnsentStartWaitsForNoStop failed before.

--- a/leader/evacuation.go
+++ b/leader/evacuation.go
@@ -91,7 +91,11 @@
 			<-s.requestSlots
 			wanted := s.awaitRetry(ctx, a)
 			s.acquireRequestSlot()
-			if !wanted || !s.wantsStart(ctx, a.planned) {
+			if !wanted {
+				return false
+			}
+			if !s.wantsStart(ctx, a.planned) {
+				s.reportUnsent(a)
 				return false
 			}
 		}
--- a/leader/queue_test.go
+++ b/leader/queue_test.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"context"
+	"errors"
+	"sync"
 	"testing"
 	"time"
 
@@ -146,3 +148,41 @@
 		t.Errorf("%d ends of the new process are acknowledged, which has listed none", s.storedEnd)
 	}
 }
+
+// unsentConn is a worker that cannot be reached, so that no start is ever sent. cancel is called with the first attempt.
+type unsentConn struct {
+	idleConn
+	once   sync.Once
+	cancel func()
+}
+
+func (c *unsentConn) Start(context.Context, StartRequest, time.Duration) error {
+	c.once.Do(c.cancel)
+	return errors.Join(ErrNoResponse, ErrNotSent)
+}
+
+// TestUnsentStartWaitsForNoStop guards against a run that was never sent and keeps its gang or job waiting until the lease of a worker
+// that cannot be reached has expired: when another member is rejected, or the job is cancelled, before the start is given up.
+func TestUnsentStartWaitsForNoStop(t *testing.T) {
+	l, start := leaderWithStart(t)
+	conn := &unsentConn{cancel: func() { l.enqueue(func(c *dispatch.Core) { c.CancelJob(start.Ref.Task.Job) }) }}
+	s, _ := newTestSession(t, l, conn)
+	s.recordResponse(&workload.Listing{Incarnation: 1, ClockMS: 1000}, 0)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		s.start(t.Context(), start)
+	}()
+	for running := true; running; {
+		select {
+		case f := <-l.events:
+			l.apply(f)
+		case <-done:
+			running = false
+		}
+	}
+	l.applyPending()
+	if l.core.WantsStop("w", start.Ref) {
+		t.Error("the run of a start that was never sent still waits for its worker")
+	}
+}
--- a/leader/requests.go
+++ b/leader/requests.go
@@ -33,14 +33,15 @@
 // start sends a start request until its outcome is known or the core no longer wants the start. It gives the start up if the
 // address of the worker changes, if its process is not the one for which the start was decided, or if its failure domain is evacuated.
 func (s *session) start(ctx context.Context, planned dispatch.Start) {
+	attempts := startAttempts{planned: planned, sent: planned.Repeated}
 	waited := s.acquireRequestSlot()
 	defer func() { <-s.requestSlots }()
 	if waited && !s.wantsStart(ctx, planned) {
+		s.reportUnsent(&attempts)
 		return
 	}
 	startedAt := boottime.Now()
 	defer func() { observe(timerStart, boottime.Now()-startedAt) }()
-	attempts := startAttempts{planned: planned, sent: planned.Repeated}
 	for s.awaitPermission(ctx, &attempts) {
 		if s.processReplaced(planned.Incarnation) {
 			s.giveUpStart(&attempts, ErrProcessReplaced.Error())
@@ -91,6 +92,7 @@
 			return false
 		}
 		if !s.wantsStart(ctx, a.planned) {
+			s.reportUnsent(a)
 			return false
 		}
 		responding := s.responding()
@@ -119,6 +121,14 @@
 	})
 }
 
+// reportUnsent reports a start that is not wanted any more and was never sent. Its run cannot begin, so the core need not wait for its
+// worker to confirm a stop, which a worker that cannot be reached would not do before its lease has expired.
+func (s *session) reportUnsent(a *startAttempts) {
+	if !a.sent {
+		s.giveUpStart(a, ErrNotSent.Error())
+	}
+}
+
 // reportReplaced gives up a start that was not sent because the worker's process has been replaced. Unless the session has noticed that
 // already, the open watch request still waits for the former process; it is ended, so that the runs of the new one are listed soon.
 func (s *session) reportReplaced(a *startAttempts) {
