Count a job as waiting again if none of its starts has reached a worker

A job counts as running from when its first start is decided. If all starts of it are rejected, or lost with workers that never responded, nothing of it has begun, and it waits again for as long as the service lacks room.

A job that a worker has confirmed, or listed, stays running. After a takeover a job that was running counts as begun.

--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -162,6 +162,8 @@
 	repetitions [][]*step
 	// placements is the number of placements of all units of the job.
 	placements int
+	// begun is true once a worker has confirmed a start of the job, or listed one of its runs.
+	begun bool
 	// chains and work describe one repetition of the job.
 	chains overload.Chains
 	work   overload.Load
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -57,6 +57,7 @@
 // expiry of the worker's lease shows otherwise. Repetitions beyond those of the job are not restored.
 func (c *Core) restore(j *job, state *workload.JobState) {
 	j.phase = state.Phase
+	j.begun = state.Phase == workload.PhaseRunning
 	if len(state.Repetitions) > j.spec.RepetitionCount() {
 		return
 	}
--- a/dispatch/units.go
+++ b/dispatch/units.go
@@ -138,9 +138,13 @@
 
 // StartAccepted records that the worker has accepted the start or has ended the run.
 func (c *Core) StartAccepted(workerID string, ref workload.RunRef) {
-	if p := c.placement(workerID, ref); p != nil && p.beganAt < 0 {
+	p := c.placement(workerID, ref)
+	if p != nil && p.beganAt < 0 {
 		p.beganAt = c.now
 	}
+	if p != nil && p.unit != nil {
+		p.unit.step.job.begun = true
+	}
 	c.confirm(workerID, ref)
 }
 
@@ -196,6 +200,7 @@
 	if end.Reason != workload.EndDone && end.Reason != workload.EndStopped {
 		c.event(Event{Name: "run ended", Job: end.Task.Job, Worker: w.id, Detail: end.Task.String() + " " + string(end.Reason)})
 	}
+	p.unit.step.job.begun = true
 	c.updateHealth(p, end.Reason)
 	c.recordEnd(p.unit, end)
 	c.afterPlacementGone(p.unit, string(end.Reason))
@@ -330,6 +335,14 @@
 	}
 	u.aborting = false
 	u.state.Status = workload.UnitWaiting
+	u.step.job.requeue()
+}
+
+// requeue counts a job as waiting again if none of its starts has reached a worker and none is under way.
+func (j *job) requeue() {
+	if j.phase == workload.PhaseRunning && !j.begun && j.placements == 0 {
+		j.phase = workload.PhaseQueued
+	}
 }
 
 // avoidWorker makes later runs of the unit prefer other workers.
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -295,6 +295,7 @@
 	if p.unit == nil {
 		return
 	}
+	p.unit.step.job.begun = true
 	if p.unit.state.Run == r.Run && r.Checkpoint != "" {
 		p.unit.state.Checkpoint = r.Checkpoint
 	}
