Ask for the whole inventory after every response on a new connection

Callers would see a job at the own interface wait on a member that does not run. After a restart of its worker, the first response on the new connection may be a rejection, because another scheduler got the lease that the worker had forgotten. Such a response carries an inventory, which is not applied, and so did not reset the known revision either. If the new process then reaches that revision, the tasks of the former one count as running.

The known revision is now reset by each response on a new connection, and set again where an inventory is applied. The fake worker of the tests sent an inventory only with a grant, which hid the fault; it now sends it as the stand-in does.

TestRestartWhileAnotherSchedulerHoldsTheLease failed before with "7 of 9 members run 20 s after the restart of a worker".

--- a/control/control_test.go
+++ b/control/control_test.go
@@ -205,7 +205,39 @@
 		}
 		s.submitJob("p9-running", 9, false)
 		time.Sleep(2 * time.Second)
-		s.restartOneUnderItsRevision("p9-running")
+		w := s.workerOf(t, "p9-running")
+		w.mu.Lock()
+		w.restart()
+		w.mu.Unlock()
+		time.Sleep(20 * time.Second)
+		if n := s.membersAtWork("p9-running"); n != 9 {
+			t.Errorf("%d of 9 members run 20 s after the restart of a worker", n)
+		}
+		s.shutDown()
+	})
+}
+
+// TestRestartWhileAnotherSchedulerHoldsTheLease guards against the same if the first response of the new process is a rejection: another
+// scheduler got the lease that the worker had forgotten. The inventory in that response is not applied.
+func TestRestartWhileAnotherSchedulerHoldsTheLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := startScenario(t)
+		for _, w := range s.workers {
+			w.update(func() { w.extraRunTime = time.Hour })
+		}
+		s.submitJob("p9-running", 9, false)
+		time.Sleep(2 * time.Second)
+		w := s.workerOf(t, "p9-running")
+		w.mu.Lock()
+		known := w.revision
+		w.restart()
+		w.revision = known - 1
+		w.holder, w.leaseUntil = "other", time.Now().Add(3*time.Second)
+		w.mu.Unlock()
+		time.Sleep(2900 * time.Millisecond)
+		w.mu.Lock()
+		w.revision = known
+		w.mu.Unlock()
 		time.Sleep(20 * time.Second)
 		if n := s.membersAtWork("p9-running"); n != 9 {
 			t.Errorf("%d of 9 members run 20 s after the restart of a worker", n)
@@ -214,22 +246,28 @@
 	})
 }
 
-// restartOneUnderItsRevision replaces the process of one worker that runs the job by one whose inventory has the same revision.
-func (s *scenario) restartOneUnderItsRevision(job string) {
+// workerOf returns a worker that runs a task of the job.
+func (s *scenario) workerOf(t *testing.T, job string) *fakeWorker {
+	t.Helper()
 	for _, w := range s.workers {
 		w.mu.Lock()
 		for key := range w.tasks {
-			if key.attempt.Job != job {
-				continue
+			if key.attempt.Job == job {
+				w.mu.Unlock()
+				return w
 			}
-			w.incarnation++
-			w.tasks = map[taskKey]*fakeTask{}
-			w.epoch, w.holder, w.leaseUntil = 0, "", time.Time{}
-			w.mu.Unlock()
-			return
 		}
 		w.mu.Unlock()
 	}
+	t.Fatalf("no worker runs %s", job)
+	return nil
+}
+
+// restart replaces the worker's process by one that knows nothing and whose inventory has the same revision. mu must be held.
+func (w *fakeWorker) restart() {
+	w.incarnation++
+	w.tasks = map[taskKey]*fakeTask{}
+	w.epoch, w.holder, w.leaseUntil = 0, "", time.Time{}
 }
 
 // membersAtWork returns the number of running tasks of the newest attempt at the job.
--- a/control/fakes_test.go
+++ b/control/fakes_test.go
@@ -128,7 +128,7 @@
 	}
 	response.Epoch, response.Holder = w.epoch, w.holder
 	response.ExpiresInMS = max(w.leaseUntil.Sub(now).Milliseconds(), 0)
-	if granted && req.KnownRevision != w.revision {
+	if req.KnownRevision != w.revision {
 		inventory := w.inventory()
 		response.Inventory = &inventory
 	}
--- a/control/requests.go
+++ b/control/requests.go
@@ -132,8 +132,9 @@
 		return
 	}
 	w.retryAt = time.Time{}
-	if r.response.NewConnection && r.response.Inventory == nil {
-		// As after a failed request: the worker may have restarted in between.
+	if r.response.NewConnection {
+		// As after a failed request: the worker may have restarted in between. An inventory in the response counts only if it is
+		// applied below.
 		w.revision = 0
 	}
 	c.lease.ApplyResponse(r.worker, r.kind, r.request.Epoch, r.sent, lease.Response{
