Let the listing before a start take as long as a watch request

A worker that answers in 500 to 700 ms counts as reachable, because the first watch request of a connection has 700 ms, but it never got a start: the listing that finds out its process had the 500 ms of one attempt, its timeout closed the connection, and so no connection was ever known.

The listing now has at least as long as a watch request. The start itself is still sent only while at least half of the time of its attempt is left, and otherwise with the next attempt, on the connection that is known by then.

--- a/leader/session.go
+++ b/leader/session.go
@@ -20,7 +20,7 @@
 	// renewals.
 	watchWait = 1500 * time.Millisecond
 	// watchMargin is added to the wait to give the timeout of a watch request.
-	watchMargin = 700 * time.Millisecond
+	watchMargin = ListingTimeout
 	// unstoredEndsPause is the pause between two watch requests while reported ends are not stored.
 	unstoredEndsPause = 400 * time.Millisecond
 	// watchRetryInterval is the pause after a failed watch request; it doubles with each failure up to
--- a/leader/worker.go
+++ b/leader/worker.go
@@ -48,6 +48,9 @@
 	ErrInvalidRequest = errors.New("leader: the worker rejected the request as invalid")
 )
 
+// ListingTimeout bounds a request for a listing that does not wait for the end of a run.
+const ListingTimeout = 700 * time.Millisecond
+
 // WatchRequest is a request for a worker's listing of runs.
 type WatchRequest struct {
 	// LeaseUntilMS renews the lease until this time, in milliseconds of the worker's clock; 0 renews nothing.
