--- a/dispatch/cluster_test.go
+++ b/dispatch/cluster_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"testing"
 	"time"
@@ -261,7 +262,8 @@
 	for queue, policy := range c.policies {
 		c.core.RestorePolicy(queue, policy)
 	}
-	for id, spec := range c.specs {
+	for _, id := range slices.Sorted(maps.Keys(c.specs)) {
+		spec := c.specs[id]
 		state, err := c.storedState(id)
 		if err != nil {
 			c.t.Fatal(err)
