dispatch: the storm decides on leases and cancelled starts in functions of their own

Cause: a storm with a clock for each process and with connections needs the runs, the checks and the worker's handling of commands of the storm, but other leases and another exchange of requests.

Change: exchange, checkCancelled, renewForStart and leaseLapsed are taken out of advanceTick, transmit, execute and advanceRuns.

--- a/dispatch/storm_commands_test.go
+++ b/dispatch/storm_commands_test.go
@@ -30,14 +30,19 @@
 
 // transmit sends one attempt of a command.
 func (s *storm) transmit(cmd *stormCommand) {
-	if at, cancelled := s.cancelledAt[cmd.ref().Task.Job]; cancelled && cmd.start != nil && s.now > at+stormTick {
-		s.t.Fatalf("attempt %d of the start of %v is sent %s after its job was cancelled", cmd.attempt, cmd.start.Ref, s.now-at)
-	}
+	s.checkCancelled(cmd)
 	cmd.arrivesAt = s.now + time.Duration(s.rng.IntN(3))*stormTick
 	cmd.sentAt, cmd.leaseEnd = s.now, s.grantLease(cmd.worker())
 	s.commands = append(s.commands, cmd)
 }
 
+// checkCancelled fails the test if a start is sent after its job was cancelled.
+func (s *storm) checkCancelled(cmd *stormCommand) {
+	if at, cancelled := s.cancelledAt[cmd.ref().Task.Job]; cancelled && cmd.start != nil && s.now > at+stormTick {
+		s.t.Fatalf("attempt %d of the start of %v is sent %s after its job was cancelled", cmd.attempt, cmd.start.Ref, s.now-at)
+	}
+}
+
 // deliver sends the attempts that are due and delivers those that have arrived.
 func (s *storm) deliver() {
 	commands := s.commands
@@ -146,10 +151,9 @@
 		}
 		return outcomeDone
 	}
-	if s.now > cmd.leaseEnd && s.now > state.leaseEnd {
+	if !s.renewForStart(id, cmd) {
 		return outcomeExpired
 	}
-	state.leaseEnd = max(state.leaseEnd, cmd.leaseEnd)
 	if w.running[ref] != nil {
 		return outcomeDone
 	}
@@ -164,6 +168,16 @@
 	return outcomeDone
 }
 
+// renewForStart renews the worker's lease for a start and reports whether the worker has one then.
+func (s *storm) renewForStart(id string, cmd *stormCommand) bool {
+	state := s.state[id]
+	if s.now > cmd.leaseEnd && s.now > state.leaseEnd {
+		return false
+	}
+	state.leaseEnd = max(state.leaseEnd, cmd.leaseEnd)
+	return true
+}
+
 // reportOutcome passes a worker's response to a command to the core.
 func (s *storm) reportOutcome(id string, cmd *stormCommand, outcome stormOutcome) {
 	if cmd.stop != nil {
--- a/dispatch/storm_runs_test.go
+++ b/dispatch/storm_runs_test.go
@@ -21,7 +21,8 @@
 // advanceRuns ends the runs of a worker that are due. A worker whose lease has expired ends all its runs.
 func (s *storm) advanceRuns(id string) {
 	w, state := s.workers[id], s.state[id]
-	if s.now > state.leaseEnd {
+	lapsed := s.leaseLapsed(id)
+	if lapsed {
 		s.voidEnds(id)
 	}
 	for _, ref := range w.refs() {
@@ -29,7 +30,7 @@
 			continue
 		}
 		switch {
-		case s.now > state.leaseEnd:
+		case lapsed:
 			s.endRun(id, ref, workload.EndLeaseExpired)
 		case s.now < state.doneAt[ref] || !s.gangPresent(ref):
 		case !s.faultsOver && s.rng.IntN(12) == 0:
@@ -40,6 +41,11 @@
 	}
 }
 
+// leaseLapsed reports whether the worker has held a lease that has expired.
+func (s *storm) leaseLapsed(id string) bool {
+	return s.now > s.state[id].leaseEnd
+}
+
 // refs returns the worker's runs in an order that is the same each time a seed is run.
 func (w *simWorker) refs() []workload.RunRef {
 	return slices.SortedFunc(maps.Keys(w.running), compareRefs)
@@ -142,7 +148,8 @@
 	s.crashing.begin(id, ref.Task)
 	s.runs[ref.Task] = append(s.runs[ref.Task], &stormRun{run: ref.Run, worker: id})
 	s.workers[id].running[ref] = &simRun{checkpoint: cmd.Checkpoint}
-	s.state[id].doneAt[ref] = s.now + time.Duration(s.rng.Int64N(int64(2*time.Second)))
+	duration := time.Duration(s.rng.Int64N(int64(2 * time.Second)))
+	s.state[id].doneAt[ref] = s.now + duration
 }
 
 func (s *storm) onWorker(id string, ref workload.RunRef) (count int) {
--- a/dispatch/storm_test.go
+++ b/dispatch/storm_test.go
@@ -126,13 +126,7 @@
 	for _, id := range s.workerIDs {
 		s.advanceRuns(id)
 	}
-	s.deliver()
-	s.crashBegun()
-	for _, id := range s.workerIDs {
-		if s.rng.IntN(3) == 0 {
-			s.renewAndList(id)
-		}
-	}
+	s.exchange()
 	plan := s.decide()
 	for i := range plan.Starts {
 		s.send(&stormCommand{epoch: s.epoch, start: &plan.Starts[i]})
@@ -143,6 +137,17 @@
 	s.checkFailedJobs()
 }
 
+// exchange delivers commands, renews leases and lists runs.
+func (s *storm) exchange() {
+	s.deliver()
+	s.crashBegun()
+	for _, id := range s.workerIDs {
+		if s.rng.IntN(3) == 0 {
+			s.renewAndList(id)
+		}
+	}
+}
+
 // grantLease returns the end of a lease that is sent to the worker now.
 func (s *storm) grantLease(id string) time.Duration {
 	state := s.state[id]
