dispatch: TestStormOfRestartedWorkers plays workers that restart under their old ids and are cut off

Its tasks ran for at most 2 s, and a holder lasted 3 s on average, so hardly any lease was counted to its end.

Change: a storm of its own, with its own random numbers. Each process of a worker has its own clock (random origin, up to 2 % slow) and keeps leases as the platform does. The holder counts them with package workerlease: the first request on a connection renews nothing and acknowledges no ends, starts are sent on a connection on which their process has responded, and a worker is given up when its leases have expired. Workers restart, some at once, dark or with their connections reset, are cut off before or after their first contact and mostly for longer than a lease, and restart again behind the cut. Stops and watch requests on a connection on which no process has responded may be executed late by the next one. A former holder may renew leases for 4 s beside its successor. Two thirds of the steps have long tasks; of the crashes and takeovers of TestStorm, one in 3 and one in 8 is kept.

Checks beside those of the storm: no worker with runs holds a lease that outlasts its holder's count, none is given up while it runs anything, and no end is acknowledged that no holder has listed. The test also fails if some kind of call or loss was not played.

--- a/dispatch/storm_commands_test.go
+++ b/dispatch/storm_commands_test.go
@@ -16,6 +16,8 @@
 	sendAt, arrivesAt time.Duration
 	// sentAt is when the attempt was sent.
 	sentAt, leaseEnd time.Duration
+	// leaseUntilMS is the expiry of the lease in the attempt in a storm of restarts, on the clock of the process that it is meant for.
+	leaseUntilMS int64
 	// incarnation is that of the worker at the first attempt.
 	incarnation int64
 	// stray is true for an earlier attempt that arrives late and whose sender no longer waits for a response.
@@ -23,6 +25,10 @@
 }
 
 func (s *storm) send(cmd *stormCommand) {
+	if s.restarts != nil {
+		s.restarts.send(cmd)
+		return
+	}
 	cmd.attempt = 1
 	cmd.incarnation = s.workers[cmd.worker()].info.Incarnation
 	s.transmit(cmd)
@@ -170,6 +176,11 @@
 
 // renewForStart renews the worker's lease for a start and reports whether the worker has one then.
 func (s *storm) renewForStart(id string, cmd *stormCommand) bool {
+	if s.restarts != nil {
+		p := s.restarts.processes[id]
+		p.renew(s.now, cmd.leaseUntilMS)
+		return p.holdsLease(s.now)
+	}
 	state := s.state[id]
 	if s.now > cmd.leaseEnd && s.now > state.leaseEnd {
 		return false
--- a/dispatch/storm_runs_test.go
+++ b/dispatch/storm_runs_test.go
@@ -31,6 +31,7 @@
 		}
 		switch {
 		case lapsed:
+			s.restarts.countLapse()
 			s.endRun(id, ref, workload.EndLeaseExpired)
 		case s.now < state.doneAt[ref] || !s.gangPresent(ref):
 		case !s.faultsOver && s.rng.IntN(12) == 0:
@@ -43,6 +44,10 @@
 
 // leaseLapsed reports whether the worker has held a lease that has expired.
 func (s *storm) leaseLapsed(id string) bool {
+	if s.restarts != nil {
+		p := s.restarts.processes[id]
+		return p.leaseUntil > 0 && !p.holdsLease(s.now)
+	}
 	return s.now > s.state[id].leaseEnd
 }
 
@@ -149,6 +154,9 @@
 	s.runs[ref.Task] = append(s.runs[ref.Task], &stormRun{run: ref.Run, worker: id})
 	s.workers[id].running[ref] = &simRun{checkpoint: cmd.Checkpoint}
 	duration := time.Duration(s.rng.Int64N(int64(2 * time.Second)))
+	if s.restarts != nil {
+		duration = s.restarts.begin(id, ref, step, duration, s.now)
+	}
 	s.state[id].doneAt[ref] = s.now + duration
 }
 
--- a/dispatch/storm_test.go
+++ b/dispatch/storm_test.go
@@ -53,6 +53,8 @@
 	// capacity is nil in a storm without changes of capacity, evacuations in one without evacuations.
 	capacity    *capacityFaults
 	evacuations *evacuationFaults
+	// restarts is nil in a storm in which workers and holders share a clock and requests need no connection.
+	restarts *restartFaults
 }
 
 type stormWorker struct {
@@ -123,6 +125,7 @@
 	}
 	s.changeCapacities()
 	s.changeEvacuations()
+	s.restartWorkers()
 	for _, id := range s.workerIDs {
 		s.advanceRuns(id)
 	}
@@ -139,6 +142,10 @@
 
 // exchange delivers commands, renews leases and lists runs.
 func (s *storm) exchange() {
+	if s.restarts != nil {
+		s.exchangeOnConnections()
+		return
+	}
 	s.deliver()
 	s.crashBegun()
 	for _, id := range s.workerIDs {
@@ -160,11 +167,15 @@
 	worker := s.workerIDs[s.rng.IntN(len(s.workerIDs))]
 	switch s.rng.IntN(60) {
 	case 0:
-		s.crash(worker)
+		if s.restarts.keeps(crashShare) {
+			s.crash(worker)
+		}
 	case 1, 2:
 		s.state[worker].partitionedUntil = s.now + time.Duration(s.rng.IntN(160))*stormTick
 	case 3:
-		s.replaceHolder()
+		if s.restarts.keeps(takeoverShare) {
+			s.replaceHolder()
+		}
 	case 4:
 		job := s.jobs[s.rng.IntN(len(s.jobs))]
 		s.core.CancelJob(job.ID)
@@ -175,6 +186,10 @@
 // crash restarts the worker's process under the same id. Its runs and state are lost, and commands in flight are lost
 // with their connections.
 func (s *storm) crash(id string) {
+	if s.restarts != nil {
+		s.restart(id, s.restarts.rng.IntN(2) == 0)
+		return
+	}
 	if (s.crashing != nil || s.capacity != nil) && !s.partitioned(id) {
 		// The watch of the holder is open and has delivered what ended before the crash.
 		s.renewAndList(id)
@@ -213,6 +228,7 @@
 		w.goneReported = false
 		w.grantedUntil = s.now + stormForeignLease
 	}
+	s.restarts.openSessions(s)
 }
 
 func (s *storm) partitioned(id string) bool { return s.now < s.state[id].partitionedUntil }
@@ -279,6 +295,7 @@
 		if n%(stormTicks/stormJobs) == 0 {
 			job := s.randomJob(n)
 			s.crashing.choose(job)
+			s.restarts.lengthen(job)
 			s.jobs = append(s.jobs, job)
 			s.submitJob(job)
 		}
