Send no start to a worker that does not respond to watch requests

Callers could see a task run twice on workers that accept a start by the lease that they hold: a start that was sent just after a watch request had failed carried the expiry of an earlier lease, was executed late, after the worker had been given up and had got a new lease, and ran beside the run elsewhere.

The first attempt of a start now waits for a response, as later attempts do, and a start that was never sent is given up at once. Its unit can start elsewhere, and need not wait for the worker's lease.

TestNoStartIsSentToASilentWorker failed before.

--- a/dispatch/storm_session_commands_test.go
+++ b/dispatch/storm_session_commands_test.go
@@ -35,7 +35,7 @@
 // the start up if another process has responded, or if no attempt was sent and the worker does not respond.
 func (s *storm) attemptStart(cmd *sessionCommand) {
 	f, session := s.restarts, s.restarts.sessions[cmd.worker()]
-	silent := cmd.attempt > 0 && session.lease.Silent()
+	silent := session.lease.Silent()
 	switch {
 	case session.incarnation != 0 && session.incarnation != cmd.start.Incarnation:
 		s.giveUpStart(cmd, "the worker's process has been replaced")
--- a/leader/queue_test.go
+++ b/leader/queue_test.go
@@ -186,3 +186,30 @@
 		t.Error("the run of a start that was never sent still waits for its worker")
 	}
 }
+
+// TestNoStartIsSentToASilentWorker guards against a start that is sent just after a watch request has failed: it carries the expiry of an
+// earlier lease, and may be executed late, after its run was given up with that lease and started elsewhere.
+func TestNoStartIsSentToASilentWorker(t *testing.T) {
+	l, start := leaderWithStart(t)
+	conn := &recordingConn{}
+	s, _ := newTestSession(t, l, conn)
+	s.recordResponse(&workload.Listing{Incarnation: 1, ClockMS: 1000}, 0)
+	s.recordNoResponse(context.DeadlineExceeded)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		s.start(t.Context(), start)
+	}()
+	for running := true; running; {
+		select {
+		case f := <-l.events:
+			l.apply(f)
+		case <-done:
+			running = false
+		}
+	}
+	l.applyPending()
+	if len(conn.starts) > 0 || l.core.WantsStart("w", start.Ref) {
+		t.Errorf("%d starts were sent, still wanted: %v; want neither", len(conn.starts), l.core.WantsStart("w", start.Ref))
+	}
+}
--- a/leader/requests.go
+++ b/leader/requests.go
@@ -32,6 +32,7 @@
 
 // start sends a start request until its outcome is known or the core no longer wants the start. It gives the start up if the
 // address of the worker changes, if its process is not the one for which the start was decided, or if its failure domain is evacuated.
+// Nothing is sent while the worker does not respond to watch requests: the lease in the start could not be extended.
 func (s *session) start(ctx context.Context, planned dispatch.Start) {
 	attempts := startAttempts{planned: planned, sent: planned.Repeated}
 	waited := s.acquireRequestSlot()
@@ -42,6 +43,9 @@
 	}
 	startedAt := boottime.Now()
 	defer func() { observe(timerStart, boottime.Now()-startedAt) }()
+	if !s.responding() && !s.awaitRetry(ctx, &attempts) {
+		return
+	}
 	for s.awaitPermission(ctx, &attempts) {
 		if s.processReplaced(planned.Incarnation) {
 			s.giveUpStart(&attempts, ErrProcessReplaced.Error())
