--- a/Makefile
+++ b/Makefile
@@ -14,7 +14,7 @@
 # The packages in which several goroutines share state; the process tests and the long runs of the others take too long
 # with the race detector.
 RACE_PACKAGES := ./admission ./callerconn ./control ./daemon ./endpoint ./gang ./gateway ./httpconn ./inner ./jobs ./joblog ./leader ./lease ./membership ./node \
-	./operatorapi ./infra ./request ./routing ./settings ./standin ./store ./telemetry
+	./operatorapi ./infra ./platform ./request ./routing ./settings ./standin ./store ./telemetry
 
 race:
 	go test -race $(RACE_PACKAGES)
