--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -325,7 +325,8 @@
 }
 
 // handleRestart handles a known run that is missing from the first listing of its worker's new process and whose start or stop
-// had no response. An attempt of the start may still reach the new process, so the run is stopped there before it is given up.
+// had no response. The core does not know whether an attempt of the start can still reach the new process, so the run is stopped there
+// before it is given up.
 func (c *Core) handleRestart(p *placement) {
 	switch {
 	case p.unverified || p.confirmedAt >= 0:
--- a/leader/queue_test.go
+++ b/leader/queue_test.go
@@ -47,6 +47,24 @@
 	return l, starts[0]
 }
 
+// applyWhile applies the events of a leader whose loop does not run, until f has returned and none is left.
+func applyWhile(l *Leader, f func()) {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		f()
+	}()
+	for running := true; running; {
+		select {
+		case e := <-l.events:
+			l.apply(e)
+		case <-done:
+			running = false
+		}
+	}
+	l.applyPending()
+}
+
 // fillQueue fills the event queue of a leader whose loop does not run.
 func fillQueue(l *Leader) {
 	for range eventQueueCapacity {
@@ -168,20 +186,7 @@
 	conn := &unsentConn{cancel: func() { l.enqueue(func(c *dispatch.Core) { c.CancelJob(start.Ref.Task.Job) }) }}
 	s, _ := newTestSession(t, l, conn)
 	s.recordResponse(&workload.Listing{Incarnation: 1, ClockMS: 1000}, 0)
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		s.start(t.Context(), start)
-	}()
-	for running := true; running; {
-		select {
-		case f := <-l.events:
-			l.apply(f)
-		case <-done:
-			running = false
-		}
-	}
-	l.applyPending()
+	applyWhile(l, func() { s.start(t.Context(), start) })
 	if l.core.WantsStop("w", start.Ref) {
 		t.Error("the run of a start that was never sent still waits for its worker")
 	}
@@ -195,20 +200,7 @@
 	s, _ := newTestSession(t, l, conn)
 	s.recordResponse(&workload.Listing{Incarnation: 1, ClockMS: 1000}, 0)
 	s.recordNoResponse(context.DeadlineExceeded)
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		s.start(t.Context(), start)
-	}()
-	for running := true; running; {
-		select {
-		case f := <-l.events:
-			l.apply(f)
-		case <-done:
-			running = false
-		}
-	}
-	l.applyPending()
+	applyWhile(l, func() { s.start(t.Context(), start) })
 	if len(conn.starts) > 0 || l.core.WantsStart("w", start.Ref) {
 		t.Errorf("%d starts were sent, still wanted: %v; want neither", len(conn.starts), l.core.WantsStart("w", start.Ref))
 	}
--- a/leader/replaced_process_test.go
+++ b/leader/replaced_process_test.go
@@ -237,20 +237,7 @@
 			}
 			s, _ := newTestSession(t, l, conn)
 			s.recordResponse(&workload.Listing{Incarnation: 1, ClockMS: 1000}, 0)
-			done := make(chan struct{})
-			go func() {
-				defer close(done)
-				s.start(t.Context(), start)
-			}()
-			for running := true; running; {
-				select {
-				case <-done:
-					running = false
-				case f := <-l.events:
-					l.apply(f)
-				}
-			}
-			drain(l)
+			applyWhile(l, func() { s.start(t.Context(), start) })
 			if conn.rejected != 1 || l.core.WantsStart("w", start.Ref) {
 				t.Errorf("%d rejected attempts, and the start is wanted: %v; want one and false", conn.rejected, l.core.WantsStart("w", start.Ref))
 			}
@@ -516,20 +503,7 @@
 			}
 			s, _ := newTestSession(t, l, conn)
 			s.recordResponse(&workload.Listing{Incarnation: 1, ClockMS: 1000}, 0)
-			done := make(chan struct{})
-			go func() {
-				defer close(done)
-				s.start(t.Context(), start)
-			}()
-			for running := true; running; {
-				select {
-				case <-done:
-					running = false
-				case f := <-l.events:
-					l.apply(f)
-				}
-			}
-			drain(l)
+			applyWhile(l, func() { s.start(t.Context(), start) })
 			if attempts != test.attempts || l.core.WantsStart("w", start.Ref) != test.wanted || l.ended.Load() != test.stepDown {
 				t.Errorf("%d attempts, wanted %v, stepped down %v; want %+v", attempts, l.core.WantsStart("w", start.Ref), l.ended.Load(), test)
 			}
--- a/workerlease/workerlease.go
+++ b/workerlease/workerlease.go
@@ -14,9 +14,9 @@
 type Lease struct {
 	// length is the length of a lease, longest that of the longest lease that workers accept.
 	length, longest time.Duration
-	// process is the start time of the worker's process, as of its last response; known is false before the first response.
-	process int64
-	known   bool
+	// incarnation is the start time of the worker's process, as of its last response; known is false before the first response.
+	incarnation int64
+	known       bool
 	// The process has reported its clock: clockMS at clockAt.
 	clockMS int64
 	clockAt time.Duration
@@ -48,9 +48,9 @@
 // Renew extends the lease of the worker's process and returns its expiry for a request that only that process can execute. The lease ends
 // at now plus MaxElapsed(length) at the latest, however old the known reading of the process's clock is. Renew returns 0 if the last
 // response is that of another process, or if there was none. After a request without response it extends nothing.
-func (l *Lease) Renew(now time.Duration, process int64) (untilMS int64) {
-	if !l.known || l.process != process || l.silent {
-		return l.Granted(process)
+func (l *Lease) Renew(now time.Duration, incarnation int64) (untilMS int64) {
+	if !l.known || l.incarnation != incarnation || l.silent {
+		return l.Granted(incarnation)
 	}
 	l.expiresAt = max(l.expiresAt, now+MaxElapsed(l.length))
 	l.untilMS = max(l.untilMS, l.clockMS+(minElapsed(now-l.clockAt)+l.length).Milliseconds())
@@ -58,8 +58,8 @@
 }
 
 // Granted returns the expiry of the longest lease that was granted to the process; 0 if none was.
-func (l *Lease) Granted(process int64) (untilMS int64) {
-	if !l.known || l.process != process {
+func (l *Lease) Granted(incarnation int64) (untilMS int64) {
+	if !l.known || l.incarnation != incarnation {
 		return 0
 	}
 	return l.untilMS
@@ -67,9 +67,9 @@
 
 // RecordResponse records a response of the process with the given start time, which reports its clock. Whatever the process was granted
 // before its first response, by this holder or an earlier one, expires within the longest lease.
-func (l *Lease) RecordResponse(now time.Duration, process, clockMS int64) {
-	if !l.known || l.process != process {
-		l.known, l.process, l.untilMS = true, process, 0
+func (l *Lease) RecordResponse(now time.Duration, incarnation, clockMS int64) {
+	if !l.known || l.incarnation != incarnation {
+		l.known, l.incarnation, l.untilMS = true, incarnation, 0
 		l.expiresAt = now + MaxElapsed(l.longest)
 	}
 	l.clockMS, l.clockAt = clockMS, now
