dispatch: steps only for repetitions that are under way, within one bound for all jobs

Cause: createDueRepetitions made the steps and units of all due repetitions of a job at once, up to 4,096 tasks a job, and kept those that were done until the job ended. No limit covered all jobs together, and the next holder restored them all. The heap of the core shows it: 2.8 MB for each such job (167 MB for 60), of which 24 units of 300 bytes were charged.

Fix: a repetition has steps in memory only while it is under way; one that is done leaves a bit. The first of each job is charged when the job is accepted. Further ones begin once little of the job waits, and all of them together have 6 % of the heap of the smallest VM (package footprint), of which less urgent work leaves a part to urgent work. What has no room is due later; nothing is refused or dropped for it. A holder restores only repetitions of which something was started, so it fits whatever an earlier version has stored. The stored form is the same: repetitions without units were always read as waiting. Charge now covers the stored state of many repetitions and long texts in steps, which callers choose.

--- a/dispatch/assert_test.go
+++ b/dispatch/assert_test.go
@@ -49,7 +49,7 @@
 			log := collectViolations(t)
 			c.submit("a", "normal", "large", gangOf(2, 4))
 			c.core.readySteps()
-			test.violate(c.core, c.core.jobs["a"].repetitions[0][0].units[0], c.core.workers["w00"])
+			test.violate(c.core, c.core.jobs["a"].repetitions.steps(0)[0].units[0], c.core.workers["w00"])
 			found := false
 			for _, v := range log.Violations() {
 				found = found || v.ID == test.want
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -11,6 +11,7 @@
 //   - policy.go: the settings of queues that jobs keep
 //   - workers.go: workers, their listings and their loss
 //   - units.go: the life cycle of a unit from start to end
+//   - repetitions.go: which repetitions of a job have steps in memory
 //   - plan.go: the order in which waiting steps are tried
 //   - overload.go: the order while a service lacks capacity, and the forecast
 //   - place.go: placement of a step's tasks on workers
@@ -101,6 +102,8 @@
 	// ended holds the ended jobs. They are kept because a job may still be added again with a state from before its end, and
 	// because workers may still list runs of it.
 	ended map[workload.JobID]endedJob
+	// overlap is what all active repetitions beyond the first one of each job take, in units of package footprint.
+	overlap int
 	// sortedJobs holds the same jobs as jobs in order of acceptance.
 	sortedJobs []*job
 	// changed holds the jobs whose states have changed since the last call of TakeChanges.
@@ -155,11 +158,10 @@
 }
 
 type job struct {
-	spec   *workload.Job
-	policy workload.QueuePolicy
-	phase  workload.Phase
-	// repetitions holds the steps of each repetition that is due or was restored.
-	repetitions [][]*step
+	spec        *workload.Job
+	policy      workload.QueuePolicy
+	phase       workload.Phase
+	repetitions repetitions
 	// placements is the number of placements of all units of the job.
 	placements int
 	// begun is true once a worker has confirmed a start of the job, or listed one of its runs.
@@ -350,8 +352,8 @@
 	j.phase = phase
 	c.ended[j.spec.ID] = endedJob{spec: j.spec, endedAt: c.now}
 	c.markChanged(j)
-	for _, steps := range j.repetitions {
-		for _, s := range steps {
+	for _, r := range j.repetitions.active {
+		for _, s := range r.steps {
 			s.claim = nil
 			c.stopStep(s, phase.String())
 		}
@@ -382,6 +384,7 @@
 		return
 	}
 	delete(c.jobs, j.spec.ID)
+	c.forgetOverlap(j)
 	if at := slices.Index(c.sortedJobs, j); at >= 0 {
 		c.sortedJobs = slices.Delete(c.sortedJobs, at, at+1)
 	}
@@ -401,17 +404,6 @@
 	return changes
 }
 
-// createRepetitions creates the steps of the job's repetitions up to and including the given one.
-func (j *job) createRepetitions(repetition int) {
-	for k := len(j.repetitions); k <= repetition; k++ {
-		steps := make([]*step, len(j.spec.Steps))
-		for i := range steps {
-			steps[i] = newStep(j, k, i)
-		}
-		j.repetitions = append(j.repetitions, steps)
-	}
-}
-
 func newStep(j *job, repetition, index int) *step {
 	s := &step{job: j, spec: &j.spec.Steps[index], repetition: repetition, index: index, readySince: never, reclaimFailedAt: never, reservedAt: never}
 	if s.spec.Gang {
--- a/dispatch/evacuation_test.go
+++ b/dispatch/evacuation_test.go
@@ -262,7 +262,7 @@
 	}
 	c.submit("wide", "normal", "large", gangOf(workersPerRack+1, 8))
 	c.plan()
-	if u := c.core.jobs["wide"].repetitions[0][0].units[0]; c.core.anyRackCouldFit(u) {
+	if u := c.core.jobs["wide"].repetitions.steps(0)[0].units[0]; c.core.anyRackCouldFit(u) {
 		t.Error("a gang counts as fitting into a rack that is smaller")
 	}
 	// Beyond the guarantee, this is too much work to stop.
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -88,10 +88,11 @@
 func (c *Core) NextDue() time.Time {
 	var next time.Time
 	for _, j := range c.sortedJobs {
-		if j.phase.Final() || len(j.repetitions) >= j.spec.RepetitionCount() || c.overlapsTooMuch(j) {
+		k := j.repetitions.pending()
+		if j.phase.Final() || k >= j.spec.RepetitionCount() || !c.mayBeginRepetition(j) {
 			continue
 		}
-		due := j.spec.DueAt(len(j.repetitions))
+		due := j.spec.DueAt(k)
 		if next.IsZero() || due.Before(next) {
 			next = due
 		}
@@ -107,8 +108,8 @@
 			continue
 		}
 		c.createDueRepetitions(j)
-		for _, steps := range j.repetitions {
-			ready = c.appendReady(ready, steps)
+		for _, r := range j.repetitions.active {
+			ready = c.appendReady(ready, r.steps)
 		}
 	}
 	c.updateOverload(ready)
@@ -119,38 +120,6 @@
 	return ready
 }
 
-// createDueRepetitions creates the steps of the job's repetitions that are due.
-func (c *Core) createDueRepetitions(j *job) {
-	for k := len(j.repetitions); k < j.spec.RepetitionCount(); k++ {
-		if j.spec.Scheduled() && c.wall.Before(j.spec.DueAt(k).Add(dueMargin)) {
-			return
-		}
-		if c.overlapsTooMuch(j) {
-			return
-		}
-		j.createRepetitions(k)
-	}
-}
-
-// overlapsTooMuch reports whether the job must end tasks of earlier repetitions before it may begin the next one.
-func (c *Core) overlapsTooMuch(j *job) bool {
-	active := j.activeTasks()
-	return c.options.MaxActiveTasks > 0 && active > 0 && active+j.spec.Tasks() > c.options.MaxActiveTasks
-}
-
-// activeTasks returns the number of tasks of the job's steps that have begun or may still begin in its current repetitions.
-func (j *job) activeTasks() int {
-	n := 0
-	for _, steps := range j.repetitions {
-		for _, s := range steps {
-			if !s.done {
-				n += s.spec.Tasks
-			}
-		}
-	}
-	return n
-}
-
 // appendReady appends to ready those of a repetition's steps that are ready, and records since when they are.
 func (c *Core) appendReady(ready []*step, steps []*step) []*step {
 	for _, s := range steps {
--- a/dispatch/policy.go
+++ b/dispatch/policy.go
@@ -62,8 +62,8 @@
 
 // adjustJobUse adds sign times the accelerators of the job's placements to its account's use.
 func (c *Core) adjustJobUse(j *job, sign int) {
-	for _, steps := range j.repetitions {
-		for _, s := range steps {
+	for _, r := range j.repetitions.active {
+		for _, s := range r.steps {
 			for _, u := range s.units {
 				for _, p := range u.placements {
 					c.adjustAccountUse(p, sign)
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -1,6 +1,10 @@
 package dispatch
 
-import "github.com/redwingthread/redwingthread/workload"
+import (
+	"slices"
+
+	"github.com/redwingthread/redwingthread/workload"
+)
 
 // export returns the durable state of the job. A job in a final phase is stored without its units.
 func (j *job) export() *workload.JobState {
@@ -8,12 +12,24 @@
 	if j.phase.Final() {
 		return state
 	}
-	for _, steps := range j.repetitions {
-		exported := make([]workload.StepState, len(steps))
-		for i, s := range steps {
+	// Repetitions without steps share their entries.
+	done, pending := make([]workload.StepState, len(j.spec.Steps)), make([]workload.StepState, len(j.spec.Steps))
+	for i := range done {
+		done[i].Done = true
+	}
+	state.Repetitions = make([][]workload.StepState, j.repetitions.known)
+	for k := range state.Repetitions {
+		state.Repetitions[k] = pending
+		if j.repetitions.isDone(k) {
+			state.Repetitions[k] = done
+		}
+	}
+	for _, r := range j.repetitions.active {
+		exported := make([]workload.StepState, len(r.steps))
+		for i, s := range r.steps {
 			exported[i] = s.export()
 		}
-		state.Repetitions = append(state.Repetitions, exported)
+		state.Repetitions[r.index] = exported
 	}
 	return state
 }
@@ -23,6 +39,9 @@
 		return workload.StepState{Done: true}
 	}
 	var state workload.StepState
+	if !slices.ContainsFunc(s.units, func(u *unit) bool { return !u.state.Untouched() }) {
+		return state
+	}
 	for _, u := range s.units {
 		state.Units = append(state.Units, u.export())
 	}
@@ -54,17 +73,25 @@
 }
 
 // restore rebuilds a job's steps from its durable state. Active units are assumed to be running until a listing or the
-// expiry of the worker's lease shows otherwise. Repetitions beyond those of the job are not restored.
+// expiry of the worker's lease shows otherwise. Repetitions of which nothing was started begin anew when there is room for
+// them. Repetitions beyond those of the job are not restored.
 func (c *Core) restore(j *job, state *workload.JobState) {
 	j.phase = state.Phase
 	j.begun = state.Phase == workload.PhaseRunning
 	if len(state.Repetitions) > j.spec.RepetitionCount() {
 		return
 	}
-	j.createRepetitions(len(state.Repetitions) - 1)
-	for k, steps := range state.Repetitions {
-		for i := range min(len(steps), len(j.repetitions[k])) {
-			c.restoreStep(j.repetitions[k][i], &steps[i])
+	for k, stored := range state.Repetitions {
+		if untouched(stored) {
+			continue
+		}
+		if len(stored) == len(j.spec.Steps) && allDone(stored) {
+			j.repetitions.setDone(k)
+			continue
+		}
+		steps := c.beginRepetition(j, k)
+		for i := range min(len(stored), len(steps)) {
+			c.restoreStep(steps[i], &stored[i])
 		}
 	}
 }
--- a/dispatch/units.go
+++ b/dispatch/units.go
@@ -222,10 +222,14 @@
 // unitOf returns the unit of the task; nil if its job or repetition is not known.
 func (c *Core) unitOf(t workload.TaskID) *unit {
 	j := c.jobs[t.Job]
-	if j == nil || t.Repetition >= len(j.repetitions) || t.Step >= len(j.spec.Steps) {
+	if j == nil {
 		return nil
 	}
-	s := j.repetitions[t.Repetition][t.Step]
+	steps := j.repetitions.steps(t.Repetition)
+	if t.Step >= len(steps) {
+		return nil
+	}
+	s := steps[t.Step]
 	if s.spec.Gang && t.Index < s.spec.Tasks {
 		return s.units[0]
 	}
@@ -278,18 +282,14 @@
 		return
 	}
 	s.done = true
+	c.endRepetition(s.job, s.repetition)
 	c.completeJobIfDone(s.job)
 }
 
 func (c *Core) completeJobIfDone(j *job) {
-	if len(j.repetitions) < j.spec.RepetitionCount() {
+	if !j.repetitions.allDone(j.spec.RepetitionCount()) {
 		return
 	}
-	for _, steps := range j.repetitions {
-		if slices.ContainsFunc(steps, func(s *step) bool { return !s.done }) {
-			return
-		}
-	}
 	c.event(Event{Name: "job completed", Job: j.spec.ID})
 	c.finishJob(j, workload.PhaseCompleted)
 }
@@ -317,6 +317,9 @@
 func (c *Core) afterPlacementGone(u *unit, reason string) {
 	j := u.step.job
 	defer c.removeIfFinished(j)
+	if u.step.done {
+		c.endRepetition(j, u.step.repetition)
+	}
 	if u.state.Status != workload.UnitActive || j.phase.Final() {
 		return
 	}
--- a/overload/admission.go
+++ b/overload/admission.go
@@ -6,6 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/redwingthread/redwingthread/footprint"
 	"github.com/redwingthread/redwingthread/workload"
 )
 
@@ -17,21 +18,34 @@
 	// 300 bytes (219 measured in TestMemoryOfWaitingTasks), so 100,000 take 30 MB, or 60 MB before the garbage collector runs. The
 	// largest expected load of a minute, 660 jobs of 78 tasks in up to 5 steps, counts 74,580.
 	MaxUnfinished = 100_000
-	// jobCharge and stepCharge are the numbers of waiting tasks that take as much memory as the specification and the other data of a job,
-	// and as those of a step.
-	jobCharge  = 20
-	stepCharge = 3
+	// jobCharge is the number of waiting tasks that take as much memory as the specification and the other data of a job.
+	jobCharge = 20
 	// shortestRetry and longestRetry bound the time from which the time of a retry is derived.
 	shortestRetry = 4 * time.Second
 	longestRetry  = 20 * time.Second
 )
 
-// limitShares are the parts of MaxUnfinished up to which jobs of priority 0, 1, and 2 or more are accepted, so that a flood of less urgent
-// work leaves room for urgent work. The smallest is above the largest expected load of a minute.
-var limitShares = [...]float64{1, 0.9, 0.8}
-
 // Charge returns how much a job counts against MaxUnfinished.
-func Charge(job *workload.Job) int { return job.Tasks() + jobCharge + stepCharge*len(job.Steps) }
+func Charge(job *workload.Job) int {
+	return job.Tasks() + jobCharge + footprint.StepUnits*len(job.Steps) + (textBytes(job)+stateCopies*repetitionBytes(job))/footprint.UnitBytes
+}
+
+// stateCopies is how often the holder has the state of a job in memory: as read, being encoded, and being appended.
+const stateCopies = 3
+
+// repetitionBytes bounds the stored state of the repetitions that are done.
+func repetitionBytes(job *workload.Job) int { return job.RepetitionCount() * (len(job.Steps) + 1) }
+
+// textBytes returns the size of what a caller may make long in the steps.
+func textBytes(job *workload.Job) int {
+	const indexBytes = 8
+	n := 0
+	for i := range job.Steps {
+		s := &job.Steps[i]
+		n += len(s.RequiredLabel) + len(s.DataRack) + len(s.Image) + indexBytes*len(s.After)
+	}
+	return n
+}
 
 // Job is a submission that is to be accepted or refused.
 type Job struct {
@@ -75,10 +89,10 @@
 	if forecast != nil {
 		d.Delay = forecast.Delay(j.Service, j.Priority, j.Objective, j.Accelerators)
 	}
-	limit := limitShares[min(max(0, j.Priority), len(limitShares)-1)] * MaxUnfinished
+	limit := footprint.Limit(MaxUnfinished, j.Priority)
 	useful := safetyFactor*LateFactor*j.Objective + min(max(0, j.DueIn), maxObjective)
 	switch {
-	case float64(unfinished+j.Charge) > limit:
+	case unfinished+j.Charge > limit:
 		d.Reason = ReasonLimit
 		d.RetryAfter = retryAfter(j.ID, d.Delay)
 	case j.Priority > 0 && j.Objective > 0 && d.Delay > useful:
--- a/overload/overload_test.go
+++ b/overload/overload_test.go
@@ -5,11 +5,13 @@
 	"fmt"
 	"math"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
 
+	"github.com/redwingthread/redwingthread/footprint"
 	"github.com/redwingthread/redwingthread/workload"
 )
 
@@ -439,3 +441,21 @@
 		t.Errorf("callers return after %.1f s if the delay is short, and after %.1f s if it is long", short, long)
 	}
 }
+
+// TestChargeCoversWhatACallerMayMakeLong guards against jobs whose memory exceeds what they are charged for: those with long texts or many
+// repetitions, whose stored states grow with each one that is done.
+func TestChargeCoversWhatACallerMayMakeLong(t *testing.T) {
+	plain := Charge(&workload.Job{Steps: []workload.Step{{Tasks: 1}}})
+	texts := workload.Step{Tasks: 1, RequiredLabel: strings.Repeat("l", 50_000), DataRack: strings.Repeat("r", 50_000), Image: strings.Repeat("i", 50_000)}
+	if got, bytes := Charge(&workload.Job{Steps: []workload.Step{texts}})-plain, 150_000; got*footprint.UnitBytes < bytes-footprint.UnitBytes {
+		t.Errorf("texts of %d bytes are charged %d units of %d bytes", bytes, got, footprint.UnitBytes)
+	}
+	many := &workload.Job{Steps: []workload.Step{{Tasks: 1}}, Repetitions: 10_000}
+	state := &workload.JobState{Phase: workload.PhaseRunning, Repetitions: make([][]workload.StepState, many.Repetitions)}
+	for k := range state.Repetitions {
+		state.Repetitions[k] = []workload.StepState{{Done: true}}
+	}
+	if got, bytes := Charge(many)-plain, len(state.Encode()); got*footprint.UnitBytes < stateCopies*bytes-footprint.UnitBytes {
+		t.Errorf("%d copies of a state of %d bytes are charged %d units of %d bytes", stateCopies, bytes, got, footprint.UnitBytes)
+	}
+}
--- a/workload/state.go
+++ b/workload/state.go
@@ -100,6 +100,11 @@
 	return true
 }
 
+// Untouched reports whether no run of the unit was ever started.
+func (u *UnitState) Untouched() bool {
+	return u.Status == UnitWaiting && u.Run == 0 && u.LastCountedRun == 0 && u.Failures == 0 && u.Checkpoint == "" && len(u.Crashes) == 0
+}
+
 // StepState is the durable state of one step of one repetition. Units is nil if the step is done or nothing of it was
 // started.
 type StepState struct {
