Load the job records by pages, and keep no response of the store for a state in it

A VM that starts held the newest records of all keys of a stream at once before it applied the first one, five streams at a time.

A follower of jobs now applies each page as it arrives (TestPagedLoadHoldsOnePage), and goes on with the next page after a failed request; what is appended meanwhile is read after the load, as before. Other readers need the whole list and load as before. The view copies a state.

--- a/joblog/reader.go
+++ b/joblog/reader.go
@@ -30,8 +30,9 @@
 type reader struct {
 	log    store.Log
 	stream store.Stream
-	// cursor is used only by the goroutine of run.
-	cursor store.Cursor
+	// cursor and loadedRecords, the number of records of the present load, are used only by the goroutine of run.
+	cursor        store.Cursor
+	loadedRecords int
 	view   *View
 	logger zerolog.Logger
 	// wake ends the pause before the next read.
@@ -51,7 +52,7 @@
 
 func newReader(log store.Log, stream store.Stream, view *View, logger zerolog.Logger) *reader {
 	return &reader{
-		log: log, stream: stream, cursor: store.Cursor{Stream: stream}, view: view,
+		log: log, stream: stream, cursor: store.Cursor{Stream: stream, Paged: true}, view: view,
 		logger:  logger.With().Stringer("stream", stream).Logger(),
 		wake:    make(chan struct{}, 1),
 		updated: make(chan struct{}),
@@ -69,6 +70,7 @@
 		switch {
 		case err != nil:
 			r.sleep(ctx, retryInterval)
+		case r.cursor.Loading():
 		case r.subscriber.Load() == nil:
 			r.sleep(ctx, followInterval)
 		}
@@ -109,7 +111,11 @@
 	}
 	ids := r.apply(update.Records)
 	if update.Loaded {
-		r.logger.Info().Int64("offset", update.Next).Int("records", len(ids)).Msg("records loaded")
+		r.loadedRecords += len(ids)
+	}
+	if update.Loaded && update.Complete {
+		r.logger.Info().Int64("offset", update.Next).Int("records", r.loadedRecords).Msg("records loaded")
+		r.loadedRecords = 0
 	}
 	r.publish(update.StartedAt, update.Complete, ids)
 	return nil
--- a/joblog/view.go
+++ b/joblog/view.go
@@ -17,6 +17,7 @@
 package joblog
 
 import (
+	"bytes"
 	"hash/fnv"
 	"maps"
 	"sync"
@@ -326,7 +327,8 @@
 		return nil
 	}
 	e.phase = phase
-	e.state = r.Value
+	// The value is part of the response that it was read with, of which nothing else may be kept.
+	e.state = bytes.Clone(r.Value)
 	return nil
 }
 
--- a/store/cursor.go
+++ b/store/cursor.go
@@ -15,6 +15,11 @@
 	// NewestOnly is set if a record makes all earlier ones of its key obsolete. A cursor that is more than one read behind
 	// then continues with the newest records, so that a VM on a slow link does not read what is obsolete.
 	NewestOnly bool
+	// Paged makes Read return each page of a load as an update of its own, so that a reader never holds the newest records of all keys at
+	// once. Only the last one is Complete.
+	Paged bool
+	// loading is the load whose pages are being returned; nil for none.
+	loading *pagedLoad
 	// loaded is true once the newest records were read; next is the offset of the next read then.
 	loaded bool
 	next   int64
@@ -27,7 +32,7 @@
 	// were stored before StartedAt.
 	StartedAt time.Duration
 	Complete  bool
-	// Loaded is true if Records holds the newest record of every key; keys that are missing have been deleted.
+	// Loaded is true if Records holds the newest record of every key, or of those of one page; keys that are missing have been deleted.
 	Loaded bool
 	// Expired is true if records expired before they were read, so that the newest record of every key was read instead.
 	Expired bool
@@ -40,11 +45,17 @@
 // Read returns the next records, or the error of the log. It waits up to wait for the first one, but not when it loads the
 // newest record of every key.
 func (c *Cursor) Read(ctx context.Context, log Log, wait time.Duration) (*Update, error) {
+	if c.loading != nil || c.Paged && !c.loaded {
+		return c.loadPage(ctx, log, false)
+	}
 	if !c.loaded {
 		return c.load(ctx, log)
 	}
 	startedAt := boottime.Now()
 	batch, err := log.Read(ctx, c.Stream, c.next, wait)
+	if errors.Is(err, ErrExpired) && c.Paged {
+		return c.loadPage(ctx, log, true)
+	}
 	if errors.Is(err, ErrExpired) {
 		update, err := c.load(ctx, log)
 		if err == nil {
@@ -63,6 +74,46 @@
 	return &Update{Records: batch.Records, StartedAt: startedAt, Complete: complete, Next: c.next, End: batch.End}, nil
 }
 
+// Loading reports whether further pages of a load follow.
+func (c *Cursor) Loading() bool { return c.loading != nil }
+
+// pagedLoad is a load that returns its pages one by one.
+type pagedLoad struct {
+	startedAt time.Duration
+	// next is the end of the stream as of the first page, after the last key that was read.
+	next  int64
+	after string
+	// expired is true if records expired before they were read.
+	expired bool
+}
+
+// loadPage reads the next page of the newest record of each key. After a failure the next call reads the same page again.
+func (c *Cursor) loadPage(ctx context.Context, log Log, expired bool) (*Update, error) {
+	first := c.loading == nil
+	if first {
+		c.loading = &pagedLoad{startedAt: boottime.Now(), expired: expired}
+	}
+	l := c.loading
+	page, err := log.Newest(ctx, c.Stream, l.after)
+	if err != nil {
+		if first {
+			c.loading = nil
+		}
+		return nil, err
+	}
+	if first {
+		l.next = page.End
+	}
+	update := &Update{StartedAt: l.startedAt, Loaded: true, Records: page.Records, Next: l.next, End: min(l.next, page.End), Expired: first && l.expired}
+	if page.More && len(page.Records) > 0 {
+		l.after = page.Records[len(page.Records)-1].Key
+		return update, nil
+	}
+	update.Complete = true
+	c.next, c.loaded, c.loading = l.next, true, nil
+	return update, nil
+}
+
 // load reads the newest record of each key. The pages are read at different times, so the next read continues from the end
 // of the stream as of the first page and returns records that were appended meanwhile again.
 func (c *Cursor) load(ctx context.Context, log Log) (*Update, error) {
--- a/store/cursor_test.go
+++ b/store/cursor_test.go
@@ -90,3 +90,64 @@
 		}
 	}
 }
+
+// TestPagedLoadHoldsOnePage guards against a VM that starts beside a full store and holds the newest records of all keys at once, and
+// against a load by pages that loses what is appended, deleted or expires meanwhile, or that a failed request interrupts.
+func TestPagedLoadHoldsOnePage(t *testing.T) {
+	log := storetest.New()
+	log.PageSize = 3
+	put := func(key, value string) {
+		t.Helper()
+		if err := log.Append(t.Context(), store.States, []store.Record{{Key: key, Value: []byte(value)}}, nil, time.Second); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for i := range 10 {
+		put("key-"+strconv.Itoa(i), "old")
+	}
+	cursor := store.Cursor{Stream: store.States, Paged: true}
+	values := map[string]string{}
+	reads := 0
+	for complete := false; !complete; reads++ {
+		update, err := cursor.Read(t.Context(), log, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if len(update.Records) > log.PageSize {
+			t.Errorf("a read of the load returned %d records, want pages of %d", len(update.Records), log.PageSize)
+		}
+		for _, r := range update.Records {
+			values[r.Key] = string(r.Value)
+		}
+		complete = update.Complete && !update.Loaded
+		switch reads {
+		case 0:
+			put("key-0", "new")
+			put("key-8", "")
+		case 1:
+			log.SetFault(func(string) (error, bool) { return store.ErrUnknown, false })
+			if _, err := cursor.Read(t.Context(), log, 0); err == nil {
+				t.Error("a failed request returned a page")
+			}
+			log.SetFault(nil)
+		}
+	}
+	if values["key-0"] != "new" || values["key-8"] != "" || values["key-9"] != "old" || len(values) != 10 {
+		t.Errorf("after the load the values are %v", values)
+	}
+	put("key-1", "newer")
+	log.DropHistory(store.States)
+	for complete := false; !complete; {
+		update, err := cursor.Read(t.Context(), log, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, r := range update.Records {
+			values[r.Key] = string(r.Value)
+		}
+		complete = update.Complete
+	}
+	if values["key-1"] != "newer" {
+		t.Errorf("after the history has expired the values are %v", values)
+	}
+}
