leader: queued requests without a goroutine each, and bounds on the starts and tasks under way

Cause: the holder started a goroutine for each start and each stop that it had decided, all of which waited for one of the three request slots of their worker. Measured before the fix: 20,000 starts have 20,000 goroutines and take 5,449 bytes each, 104 MB (TestMemoryOfStartsInFlight); 10,000 stops take 42 MB. Nothing bounded the number of starts decided, nor that of tasks under way, which take three times what a waiting task is charged for.

Fix, each bound in its place: - Requests to a worker wait in a queue; only those with a slot have a goroutine. A queued start takes 149 bytes (BenchmarkQueuedStart). Stops go first, then urgent starts. While the evacuations are not known, starts stay in the queue. - At most 128 starts to one worker are unanswered, 256 for urgent work, so that what is decided later does not wait behind them. Nothing is stopped or reserved for a step that only this limit keeps waiting. - The tasks under way of all jobs have 15 % of the heap of the smallest VM: 31,708 of 500 bytes (383 measured, BenchmarkPlacedTask). Urgent work has a part to itself, and the first unit of each job uses that too. Other tasks wait in their jobs, as accepted.

--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -14,6 +14,7 @@
 //   - repetitions.go: which repetitions of a job have steps in memory
 //   - plan.go: the order in which waiting steps are tried
 //   - overload.go: the order while a service lacks capacity, and the forecast
+//   - startlimit.go: how many tasks are under way at once
 //   - place.go: placement of a step's tasks on workers
 //   - fit.go: the penalties that rank workers, and the choice of the members of a gang
 //   - utilization.go: what is in use of each service
@@ -66,6 +67,8 @@
 	Checkpoint    string
 	// Repeated is true if an earlier holder may have sent the start.
 	Repeated bool
+	// Urgent is true for work of priority 0.
+	Urgent bool
 }
 
 // Stop is a command that tells a worker to end a run. Reason is only for the log.
@@ -104,6 +107,10 @@
 	ended map[workload.JobID]endedJob
 	// overlap is what all active repetitions beyond the first one of each job take, in units of package footprint.
 	overlap int
+	// placed is the number of placements that belong to units.
+	placed int
+	// startsLimited is set if the step that is being tried would have started more but for a limit on starts.
+	startsLimited bool
 	// sortedJobs holds the same jobs as jobs in order of acceptance.
 	sortedJobs []*job
 	// changed holds the jobs whose states have changed since the last call of TakeChanges.
@@ -234,6 +241,8 @@
 	// beganAt is when the worker accepted the start; the constant never for a start without response and for runs that an earlier
 	// holder started.
 	beganAt time.Duration
+	// awaiting is true while a start was issued and the worker has not responded to it.
+	awaiting bool
 	// unverified placements were restored after a takeover, and their worker has not listed its runs since.
 	unverified bool
 	// stopping is true once a stop has been issued. The capacity stays in use until the end of the run is listed.
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -35,7 +35,9 @@
 	} else if w := c.findWorker(u); w != nil {
 		return []*worker{w}
 	}
-	c.searchCache.add(c, u)
+	if !c.startsLimited {
+		c.searchCache.add(c, u)
+	}
 	return nil
 }
 
@@ -147,6 +149,9 @@
 		if !effectiveDemand(s.spec).Fits(free) || !c.eligible(w, s) || s.roomFor(w, free) == 0 {
 			continue
 		}
+		if !c.mayAwait(w, s) {
+			continue
+		}
 		remote := preferred != "" && w.info.Rack != preferred
 		if remote && !localityWaitOver && c.rackCanServe(preferred, s) {
 			continue
@@ -243,15 +248,20 @@
 
 // roomsNow returns the room that each rack has for the gang now.
 func (c *Core) roomsNow(u *unit) []*rackRoom {
-	return c.roomsWith(u, func(w *worker) resource.Resources { return c.freeFor(w, u.step) })
+	return c.roomsOf(u, func(w *worker) bool { return c.mayAwait(w, u.step) }, func(w *worker) resource.Resources { return c.freeFor(w, u.step) })
 }
 
 // roomsWith returns the room that each rack has for the unit if free returns the free capacity of its workers.
 func (c *Core) roomsWith(u *unit, free func(*worker) resource.Resources) []*rackRoom {
+	return c.roomsOf(u, func(*worker) bool { return true }, free)
+}
+
+// roomsOf is roomsWith for the workers that admits selects.
+func (c *Core) roomsOf(u *unit, admits func(*worker) bool, free func(*worker) resource.Resources) []*rackRoom {
 	byRack := map[string]*rackRoom{}
 	var racks []*rackRoom
 	for _, w := range c.sortedWorkers {
-		if !c.eligible(w, u.step) {
+		if !c.eligible(w, u.step) || !admits(w) {
 			continue
 		}
 		r := byRack[w.info.Rack]
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -71,7 +71,7 @@
 // startReady starts what fits of the ready steps, in their order, and makes or reserves room for the others.
 func (c *Core) startReady(ready []*step) {
 	for _, s := range ready {
-		if c.tryStart(s) {
+		if c.tryStart(s) || c.startsLimited {
 			continue
 		}
 		if c.mayReclaim(s) && c.reclaim(s) {
@@ -214,10 +214,15 @@
 
 func (c *Core) placeUnits(s *step) bool {
 	complete := true
+	c.startsLimited = false
 	for _, u := range s.units {
 		if !waiting(u) {
 			continue
 		}
+		if !c.mayPlace(u) {
+			c.startsLimited = true
+			return false
+		}
 		workers := c.findPlacement(u)
 		if workers == nil {
 			complete = false
--- a/dispatch/units.go
+++ b/dispatch/units.go
@@ -58,6 +58,7 @@
 	if p.unit == nil {
 		return
 	}
+	c.placed++
 	p.unit.placements = append(p.unit.placements, p)
 	p.unit.step.job.placements++
 	c.adjustAccountUse(p, 1)
@@ -68,9 +69,11 @@
 	if p.unit != nil && p.unit.step.job.policy.Priority == 0 {
 		p.worker.urgentEndedAt = c.now
 	}
+	p.setAwaiting(false)
 	delete(p.worker.runs, p.ref)
 	p.worker.used = p.worker.used.Sub(p.demand())
 	if p.unit != nil {
+		c.placed--
 		p.unit.placements = slices.DeleteFunc(p.unit.placements, func(o *placement) bool { return o == p })
 		p.unit.step.job.placements--
 		c.adjustAccountUse(p, -1)
@@ -105,19 +108,23 @@
 		c.attach(p)
 		w.recordStart(u, c.now)
 		c.countStart(w)
-		c.starts = append(c.starts, c.startCommand(p))
+		c.issueStart(p, false)
 	}
 	c.markChanged(j)
 }
 
-func (c *Core) startCommand(p *placement) Start {
-	return Start{
+// issueStart issues the start of a placement. repeated is true if an earlier holder may have sent it.
+func (c *Core) issueStart(p *placement, repeated bool) {
+	p.setAwaiting(true)
+	c.starts = append(c.starts, Start{
 		Ref:           p.ref,
 		Worker:        p.worker.id,
 		Incarnation:   p.incarnation,
 		Specification: p.unit.step.job.spec.Specification,
 		Checkpoint:    p.unit.state.Checkpoint,
-	}
+		Repeated:      repeated,
+		Urgent:        p.unit.step.job.policy.Priority == 0,
+	})
 }
 
 // stop issues a stop for a placement unless one was issued before. Its capacity stays in use until the worker lists the end.
@@ -157,6 +164,7 @@
 		return
 	}
 	p.confirmedAt = c.now
+	p.setAwaiting(false)
 }
 
 // StartRejected records that the worker did not and will not begin the run.
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -23,6 +23,8 @@
 	reachable, silent bool
 	unreachableAt     time.Duration
 	runs              map[workload.RunRef]*placement
+	// awaiting is the number of starts to which the worker has not responded.
+	awaiting int
 	// used is the capacity that the runs use.
 	used resource.Resources
 	// claimed is the capacity that is kept for waiting steps, reserved the part of it that is reserved for gangs.
@@ -365,9 +367,7 @@
 		return
 	}
 	p.incarnation = p.worker.incarnation
-	start := c.startCommand(p)
-	start.Repeated = true
-	c.starts = append(c.starts, start)
+	c.issueStart(p, true)
 }
 
 // HasWorker reports whether the worker is registered or has runs.
--- a/footprint/footprint.go
+++ b/footprint/footprint.go
@@ -20,6 +20,11 @@
 	MaxOverlap = heapBytes / 100 * overlapPercent / UnitBytes
 	// MaxWaitingOverlap bounds the waiting tasks of one job beyond which no further repetition of it begins.
 	MaxWaitingOverlap = 256
+	// PlacedBytes bounds what a task takes beyond a waiting one from the decision to start it until its end is known.
+	PlacedBytes = 500
+	// placedPercent is the part of the heap for tasks that are placed on workers, and MaxPlaced their number.
+	placedPercent = 15
+	MaxPlaced     = heapBytes / 100 * placedPercent / PlacedBytes
 	// StepUnits is the number of units of a step, beside its tasks.
 	StepUnits = 3
 )
--- a/leader/effects.go
+++ b/leader/effects.go
@@ -81,7 +81,7 @@
 		if s == nil || !l.core.WantsStart(start.Worker, start.Ref) {
 			continue
 		}
-		l.spawn(func() { s.start(ctx, start) })
+		s.queueStart(ctx, start)
 	}
 	l.inFlight = effects{}
 }
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -371,7 +371,7 @@
 	observe(timerPlan, boottime.Now()-l.lastPlan)
 	for _, stop := range plan.Stops {
 		if s := l.sessions[stop.Worker]; s != nil {
-			l.spawn(func() { s.stop(ctx, stop) })
+			s.queueStop(ctx, stop)
 		}
 	}
 	l.starts = append(l.starts, plan.Starts...)
--- a/leader/requests.go
+++ b/leader/requests.go
@@ -34,8 +34,13 @@
 // address of the worker changes, if its process is not the one for which the start was decided, or if its failure domain is evacuated.
 // Nothing is sent while the worker does not respond to watch requests: the lease in the start could not be extended.
 func (s *session) start(ctx context.Context, planned dispatch.Start) {
-	attempts := startAttempts{planned: planned, sent: planned.Repeated}
 	waited := s.acquireRequestSlot()
+	s.sendStart(ctx, planned, waited)
+}
+
+// sendStart is start with a request slot, which it releases. waited is true if the core may not want the start any more.
+func (s *session) sendStart(ctx context.Context, planned dispatch.Start, waited bool) {
+	attempts := startAttempts{planned: planned, sent: planned.Repeated}
 	defer func() { <-s.requestSlots }()
 	if waited && !s.wantsStart(ctx, planned) {
 		s.reportUnsent(&attempts)
@@ -229,6 +234,11 @@
 // have been replaced as holder of the schedule. It reports the stop as unconfirmed if the address of the worker changes.
 func (s *session) stop(ctx context.Context, planned dispatch.Stop) {
 	s.acquireRequestSlot()
+	s.sendStop(ctx, planned)
+}
+
+// sendStop is stop with a request slot, which it releases.
+func (s *session) sendStop(ctx context.Context, planned dispatch.Stop) {
 	defer func() { <-s.requestSlots }()
 	for attempt := 1; ctx.Err() == nil; attempt++ {
 		err := errHolderUnconfirmed
--- a/leader/session.go
+++ b/leader/session.go
@@ -43,6 +43,7 @@
 	cancel  context.CancelFunc
 	// requestSlots holds an element for each start or stop request in flight.
 	requestSlots chan struct{}
+	queue        requestQueue
 
 	mu    sync.Mutex
 	lease workerlease.Lease
--- a/leader/worker.go
+++ b/leader/worker.go
@@ -10,6 +10,7 @@
 //   - session.go: the lease and the listings of one worker
 //   - evacuation.go: the evacuations before each plan and each attempt of a start
 //   - requests.go: the start and stop requests to one worker
+//   - requestqueue.go: the requests that wait for a request slot of their worker
 //   - workers.go: the worker list
 //   - presence.go: whether a worker has removed its own entry
 //   - contact.go: whether a worker's process has ended
