Keep of an ended job only its owner and its largest demand, and count what is kept

A job of 1,000 steps took 174 KB on each VM (TestEndedJobsTakeLittleMemory, which fails before). A process that restarts loaded all of them whole again.

Fix: once the final state of a job is read, its entry shrinks to what a query, a repeat of the submission and a run that goes on need: 516 bytes (BenchmarkEndedJob), charged 3 units of 300 until it is deleted. A cancelled job is charged in full until its end is stored. A VM loads the states before the submissions, so that those of ended jobs never take more. The room of a run that goes on after its job has ended is the largest demand of the job's tasks, where it was that of its own step: never too little.

TestUnfinishedWorkIsCounted becomes TestChargeOfAllJobs: it asserted that cancelled and ended jobs count nothing, which was the fault.

--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -178,10 +178,10 @@
 	work   overload.Load
 }
 
-// endedJob is a job that has ended. endedAt is when the core learned of it.
+// endedJob is a job that has ended. maxDemand is the largest demand of any of its tasks, endedAt when the core learned of the end.
 type endedJob struct {
-	spec    *workload.Job
-	endedAt time.Duration
+	maxDemand resource.Resources
+	endedAt   time.Duration
 }
 
 type step struct {
@@ -329,7 +329,7 @@
 		return
 	}
 	if state != nil && state.Phase.Final() {
-		c.ended[spec.ID] = endedJob{spec: spec, endedAt: c.now}
+		c.ended[spec.ID] = endedJob{maxDemand: spec.MaxDemand(), endedAt: c.now}
 		return
 	}
 	j := &job{spec: spec, policy: c.policyOf(spec), chains: overload.NewChains(spec.Steps), work: workOf(spec, overload.MaxEstimate)}
@@ -359,7 +359,7 @@
 // finishJob sets a final phase and stops the job's remaining runs.
 func (c *Core) finishJob(j *job, phase workload.Phase) {
 	j.phase = phase
-	c.ended[j.spec.ID] = endedJob{spec: j.spec, endedAt: c.now}
+	c.ended[j.spec.ID] = endedJob{maxDemand: j.spec.MaxDemand(), endedAt: c.now}
 	c.markChanged(j)
 	for _, r := range j.repetitions.active {
 		for _, s := range r.steps {
--- a/dispatch/move.go
+++ b/dispatch/move.go
@@ -85,7 +85,7 @@
 		own[p.worker]++
 	}
 	room := c.largestRoom(u, func(w *worker) resource.Resources {
-		return c.freeFor(w, u.step).Add(effectiveDemand(u.step.spec).Times(own[w]))
+		return c.freeFor(w, u.step).Add(u.step.spec.EffectiveDemand().Times(own[w]))
 	})
 	if room == nil {
 		return 0
--- a/dispatch/overload.go
+++ b/dispatch/overload.go
@@ -95,7 +95,7 @@
 	if s.LongRunning {
 		return overload.Load{}
 	}
-	return loadOf(effectiveDemand(s)).Times(min(max(0, s.Estimate), limit).Seconds())
+	return loadOf(s.EffectiveDemand()).Times(min(max(0, s.Estimate), limit).Seconds())
 }
 
 func loadOf(r resource.Resources) overload.Load {
@@ -161,7 +161,7 @@
 	for _, s := range ready {
 		load := o.services[s.job.policy.Service]
 		if !load.lacksWorkersFor(s) {
-			load.waiting = load.waiting.Add(effectiveDemand(s.spec).Times(s.waitingTasks()))
+			load.waiting = load.waiting.Add(s.spec.EffectiveDemand().Times(s.waitingTasks()))
 		}
 	}
 	for _, service := range slices.Sorted(maps.Keys(o.services)) {
@@ -171,7 +171,7 @@
 
 // lacksWorkersFor reports whether the step is a gang that the workers cannot hold even if all of them are free.
 func (l *serviceLoad) lacksWorkersFor(s *step) bool {
-	return s.spec.Gang && !effectiveDemand(s.spec).Times(s.waitingTasks()).Fits(l.capacity)
+	return s.spec.Gang && !s.spec.EffectiveDemand().Times(s.waitingTasks()).Fits(l.capacity)
 }
 
 // updateService changes whether the service counts as overloaded, if its waiting work has not fitted, or has fitted again, for long enough.
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -105,7 +105,7 @@
 
 // roomFor returns how many more tasks of the step the worker can run in the given free resources.
 func (s *step) roomFor(w *worker, free resource.Resources) int {
-	return max(0, min(fitCount(free, effectiveDemand(s.spec)), s.limitOn(w)))
+	return max(0, min(fitCount(free, s.spec.EffectiveDemand()), s.limitOn(w)))
 }
 
 // fitCount returns how many times demand fits into free.
@@ -146,7 +146,7 @@
 	preferred := s.preferredRack()
 	for _, w := range c.sortedWorkers {
 		free := c.freeFor(w, s)
-		if !effectiveDemand(s.spec).Fits(free) || !c.eligible(w, s) || s.roomFor(w, free) == 0 {
+		if !s.spec.EffectiveDemand().Fits(free) || !c.eligible(w, s) || s.roomFor(w, free) == 0 {
 			continue
 		}
 		if !c.mayAwait(w, s) {
@@ -187,7 +187,7 @@
 // rackCanServe reports whether some worker of the rack could run tasks of the step once it has room.
 func (c *Core) rackCanServe(rack string, s *step) bool {
 	return slices.ContainsFunc(c.sortedWorkers, func(w *worker) bool {
-		return w.info.Rack == rack && effectiveDemand(s.spec).Fits(w.info.Capacity) && c.eligible(w, s)
+		return w.info.Rack == rack && s.spec.EffectiveDemand().Fits(w.info.Capacity) && c.eligible(w, s)
 	})
 }
 
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -247,7 +247,7 @@
 		return
 	}
 	for w, members := range cl.members {
-		demand := effectiveDemand(cl.step.spec).Times(sign * members)
+		demand := cl.step.spec.EffectiveDemand().Times(sign * members)
 		w.claimed = w.claimed.Add(demand)
 		if cl.reservation() {
 			w.reserved = w.reserved.Add(demand)
--- a/dispatch/reclaim.go
+++ b/dispatch/reclaim.go
@@ -164,7 +164,7 @@
 
 // placeInFree assigns tasks that have no place yet to free room.
 func (p *reclaimSearch) placeInFree() {
-	demand := effectiveDemand(p.step.spec)
+	demand := p.step.spec.EffectiveDemand()
 	for _, w := range p.area {
 		n := min(p.missing, p.step.roomFor(w, p.free[w])-p.assignedUnderLimit(w))
 		if n <= 0 {
@@ -246,7 +246,7 @@
 // victimsOn returns the units to stop on the worker to make room for one more task, and the cost of stopping them. The
 // units are nil if no stops make room.
 func (p *reclaimSearch) victimsOn(w *worker) ([]*unit, float64) {
-	demand := effectiveDemand(p.step.spec)
+	demand := p.step.spec.EffectiveDemand()
 	if !demand.Fits(w.info.Capacity) || p.result.members[w] >= p.step.limitOn(w) {
 		return nil, 0
 	}
--- a/dispatch/search.go
+++ b/dispatch/search.go
@@ -19,7 +19,7 @@
 
 func searchKeyOf(c *Core, s *step) searchKey {
 	key := searchKey{
-		service: s.job.policy.Service, demand: effectiveDemand(s.spec), gang: s.spec.Gang, sameRack: s.spec.SameRack,
+		service: s.job.policy.Service, demand: s.spec.EffectiveDemand(), gang: s.spec.Gang, sameRack: s.spec.SameRack,
 		dataRack: s.spec.DataRack, label: s.spec.RequiredLabel, maxPerWorker: s.spec.MaxPerWorker, localityWaitOver: c.localityWaitOver(s),
 	}
 	if s.spec.MaxPerWorker > 0 || s.spec.SameRack && !s.spec.Gang {
--- a/dispatch/units.go
+++ b/dispatch/units.go
@@ -12,22 +12,12 @@
 // stopRetryMargin is added to Options.StopTimeout before a stop is sent again.
 const stopRetryMargin = 500 * time.Millisecond
 
-// effectiveDemand returns the resources that a task of the step takes from a worker's capacity. Filler tasks use only
-// processors that other tasks leave idle, and so take none.
-func effectiveDemand(s *workload.Step) resource.Resources {
-	demand := s.Demand
-	if s.Filler {
-		demand.MilliCPU = 0
-	}
-	return demand
-}
-
 // demand returns the resources that the run uses on its worker.
 func (p *placement) demand() resource.Resources {
 	if p.unit == nil {
 		return p.orphanDemand
 	}
-	return effectiveDemand(p.unit.step.spec)
+	return p.unit.step.spec.EffectiveDemand()
 }
 
 // task returns the id of a member's task; member is 0 for a single task.
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -309,21 +309,19 @@
 // stopOrphan stops a listed run that has no placement: its job has ended, or the run was given up. The run's resources count
 // as used until its end is listed, unless nothing is known of its job.
 func (c *Core) stopOrphan(w *worker, ref workload.RunRef) {
-	p := &placement{ref: ref, worker: w, confirmedAt: c.now}
-	if spec := c.specOf(ref.Task.Job); spec != nil && ref.Task.Step < len(spec.Steps) {
-		p.orphanDemand = effectiveDemand(&spec.Steps[ref.Task.Step])
-	}
+	p := &placement{ref: ref, worker: w, confirmedAt: c.now, orphanDemand: c.orphanDemand(ref.Task)}
 	c.attach(p)
 	c.event(Event{Name: "unexpected run", Job: ref.Task.Job, Worker: w.id, Detail: ref.Task.String()})
 	c.stop(p, "unexpected run")
 }
 
-// specOf returns the submission of a job, be it unfinished or ended; nil if the core does not know the job.
-func (c *Core) specOf(id workload.JobID) *workload.Job {
-	if j := c.jobs[id]; j != nil {
-		return j.spec
+// orphanDemand returns the demand of a task that belongs to no unit: that of its step, or the largest one of its job if that has ended;
+// zero if the core does not know the job.
+func (c *Core) orphanDemand(task workload.TaskID) resource.Resources {
+	if j := c.jobs[task.Job]; j != nil && task.Step < len(j.spec.Steps) {
+		return j.spec.Steps[task.Step].EffectiveDemand()
 	}
-	return c.ended[id].spec
+	return c.ended[task.Job].maxDemand
 }
 
 // handleRestart handles a known run that is missing from the first listing of its worker's new process and whose start or stop
--- a/footprint/footprint.go
+++ b/footprint/footprint.go
@@ -1,7 +1,7 @@
 // Package footprint bounds the memory that accepted work takes on the holder of the schedule. Any VM may become the holder, so the limits
 // follow from the memory of the smallest VM. They are in units: the memory of one waiting task.
 //
-// What a job takes while it waits is charged when it is accepted (overload.Charge, overload.MaxUnfinished). What it takes beyond that
+// What a job takes while it waits is charged when it is accepted (overload.Charge, overload.MaxCharge). What it takes beyond that
 // once it is under way is bounded here when it is spent: work that does not fit waits, and is never refused or dropped for it.
 package footprint
 
--- a/joblog/follower.go
+++ b/joblog/follower.go
@@ -14,6 +14,7 @@
 
 // Follower keeps a View up to date with one reader for each stream.
 type Follower struct {
+	// readers holds the reader of the states first.
 	readers []*reader
 }
 
@@ -39,11 +40,16 @@
 	return streams
 }
 
-// Run reads the streams until ctx ends.
+// Run reads the streams until ctx ends. It loads the states first: a submission whose job has ended takes little memory then.
 func (f *Follower) Run(ctx context.Context) {
 	var readers sync.WaitGroup
-	for _, r := range f.readers {
-		readers.Go(func() { r.run(ctx) })
+	states := f.readers[0]
+	readers.Go(func() { states.run(ctx) })
+	for _, r := range f.readers[1:] {
+		readers.Go(func() {
+			states.awaitComplete(ctx)
+			r.run(ctx)
+		})
 	}
 	readers.Wait()
 }
--- a/joblog/reader.go
+++ b/joblog/reader.go
@@ -33,8 +33,8 @@
 	// cursor and loadedRecords, the number of records of the present load, are used only by the goroutine of run.
 	cursor        store.Cursor
 	loadedRecords int
-	view   *View
-	logger zerolog.Logger
+	view          *View
+	logger        zerolog.Logger
 	// wake ends the pause before the next read.
 	wake chan struct{}
 	// subscriber is called with the ids of the jobs whose records were read; nil for none.
@@ -59,6 +59,22 @@
 	}
 }
 
+// awaitComplete returns once a read has reached the end of the stream, or when ctx ends.
+func (r *reader) awaitComplete(ctx context.Context) {
+	for ctx.Err() == nil {
+		r.mu.Lock()
+		complete, updated := r.complete, r.updated
+		r.mu.Unlock()
+		if complete {
+			return
+		}
+		select {
+		case <-ctx.Done():
+		case <-updated:
+		}
+	}
+}
+
 // run reads the stream until ctx ends.
 func (r *reader) run(ctx context.Context) {
 	for ctx.Err() == nil {
--- a/joblog/view.go
+++ b/joblog/view.go
@@ -130,7 +130,7 @@
 
 // Entry is the view of one job.
 type Entry struct {
-	// Job is nil until the job's submission is read.
+	// Job is nil until the job's submission is read. Of a job that has ended it holds only what workload.Job.Ended returns.
 	Job *workload.Job
 	// Phase includes the effect of a cancellation that the holder of the schedule has not processed yet.
 	Phase workload.Phase
@@ -170,8 +170,8 @@
 	// waiting maps the name of each queue to its number of accepted jobs that have not started and are not cancelled.
 	waiting      map[string]int
 	earlyCancels earlyCancels
-	// unfinished is the charge of all accepted jobs that have not ended and are not cancelled.
-	unfinished int
+	// charge is that of all jobs; see Charge.
+	charge int
 	// policies maps the names of queues to their stored policies.
 	policies map[string]workload.QueuePolicy
 	// forecast is the newest forecast, nil if none was read, and forecastReadAt when it was read, on the boot clock.
@@ -314,9 +314,17 @@
 		return unreadable(err.Error())
 	}
 	e.job = job
+	e.shrinkEnded()
 	return nil
 }
 
+// shrinkEnded drops what nobody needs of a job that has ended: its records are kept for minutes after that.
+func (e *entry) shrinkEnded() {
+	if e.job != nil && e.phase.Final() {
+		e.job = e.job.Ended()
+	}
+}
+
 // foldState applies a state unless the job has ended, or returns an error if it cannot be decoded.
 func (e *entry) foldState(r store.Record) error {
 	phase, err := workload.DecodePhase(r.Value)
@@ -329,25 +337,31 @@
 	e.phase = phase
 	// The value is part of the response that it was read with, of which nothing else may be kept.
 	e.state = bytes.Clone(r.Value)
+	e.shrinkEnded()
 	return nil
 }
 
-// adjustCounts adds sign times the job to the counts of waiting jobs and unfinished work. mu must be held.
+// adjustCounts adds sign times the job to the counts of waiting jobs and of what the jobs take. mu must be held.
 func (v *View) adjustCounts(e *entry, sign int) {
-	if e.job == nil || e.phase.Final() || e.cancelled() {
+	switch {
+	case e.job == nil:
+		return
+	case e.phase.Final():
+		v.charge += sign * overload.EndedCharge
 		return
 	}
-	v.unfinished += sign * overload.Charge(e.job)
-	if e.phase == workload.PhaseQueued {
+	v.charge += sign * overload.Charge(e.job)
+	if e.phase == workload.PhaseQueued && !e.cancelled() {
 		v.waiting[e.job.Queue] += sign
 	}
 }
 
-// Unfinished returns the charge of all accepted jobs that have not ended and are not cancelled; see overload.MaxUnfinished.
-func (v *View) Unfinished() int {
+// Charge returns the charge of all jobs that are kept; see overload.MaxCharge. A job that is cancelled counts in full until the holder of
+// the schedule has stored its end.
+func (v *View) Charge() int {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.unfinished
+	return v.charge
 }
 
 // Get returns the view of a job; false if its submission was not read.
--- a/overload/admission.go
+++ b/overload/admission.go
@@ -13,11 +13,13 @@
 const (
 	// safetyFactor is the factor by which a forecast may be too long. Demand varies by half within 13 s, and estimates are wrong by half.
 	safetyFactor = 2
-	// MaxUnfinished limits the accepted unfinished work of all queues, in units of the memory of one waiting task: jobs count as
-	// Charge says. The smallest VM has 144 MB, of which the Go runtime may use 70 percent (101 MB). On the holder, a unit takes up to
+	// MaxCharge limits what all jobs take that are kept, in units of the memory of one waiting task: jobs count as Charge and EndedCharge
+	// say. The smallest VM has 144 MB, of which the Go runtime may use 70 percent (101 MB). On the holder, a unit takes up to
 	// 300 bytes (219 measured in TestMemoryOfWaitingTasks), so 100,000 take 30 MB, or 60 MB before the garbage collector runs. The
 	// largest expected load of a minute, 660 jobs of 78 tasks in up to 5 steps, counts 74,580.
-	MaxUnfinished = 100_000
+	MaxCharge = 100_000
+	// EndedCharge is the charge of a job that has ended and is kept until its state need not be readable any more.
+	EndedCharge = 3
 	// jobCharge is the number of waiting tasks that take as much memory as the specification and the other data of a job.
 	jobCharge = 20
 	// shortestRetry and longestRetry bound the time from which the time of a retry is derived.
@@ -25,7 +27,7 @@
 	longestRetry  = 20 * time.Second
 )
 
-// Charge returns how much a job counts against MaxUnfinished.
+// Charge returns how much a job that has not ended counts against MaxCharge.
 func Charge(job *workload.Job) int {
 	return job.Tasks() + jobCharge + footprint.StepUnits*len(job.Steps) + (textBytes(job)+stateCopies*repetitionBytes(job))/footprint.UnitBytes
 }
@@ -69,7 +71,7 @@
 const (
 	// ReasonDelay means that the job would be done later than LateFactor times its objective.
 	ReasonDelay Reason = "delay"
-	// ReasonLimit means that too many accepted tasks are unfinished.
+	// ReasonLimit means that the accepted jobs leave no room for another one.
 	ReasonLimit Reason = "limit"
 )
 
@@ -82,17 +84,16 @@
 	Delay time.Duration
 }
 
-// Decide decides whether a job is accepted. forecast is nil if there is no recent one. unfinished is the charge of all accepted
-// unfinished jobs.
-func Decide(forecast *Forecast, unfinished int, j Job) Decision {
+// Decide decides whether a job is accepted. forecast is nil if there is no recent one. charge is that of all jobs that are kept.
+func Decide(forecast *Forecast, charge int, j Job) Decision {
 	var d Decision
 	if forecast != nil {
 		d.Delay = forecast.Delay(j.Service, j.Priority, j.Objective, j.Accelerators)
 	}
-	limit := footprint.Limit(MaxUnfinished, j.Priority)
+	limit := footprint.Limit(MaxCharge, j.Priority)
 	useful := safetyFactor*LateFactor*j.Objective + min(max(0, j.DueIn), maxObjective)
 	switch {
-	case unfinished+j.Charge > limit:
+	case charge+j.Charge > limit:
 		d.Reason = ReasonLimit
 		d.RetryAfter = retryAfter(j.ID, d.Delay)
 	case j.Priority > 0 && j.Objective > 0 && d.Delay > useful:
--- a/workload/job.go
+++ b/workload/job.go
@@ -163,6 +163,37 @@
 	return nil
 }
 
+// EffectiveDemand returns the resources that a task of the step takes from a worker's capacity. Filler tasks use only processors that other
+// tasks leave idle, and so take none.
+func (s *Step) EffectiveDemand() resource.Resources {
+	demand := s.Demand
+	if s.Filler {
+		demand.MilliCPU = 0
+	}
+	return demand
+}
+
+// MaxDemand returns the largest effective demand of any task of the job, of each resource by itself.
+func (j *Job) MaxDemand() resource.Resources {
+	var most resource.Resources
+	for i := range j.Steps {
+		demand := j.Steps[i].EffectiveDemand()
+		most.Accelerators = max(most.Accelerators, demand.Accelerators)
+		most.MilliCPU = max(most.MilliCPU, demand.MilliCPU)
+		most.MemoryMB = max(most.MemoryMB, demand.MemoryMB)
+	}
+	return most
+}
+
+// Ended returns what has to be known of the job once it has ended: whose it is, and what a run of it that goes on may take from its worker.
+// It shares no memory with the job but its names.
+func (j *Job) Ended() *Job {
+	return &Job{
+		ID: j.ID, Queue: j.Queue, Service: j.Service, Account: j.Account, AcceptedAt: j.AcceptedAt,
+		Steps: []Step{{Tasks: 1, Demand: j.MaxDemand()}},
+	}
+}
+
 func (s *Step) validate(index int) error {
 	if s.Tasks < 1 || s.Tasks > maxTasksPerStep {
 		return invalid("step %d has %d tasks, 1 to %d are allowed", index, s.Tasks, maxTasksPerStep)
