dispatch: urgent work and first units have their part of the tasks under way for certain

Urgent work may now always have a tenth of the bound under way, and the last twentieth is for first units.

TestUrgentWorkStartsBesideRestoredTasks (40,000 restored tasks) fails without the change: the urgent task does not start.

--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -107,8 +107,8 @@
 	ended map[workload.JobID]endedJob
 	// overlap is what all active repetitions beyond the first one of each job take, in units of package footprint.
 	overlap int
-	// placed is the number of placements that belong to units.
-	placed int
+	// placed is the number of placements that belong to units, placedUrgent that of priority 0.
+	placed, placedUrgent int
 	// startsLimited is set if the step that is being tried would have started more but for a limit on starts.
 	startsLimited bool
 	// sortedJobs holds the same jobs as jobs in order of acceptance.
--- a/dispatch/plan.go
+++ b/dispatch/plan.go
@@ -68,7 +68,8 @@
 	c.moveLeaving()
 }
 
-// startReady starts what fits of the ready steps, in their order, and makes or reserves room for the others.
+// startReady starts what fits of the ready steps, in their order, and makes or reserves room for the others. A step that only a limit on
+// starts keeps waiting needs no room.
 func (c *Core) startReady(ready []*step) {
 	for _, s := range ready {
 		if c.tryStart(s) || c.startsLimited {
--- a/dispatch/startlimit.go
+++ b/dispatch/startlimit.go
@@ -6,6 +6,13 @@
 // it is; workers with fewer get it first.
 const maxAwaiting = 128
 
+const (
+	// urgentPart and firstUnitsPart are the parts of the tasks under way that only urgent work, and only the first units of jobs, may use,
+	// as divisors.
+	urgentPart     = 10
+	firstUnitsPart = 20
+)
+
 // setAwaiting sets whether the placement has a start to which its worker has not responded.
 func (p *placement) setAwaiting(awaiting bool) {
 	if p.awaiting == awaiting {
@@ -19,15 +26,22 @@
 	}
 }
 
-// mayPlace reports whether the holder has memory for the placements of the unit. Urgent work has a part of it to itself, and so has the
-// first unit of a job: no job waits for the end of another one's tasks only because they are many.
+// mayPlace reports whether the holder has memory for the placements of the unit. Urgent work has a part of it to itself, and so have the
+// first units of jobs: no job waits for the end of another one's tasks only because they are many. The work that an earlier holder has
+// started may exceed all of it; urgent work still has its part then.
 func (c *Core) mayPlace(u *unit) bool {
 	j := u.step.job
-	priority := j.policy.Priority
-	if j.placements == 0 {
-		priority = 0
+	limit := footprint.Limit(footprint.MaxPlaced, j.policy.Priority)
+	switch {
+	case j.placements == 0:
+		limit = footprint.MaxPlaced
+	case j.policy.Priority == 0:
+		limit -= footprint.MaxPlaced / firstUnitsPart
+	}
+	if c.placed == 0 || c.placed+u.size <= limit {
+		return true
 	}
-	return c.placed == 0 || c.placed+u.size <= footprint.Limit(footprint.MaxPlaced, priority)
+	return j.policy.Priority == 0 && c.placedUrgent+u.size <= footprint.MaxPlaced/urgentPart
 }
 
 // mayAwait reports whether another start of the step may be issued to the worker, and notes if it may not. Urgent steps may exceed the limit
--- a/dispatch/startlimit_test.go
+++ b/dispatch/startlimit_test.go
@@ -66,6 +66,39 @@
 	}
 }
 
+// TestUrgentWorkStartsBesideRestoredTasks guards against urgent work that waits for the many tasks that a holder of an earlier version has
+// started, and against others that start beside more tasks than the holder has memory for.
+func TestUrgentWorkStartsBesideRestoredTasks(t *testing.T) {
+	c := newCluster(t, 6)
+	const jobs, tasksOfAJob = 10, 4000
+	for i := range jobs {
+		id := fmt.Sprintf("%016x", i)
+		state := &workload.JobState{Phase: workload.PhaseRunning, Repetitions: [][]workload.StepState{{{Units: make([]workload.UnitState, tasksOfAJob)}}}}
+		for k := range tasksOfAJob {
+			state.Repetitions[0][0].Units[k] = workload.UnitState{Status: workload.UnitActive, Run: 1, Workers: []string{fmt.Sprintf("w%02d", k%6)}}
+		}
+		c.submit(id, "normal", "large", smallTasks(tasksOfAJob))
+		c.stored[workload.JobID(id)] = state.Encode()
+	}
+	c.takeOver()
+	c.listAll()
+	repeated := len(c.decide().Starts)
+	if c.core.placed != jobs*tasksOfAJob || repeated != jobs*tasksOfAJob {
+		t.Fatalf("%d tasks are restored and %d starts repeated, want %d", c.core.placed, repeated, jobs*tasksOfAJob)
+	}
+	for _, w := range c.core.sortedWorkers {
+		for ref := range w.runs {
+			c.core.StartAccepted(w.id, ref)
+		}
+	}
+	c.submit("urgent", "urgent", "large", tasks(1, 1))
+	c.submit("other", "normal", "large", tasks(1, 1))
+	starts := c.decide().Starts
+	if len(starts) != 1 || starts[0].Ref.Task.Job != "urgent" {
+		t.Errorf("%d tasks start beside the restored ones, want the urgent one", len(starts))
+	}
+}
+
 // TestStartsAwaitedAreBounded guards against a worker at which so many starts wait that later, more urgent work waits behind them, and
 // against work that is stopped to make room while there is room: only the limit on starts keeps the step waiting.
 func TestStartsAwaitedAreBounded(t *testing.T) {
--- a/dispatch/units.go
+++ b/dispatch/units.go
@@ -77,6 +77,7 @@
 	j := p.unit.step.job
 	if j.policy.Priority == 0 {
 		c.accountUse[j.spec.Account] += sign * p.unit.step.spec.Demand.Accelerators
+		c.placedUrgent += sign
 	}
 }
 
