joblog: a holder's view becomes fresh beside a read that waits for new records

Cause: the holder reads the intake with reads that wait up to 1 s for a new record. Whoever needed a fresh view waited for such a read, 0.4 s at most, and gave up; and a job that would be refused was accepted when the VM could not tell whether another one had accepted it.

Fix: a read that does not wait looks beside it whether there is a new record; if not, the view is as fresh as that read. A job for which there is no room gets 504 if the VM cannot tell, never 200. Jobs that take more than a two hundredth of the limit are decided on with the present count, so that a few of them at several VMs do not use up what is left to urgent work.

Tests, all of which fail before: TestHolderRefusesBeyondTheLimit ("batch jobs of 197127 units were accepted, want at most 80000"), TestHolderAnswersTheCancelOfAnUnknownJob, TestRefreshDoesNotWaitForNewRecords.

--- a/joblog/joblog_test.go
+++ b/joblog/joblog_test.go
@@ -407,3 +407,38 @@
 	}
 	expect("deleted", 0, 0)
 }
+
+// TestRefreshDoesNotWaitForNewRecords guards against a holder of the schedule that cannot tell for up to a second whether a job exists, because
+// its reads of the intake wait for new records: it accepted jobs beyond every limit, and could not answer about unknown ones.
+func TestRefreshDoesNotWaitForNewRecords(t *testing.T) {
+	log := storetest.New()
+	f := NewFollower(log, NewView(), zerolog.Nop())
+	go f.Run(t.Context())
+	refresh(t, f)
+	f.Subscribe(func([]workload.JobID) {})
+	time.Sleep(50 * time.Millisecond)
+	stream := IntakeStream("a")
+	for i := range 20 {
+		startedAt := time.Now()
+		if i == 10 {
+			if err := log.Append(t.Context(), stream, []store.Record{submission(t, "a")}, nil, time.Second); err != nil {
+				t.Fatal(err)
+			}
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), longPollWait/4)
+		err := f.Refresh(ctx, 0, stream)
+		cancel()
+		if err != nil {
+			t.Fatalf("refresh %d returned %v after %v", i, err, time.Since(startedAt))
+		}
+		if _, known := f.readers[0].view.Get("a"); known != (i >= 10) {
+			t.Fatalf("after refresh %d the job is known: %v", i, known)
+		}
+	}
+	log.SetFault(func(string) (error, bool) { return store.ErrUnknown, false })
+	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	if f.Refresh(ctx, 0, stream) == nil {
+		t.Error("without the store the view counts as fresh")
+	}
+}
--- a/joblog/reader.go
+++ b/joblog/reader.go
@@ -9,6 +9,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 
+	"github.com/redwingthread/redwingthread/boottime"
 	"github.com/redwingthread/redwingthread/store"
 	"github.com/redwingthread/redwingthread/telemetry"
 	"github.com/redwingthread/redwingthread/workload"
@@ -21,6 +22,8 @@
 	followInterval = 1500 * time.Millisecond
 	// retryInterval is the pause after a failed read.
 	retryInterval = 100 * time.Millisecond
+	// peekTimeout bounds a read that looks for new records beside one that waits for them.
+	peekTimeout = time.Second
 )
 
 // counterUnreadable counts the records of jobs that could not be decoded.
@@ -48,6 +51,10 @@
 	freshAt  time.Duration
 	// updated is closed and replaced after each read.
 	updated chan struct{}
+	// polling is true while a read waits for the record at offset polledFrom; all earlier ones are in the view. peeking is true while
+	// another read looks whether that record exists.
+	polling, peeking bool
+	polledFrom       int64
 }
 
 func newReader(log store.Log, stream store.Stream, view *View, logger zerolog.Logger) *reader {
@@ -118,7 +125,9 @@
 	if r.subscriber.Load() != nil {
 		wait = longPollWait
 	}
+	r.setPolling(wait > 0)
 	update, err := r.cursor.Read(ctx, r.log, wait)
+	r.setPolling(false)
 	if err != nil {
 		return err
 	}
@@ -137,6 +146,45 @@
 	return nil
 }
 
+// setPolling notes whether a read waits for new records.
+func (r *reader) setPolling(waits bool) {
+	next, loaded := r.cursor.Position()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.polling, r.polledFrom = waits && loaded, next
+}
+
+// peek makes sure that the view becomes fresh while a read waits for new records, which may take longer than a caller waits: it asks for
+// the end of the stream beside that read, in the background. If there is a new record, the waiting read returns it.
+func (r *reader) peek() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.polling || r.peeking {
+		return
+	}
+	r.peeking = true
+	go r.peekFrom(r.polledFrom)
+}
+
+// peekFrom is the read of peek. All records before offset from are in the view.
+func (r *reader) peekFrom(from int64) {
+	startedAt := boottime.Now()
+	ctx, cancel := context.WithTimeout(context.Background(), peekTimeout)
+	defer cancel()
+	batch, err := r.log.Read(ctx, r.stream, from, 0)
+	if err != nil {
+		time.Sleep(retryInterval)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.peeking = false
+	if err == nil && len(batch.Records) == 0 && batch.End <= from {
+		r.freshAt = max(r.freshAt, startedAt)
+	}
+	close(r.updated)
+	r.updated = make(chan struct{})
+}
+
 // apply applies the records to the view and returns the ids of their jobs. A record that cannot be decoded is logged and
 // has no effect.
 func (r *reader) apply(records []store.Record) []workload.JobID {
@@ -169,7 +217,7 @@
 	r.mu.Lock()
 	if complete {
 		r.complete = true
-		r.freshAt = startedAt
+		r.freshAt = max(r.freshAt, startedAt)
 	}
 	close(r.updated)
 	r.updated = make(chan struct{})
@@ -203,6 +251,7 @@
 			return nil
 		}
 		r.triggerRead()
+		r.peek()
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
--- a/node/admission.go
+++ b/node/admission.go
@@ -17,17 +17,25 @@
 // the meantime.
 const chargeMaxAge = 300 * time.Millisecond
 
+// largeCharge is the charge of a job from which on the count is read anew: a few such jobs take as much as lower priorities leave to urgent
+// work.
+const largeCharge = overload.MaxCharge / 200
+
 // admit returns an Overloaded error if the job is refused; nothing of it is stored then. A job that another VM has accepted is never
-// refused: the view is refreshed before a refusal, and without the store, nothing is refused.
+// refused: the view is refreshed before a refusal. Without the store nothing is refused, and a job for which there is no room gets a
+// DeadlineExceeded error.
 func (n *Node) admit(ctx context.Context, job *workload.Job) error {
 	if n.view.Charge() > overload.MaxCharge/2 {
 		// Without the store, the append that follows fails.
-		_ = n.refresh(ctx, chargeMaxAge, n.follower.Streams()...)
+		_ = n.refresh(ctx, maxChargeAge(job), n.follower.Streams()...)
 	}
 	decision := n.decide(job)
-	if decision.Reason == "" || n.refresh(ctx, 0, joblog.IntakeStream(job.ID)) != nil {
+	if decision.Reason == "" {
 		return nil
 	}
+	if err := n.refresh(ctx, 0, joblog.IntakeStream(job.ID)); err != nil {
+		return errUnsureAdmission(decision.Reason, err)
+	}
 	if _, known := n.view.Get(job.ID); known {
 		return nil
 	}
@@ -42,6 +50,24 @@
 		int(decision.Delay.Seconds()), seconds)
 }
 
+// maxChargeAge returns the maximum age of the charge of all jobs for the decision about a job.
+func maxChargeAge(job *workload.Job) time.Duration {
+	if overload.Charge(job) > largeCharge {
+		return 0
+	}
+	return chargeMaxAge
+}
+
+// errUnsureAdmission returns the error for a job that would be refused, but that another VM may have accepted: err is why this VM cannot
+// tell. A job is accepted rather than refused for its delay; one for which there is no room is neither.
+func errUnsureAdmission(reason overload.Reason, err error) error {
+	if reason != overload.ReasonLimit {
+		return nil
+	}
+	return errkind.Wrap(err, errkind.DeadlineExceeded, "send the same request again",
+		"there is no room for another job, and this VM cannot tell whether this one was accepted before")
+}
+
 // decide applies the present forecast and limit to the job.
 func (n *Node) decide(job *workload.Job) overload.Decision {
 	chains := overload.NewChains(job.Steps)
--- a/node/admission_test.go
+++ b/node/admission_test.go
@@ -153,3 +153,33 @@
 		t.Errorf("a repeat of the accepted job returned %v, want no error", err)
 	}
 }
+
+// TestHolderRefusesBeyondTheLimit guards against the one VM that accepts jobs beyond the limit: the holder of the schedule, whose reads of the
+// intake wait for new records, could not tell in time whether a job was accepted before. A refusal comes at once.
+func TestHolderRefusesBeyondTheLimit(t *testing.T) {
+	log, v, access := newLoadedVM(t, time.Time{}, 0)
+	v.follower.Subscribe(func([]workload.JobID) {})
+	flood := testJob()
+	flood.Steps[0].Tasks = 4000
+	accepted := 0
+	for i := 0; i < 2*overload.MaxCharge/overload.Charge(flood); i++ {
+		job := *flood
+		job.ID = workload.JobID(fmt.Sprintf("%016x", i))
+		startedAt := time.Now()
+		err := v.Submit(t.Context(), access, &job)
+		if err == nil {
+			accepted += overload.Charge(flood)
+			continue
+		}
+		if took := time.Since(startedAt); !errkind.Is(err, errkind.Overloaded) || took > refreshTimeout/2 {
+			t.Fatalf("a job beyond the limit returned %v after %v, want overloaded at once", err, took)
+		}
+	}
+	if accepted > overload.MaxCharge*8/10 {
+		t.Errorf("batch jobs of %d units were accepted, want at most %d", accepted, overload.MaxCharge*8/10)
+	}
+	log.SetFault(func(string) (error, bool) { return store.ErrUnknown, false })
+	if err := v.Submit(t.Context(), access, flood); !errkind.Is(err, errkind.DeadlineExceeded) {
+		t.Errorf("without the store a job beyond the limit returned %v, want that its outcome is not known", err)
+	}
+}
--- a/node/cancel_test.go
+++ b/node/cancel_test.go
@@ -220,3 +220,21 @@
 		t.Errorf("5 cancellations of one job stored %d records, want 1", early)
 	}
 }
+
+// TestHolderAnswersTheCancelOfAnUnknownJob guards against the holder of the schedule that answers such cancellations, and queries, only with
+// "try again", because its reads of the intake wait for new records.
+func TestHolderAnswersTheCancelOfAnUnknownJob(t *testing.T) {
+	_, v := newConfiguredVM(t)
+	access := v.access()
+	v.follower.Subscribe(func([]workload.JobID) {})
+	time.Sleep(50 * time.Millisecond)
+	for i := range 5 {
+		id := workload.JobID(fmt.Sprintf("%016x", i))
+		if _, err := v.Phase(t.Context(), access, id); !errkind.Is(err, errkind.NotFound) {
+			t.Errorf("the query of an unknown job returned %v", err)
+		}
+		if err := v.Cancel(t.Context(), access, id); !errkind.Is(err, errkind.NotFound) {
+			t.Errorf("the cancellation of an unknown job returned %v", err)
+		}
+	}
+}
--- a/store/cursor.go
+++ b/store/cursor.go
@@ -74,6 +74,9 @@
 	return &Update{Records: batch.Records, StartedAt: startedAt, Complete: complete, Next: c.next, End: batch.End}, nil
 }
 
+// Position returns the offset of the next read; false before the newest records were read.
+func (c *Cursor) Position() (next int64, loaded bool) { return c.next, c.loaded && c.loading == nil }
+
 // Loading reports whether further pages of a load follow.
 func (c *Cursor) Loading() bool { return c.loading != nil }
 
