leader: hand out a request at once that is queued while the queue seems empty

The goroutine that hands out the requests to a worker slept 50 ms if a request arrived between its look into the queue and its end. It now sleeps only while starts wait for the evacuations to be known. Found by reading the change that introduced the queue; no run showed it.

--- a/leader/requestqueue.go
+++ b/leader/requestqueue.go
@@ -63,7 +63,8 @@
 		if !ok {
 			return
 		}
-		stop, start := s.queue.next(waited, s.startPermission(boottime.Now()) != startUnconfirmed)
+		startsPermitted := s.startPermission(boottime.Now()) != startUnconfirmed
+		stop, start := s.queue.next(waited, startsPermitted)
 		switch {
 		case stop != nil:
 			s.leader.spawn(func() { s.sendStop(ctx, *stop) })
@@ -74,7 +75,9 @@
 			if s.queue.finish() {
 				return
 			}
-			boottime.Sleep(ctx, requestRetryInterval)
+			if !startsPermitted {
+				boottime.Sleep(ctx, requestRetryInterval)
+			}
 		}
 	}
 }
