--- a/dispatch/repetitions_test.go
+++ b/dispatch/repetitions_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/redwingthread/redwingthread/footprint"
+	"github.com/redwingthread/redwingthread/footprint/footprinttest"
 	"github.com/redwingthread/redwingthread/overload"
 	"github.com/redwingthread/redwingthread/workload"
 )
@@ -21,20 +22,11 @@
 	}
 }
 
-// liveHeap returns the size of the live objects on the heap.
-func liveHeap() float64 {
-	runtime.GC()
-	runtime.GC()
-	var stats runtime.MemStats
-	runtime.ReadMemStats(&stats)
-	return float64(stats.HeapAlloc)
-}
-
 // TestOverdueRepetitionsOfManyJobsAreBounded guards against jobs whose repetitions are due at once and that together exhaust the memory of
 // every holder of the schedule, one after the other. Urgent work is started beside them.
 func TestOverdueRepetitionsOfManyJobsAreBounded(t *testing.T) {
 	for _, jobs := range []int{120, 240, 480} {
-		before := liveHeap()
+		before := footprinttest.LiveHeap()
 		c := newCluster(t, 6)
 		charged := 0
 		for i := range jobs {
@@ -46,7 +38,7 @@
 			c.plan()
 			c.advance(50 * time.Millisecond)
 		}
-		used, limit := liveHeap()-before, float64(footprint.UnitBytes*(charged+footprint.MaxOverlap))
+		used, limit := footprinttest.LiveHeap()-before, float64(footprint.UnitBytes*(charged+footprint.MaxOverlap))
 		t.Logf("%d jobs take %.1f MB, at most %.1f MB are charged and kept for overlaps", jobs, used/(1<<20), limit/(1<<20))
 		if used > limit {
 			t.Errorf("%d jobs with overdue repetitions take %.1f MB, want at most %.1f MB", jobs, used/(1<<20), limit/(1<<20))
@@ -140,7 +132,7 @@
 	}
 	text := stored.Encode()
 	c := newCluster(t, 1)
-	before := liveHeap()
+	before := footprinttest.LiveHeap()
 	const jobs = 100
 	for i := range jobs {
 		state, err := workload.DecodeState(text)
@@ -150,7 +142,7 @@
 		c.core.AddJob(overdueJob(c, fmt.Sprintf("%016x", i), "batch"), state)
 	}
 	charge := overload.Charge(overdueJob(c, "", "batch"))
-	if used := liveHeap() - before; used > float64(footprint.UnitBytes*(jobs*charge+footprint.MaxOverlap)) {
+	if used := footprinttest.LiveHeap() - before; used > float64(footprint.UnitBytes*(jobs*charge+footprint.MaxOverlap)) {
 		t.Errorf("%d restored jobs take %.1f MB", jobs, used/(1<<20))
 	}
 	j := c.core.jobs["0000000000000000"]
--- a/dispatch/startlimit_test.go
+++ b/dispatch/startlimit_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/redwingthread/redwingthread/footprint"
+	"github.com/redwingthread/redwingthread/footprint/footprinttest"
 	"github.com/redwingthread/redwingthread/overload"
 	"github.com/redwingthread/redwingthread/resource"
 	"github.com/redwingthread/redwingthread/workload"
@@ -22,7 +23,7 @@
 func TestTasksUnderWayAreBounded(t *testing.T) {
 	const tasksOfAJob = 4000
 	for _, jobs := range []int{6, 12, 22} {
-		before := liveHeap()
+		before := footprinttest.LiveHeap()
 		c := newCluster(t, 6)
 		units := 0
 		for i := range jobs {
@@ -42,7 +43,7 @@
 		}
 		c.starts = nil
 		placed := c.core.placed
-		used, limit := liveHeap()-before, float64(footprint.UnitBytes*units+footprint.PlacedBytes*min(placed, footprint.MaxPlaced))
+		used, limit := footprinttest.LiveHeap()-before, float64(footprint.UnitBytes*units+footprint.PlacedBytes*min(placed, footprint.MaxPlaced))
 		t.Logf("%d jobs: %d of %d tasks are under way, %.1f MB, limit %.1f MB", jobs, placed, jobs*tasksOfAJob, used/(1<<20), limit/(1<<20))
 		if placed > footprint.MaxPlaced || placed < min(jobs*tasksOfAJob, footprint.Limit(footprint.MaxPlaced, 2)) {
 			t.Errorf("%d of %d tasks are under way, want at most %d and no fewer for another reason", placed, jobs*tasksOfAJob, footprint.MaxPlaced)
@@ -148,12 +149,12 @@
 	const count = 20_000
 	for range b.N {
 		c := newCluster(b, 6)
-		before := liveHeap()
+		before := footprinttest.LiveHeap()
 		for i := range count / 1000 {
 			c.submit(fmt.Sprintf("%016x", i), "normal", "large", smallTasks(1000))
 		}
 		c.core.readySteps()
-		waiting := liveHeap()
+		waiting := footprinttest.LiveHeap()
 		for c.core.placed < count {
 			for _, start := range c.decide().Starts {
 				c.core.StartAccepted(start.Worker, start.Ref)
@@ -162,7 +163,7 @@
 		}
 		c.starts = nil
 		b.ReportMetric((waiting-before)/count, "B/waiting")
-		b.ReportMetric((liveHeap()-waiting)/count, "B/placed")
+		b.ReportMetric((footprinttest.LiveHeap()-waiting)/count, "B/placed")
 		runtime.KeepAlive(c)
 	}
 }
--- a/joblog/earlycancel_test.go
+++ b/joblog/earlycancel_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/redwingthread/redwingthread/boottime"
+	"github.com/redwingthread/redwingthread/footprint/footprinttest"
 	"github.com/redwingthread/redwingthread/overload"
 	"github.com/redwingthread/redwingthread/store"
 	"github.com/redwingthread/redwingthread/store/storetest"
@@ -159,7 +160,7 @@
 	const count = 16_384
 	for range b.N {
 		v := NewView()
-		before := heapInUse()
+		before := footprinttest.LiveHeap()
 		for i := range count {
 			r, err := EarlyCancelRecord(workload.JobID(fmt.Sprintf("%016x", i)), Owner{Queue: "a-queue-of-24-characters", Account: "an-account-of-24-letters"})
 			if err != nil {
@@ -169,16 +170,7 @@
 				b.Fatal(err)
 			}
 		}
-		b.ReportMetric((heapInUse()-before)/count, "B/cancellation")
+		b.ReportMetric((footprinttest.LiveHeap()-before)/count, "B/cancellation")
 		runtime.KeepAlive(v)
 	}
 }
-
-// heapInUse returns the size of the live objects on the heap.
-func heapInUse() float64 {
-	runtime.GC()
-	runtime.GC()
-	var stats runtime.MemStats
-	runtime.ReadMemStats(&stats)
-	return float64(stats.HeapAlloc)
-}
--- a/joblog/memory_test.go
+++ b/joblog/memory_test.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/redwingthread/redwingthread/footprint"
+	"github.com/redwingthread/redwingthread/footprint/footprinttest"
 	"github.com/redwingthread/redwingthread/overload"
 	"github.com/redwingthread/redwingthread/store"
 	"github.com/redwingthread/redwingthread/store/storetest"
@@ -23,7 +24,7 @@
 func TestViewKeepsNoResponses(t *testing.T) {
 	const jobs, responseBytes = 50, 512 << 10
 	v := NewView()
-	before := heapInUse()
+	before := footprinttest.LiveHeap()
 	for i := range jobs {
 		response := bytes.Repeat([]byte{0}, responseBytes)
 		id := workload.JobID(fmt.Sprint(i))
@@ -31,7 +32,7 @@
 		mustApply(t, v, submission(t, string(id)))
 		mustApply(t, v, store.Record{Key: keyState + string(id), Value: state})
 	}
-	if used := heapInUse() - before; used > jobs*responseBytes/10 {
+	if used := footprinttest.LiveHeap() - before; used > jobs*responseBytes/10 {
 		t.Errorf("%d jobs with states of a few bytes take %.1f MB", jobs, used/(1<<20))
 	}
 	runtime.KeepAlive(v)
@@ -53,7 +54,7 @@
 	const jobs = 200
 	for _, stateFirst := range []bool{false, true} {
 		v := NewView()
-		before := heapInUse()
+		before := footprinttest.LiveHeap()
 		for i := range jobs {
 			id := fmt.Sprintf("%016x", i)
 			submission, err := SubmissionRecord(largeJob(id))
@@ -68,7 +69,7 @@
 				mustApply(t, v, r)
 			}
 		}
-		used := heapInUse() - before
+		used := footprinttest.LiveHeap() - before
 		t.Logf("%.0f bytes for each job that has ended", used/jobs)
 		if limit := overload.EndedCharge * footprint.UnitBytes; used > float64(jobs*limit) || v.Charge() != jobs*overload.EndedCharge {
 			t.Errorf("%d jobs that have ended take %.0f bytes each and are charged %d units, want at most %d bytes", jobs, used/jobs, v.Charge(), limit)
@@ -118,7 +119,7 @@
 	const count = 10_000
 	for range b.N {
 		v := NewView()
-		before := heapInUse()
+		before := footprinttest.LiveHeap()
 		for i := range count {
 			id := fmt.Sprintf("%016x", i)
 			record, err := SubmissionRecord(job(id))
@@ -131,7 +132,7 @@
 				}
 			}
 		}
-		b.ReportMetric((heapInUse()-before)/count, "B/job")
+		b.ReportMetric((footprinttest.LiveHeap()-before)/count, "B/job")
 		runtime.KeepAlive(v)
 	}
 }
--- a/leader/memory_test.go
+++ b/leader/memory_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/redwingthread/redwingthread/boottime"
 	"github.com/redwingthread/redwingthread/dispatch"
+	"github.com/redwingthread/redwingthread/footprint/footprinttest"
 	"github.com/redwingthread/redwingthread/joblog"
 	"github.com/redwingthread/redwingthread/overload"
 	"github.com/redwingthread/redwingthread/store/storetest"
@@ -31,7 +32,7 @@
 			l.logger = zerolog.Nop()
 			l.View = joblog.NewView()
 			l.core = dispatch.New(l.DispatchOptions)
-			before := heapInUse()
+			before := footprinttest.LiveHeap()
 			for i := 0; l.View.Charge() < 20_000; i++ {
 				job := testJob()
 				job.ID = workload.JobID(fmt.Sprintf("%016x", i))
@@ -52,7 +53,7 @@
 			l.core.Advance(boottime.Now(), time.Now())
 			l.View.Each(func(e joblog.Entry) { l.admit(e) })
 			l.core.Plan()
-			used := heapInUse() - before
+			used := footprinttest.LiveHeap() - before
 			perUnit := used / float64(l.View.Charge())
 			t.Logf("%3d steps of %4d tasks, specification of %4d bytes: %.0f bytes per unit", steps, tasks, specification, perUnit)
 			if perUnit > maxChargeBytes {
@@ -66,12 +67,3 @@
 		t.Errorf("unfinished work up to the limit takes %d bytes, want at most 32 MB on a VM of 144 MB", size)
 	}
 }
-
-// heapInUse returns the size of the live objects on the heap.
-func heapInUse() float64 {
-	runtime.GC()
-	runtime.GC()
-	var stats runtime.MemStats
-	runtime.ReadMemStats(&stats)
-	return float64(stats.HeapAlloc)
-}
--- a/leader/start_memory_test.go
+++ b/leader/start_memory_test.go
@@ -13,6 +13,7 @@
 	"github.com/redwingthread/redwingthread/boottime"
 	"github.com/redwingthread/redwingthread/dispatch"
 	"github.com/redwingthread/redwingthread/footprint"
+	"github.com/redwingthread/redwingthread/footprint/footprinttest"
 	"github.com/redwingthread/redwingthread/joblog"
 	"github.com/redwingthread/redwingthread/resource"
 	"github.com/redwingthread/redwingthread/store/storetest"
@@ -68,21 +69,12 @@
 	return l
 }
 
-// processMemory returns the size of the live objects on the heap and of all stacks.
-func processMemory() float64 {
-	runtime.GC()
-	runtime.GC()
-	var stats runtime.MemStats
-	runtime.ReadMemStats(&stats)
-	return float64(stats.HeapAlloc + stats.StackInuse)
-}
-
 // TestMemoryOfStartsInFlight guards against a holder whose memory grows with every start that waits for its worker: wide jobs of small
 // tasks ended each holder of the schedule in turn.
 func TestMemoryOfStartsInFlight(t *testing.T) {
 	const jobs, tasks = 20, 1000
 	l := leaderWithWideWork(t, 6, jobs, tasks)
-	before := processMemory()
+	before := footprinttest.LiveHeapAndStacks()
 	goroutines := runtime.NumGoroutine()
 	started := 0
 	for range 20 {
@@ -92,7 +84,7 @@
 		l.applyEffects(t.Context())
 	}
 	time.Sleep(100 * time.Millisecond)
-	used := processMemory() - before
+	used := footprinttest.LiveHeapAndStacks() - before
 	t.Logf("%d starts in flight, %d goroutines, %.0f bytes for each start", started, runtime.NumGoroutine()-goroutines, used/float64(max(1, started)))
 	if limit := 6 * (maxRequests + 1); runtime.NumGoroutine()-goroutines > limit {
 		t.Errorf("%d starts have %d goroutines, want at most %d: those of the requests that a worker may get at once, and one that hands them out", started,
@@ -117,7 +109,7 @@
 		}
 		running += len(starts)
 	}
-	goroutines, before := runtime.NumGoroutine(), processMemory()
+	goroutines, before := runtime.NumGoroutine(), footprinttest.LiveHeapAndStacks()
 	for i := range jobs {
 		l.core.CancelJob(workload.JobID(fmt.Sprintf("%016x", i)))
 	}
@@ -126,7 +118,7 @@
 	if n, limit := runtime.NumGoroutine()-goroutines, 6*(maxRequests+1); n > limit {
 		t.Errorf("%d stops have %d goroutines, want at most %d", jobs*tasks, n, limit)
 	}
-	if used := processMemory() - before; used > footprint.UnitBytes*jobs*tasks {
+	if used := footprinttest.LiveHeapAndStacks() - before; used > footprint.UnitBytes*jobs*tasks {
 		t.Errorf("%d stops take %.1f MB, want at most %.1f MB", jobs*tasks, used/(1<<20), float64(footprint.UnitBytes*jobs*tasks)/(1<<20))
 	}
 	runtime.KeepAlive(l)
@@ -141,11 +133,11 @@
 		for range maxRequests {
 			s.acquireRequestSlot()
 		}
-		before := processMemory()
+		before := footprinttest.LiveHeapAndStacks()
 		for i := range count {
 			s.queueStart(b.Context(), dispatch.Start{Ref: testRun, Worker: s.id, Incarnation: int64(i)})
 		}
-		b.ReportMetric((processMemory()-before)/count, "B/start")
+		b.ReportMetric((footprinttest.LiveHeapAndStacks()-before)/count, "B/start")
 		runtime.KeepAlive(l)
 	}
 }
