dispatch: keep of a job that has ended only what its last runs need

The steps and units without placements are freed with the end, and each step that is left has a specification of its own.

--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -356,7 +356,7 @@
 	c.finishJob(j, workload.PhaseCancelled)
 }
 
-// finishJob sets a final phase and stops the job's remaining runs.
+// finishJob sets a final phase and stops the job's remaining runs. Until these have ended, only what they need is kept of the job.
 func (c *Core) finishJob(j *job, phase workload.Phase) {
 	j.phase = phase
 	c.ended[j.spec.ID] = endedJob{maxDemand: j.spec.MaxDemand(), endedAt: c.now}
@@ -367,6 +367,7 @@
 			c.stopStep(s, phase.String())
 		}
 	}
+	c.forgetUnplaced(j)
 	c.removeIfFinished(j)
 }
 
@@ -393,7 +394,6 @@
 		return
 	}
 	delete(c.jobs, j.spec.ID)
-	c.forgetOverlap(j)
 	if at := slices.Index(c.sortedJobs, j); at >= 0 {
 		c.sortedJobs = slices.Delete(c.sortedJobs, at, at+1)
 	}
--- a/dispatch/repetitions.go
+++ b/dispatch/repetitions.go
@@ -107,7 +107,7 @@
 // endRepetition frees the steps of a repetition once it is done and nothing of it is placed any more.
 func (c *Core) endRepetition(j *job, index int) {
 	at, found := j.repetitions.find(index)
-	if !found || !j.repetitions.active[at].allDone() || slices.ContainsFunc(j.repetitions.active[at].steps, (*step).placed) {
+	if !found || j.phase.Final() || !j.repetitions.active[at].allDone() || slices.ContainsFunc(j.repetitions.active[at].steps, (*step).placed) {
 		return
 	}
 	j.repetitions.remove(index)
@@ -116,9 +116,29 @@
 	}
 }
 
-// forgetOverlap reverts what the active repetitions of a job that is removed count.
-func (c *Core) forgetOverlap(j *job) {
+// forgetUnplaced frees the steps and units of a job that has ended and that have no placements, and the rest of its submission. The steps that
+// are left no longer stand at their indexes.
+func (c *Core) forgetUnplaced(j *job) {
 	c.overlap -= max(0, len(j.repetitions.active)-1) * j.overlapUnits()
+	var kept []repetition
+	for _, r := range j.repetitions.active {
+		var placed []*step
+		for _, s := range r.steps {
+			if !s.placed() {
+				continue
+			}
+			// The submission holds the specifications of all steps in one piece of memory.
+			spec := *s.spec
+			s.spec = &spec
+			s.units = slices.DeleteFunc(slices.Clone(s.units), func(u *unit) bool { return len(u.placements) == 0 })
+			placed = append(placed, s)
+		}
+		if len(placed) > 0 {
+			kept = append(kept, repetition{index: r.index, steps: placed})
+		}
+	}
+	j.repetitions = repetitions{active: kept}
+	j.spec = j.spec.Ended()
 }
 
 // placed reports whether any unit of the step has placements.
--- a/dispatch/repetitions_test.go
+++ b/dispatch/repetitions_test.go
@@ -155,3 +155,44 @@
 	}
 	runtime.KeepAlive(c)
 }
+
+// TestCancelledJobsKeepOnlyTheirRuns guards against large jobs that are cancelled one after the other while a few of their tasks run on a
+// worker that does not respond: until its lease expires, the holder kept each of them whole.
+func TestCancelledJobsKeepOnlyTheirRuns(t *testing.T) {
+	const jobs = 30
+	c := newCluster(t, 1)
+	before := footprinttest.LiveHeap()
+	for i := range jobs {
+		job := &workload.Job{ID: workload.JobID(fmt.Sprintf("%016x", i)), Queue: "normal", Service: "svc", Account: "large", AcceptedAt: c.wall()}
+		for k := range workload.MaxSteps {
+			step := tasks(1, 0)
+			if k > 0 {
+				step.After = []int{k - 1}
+			}
+			job.Steps = append(job.Steps, step)
+		}
+		c.submitJob(job)
+		if starts := c.decide().Starts; len(starts) != 1 {
+			t.Fatalf("%d tasks of job %d start, want its first", len(starts), i)
+		}
+		c.core.CancelJob(job.ID)
+		c.advance(50 * time.Millisecond)
+	}
+	c.decide()
+	c.specs, c.starts = nil, nil
+	if placed := c.core.placed; placed != jobs {
+		t.Fatalf("%d runs are left, want %d", placed, jobs)
+	}
+	// The chains of the steps are kept: 8 bytes for each.
+	const limit = footprint.UnitBytes*overload.EndedCharge + footprint.PlacedBytes + 16*workload.MaxSteps
+	if used := (footprinttest.LiveHeap() - before) / jobs; used > limit {
+		t.Errorf("a cancelled job of %d steps with one run takes %.0f bytes, want at most %d", workload.MaxSteps, used, limit)
+	}
+	for _, w := range c.core.sortedWorkers {
+		c.core.MarkWorkerGone(w.id, GoneLeaseExpired)
+	}
+	if len(c.core.jobs) > 0 || c.core.placed != 0 || c.core.overlap != 0 {
+		t.Errorf("%d jobs and %d runs are left after the worker is gone", len(c.core.jobs), c.core.placed)
+	}
+	runtime.KeepAlive(c)
+}
--- a/dispatch/units.go
+++ b/dispatch/units.go
@@ -218,10 +218,10 @@
 	}
 }
 
-// unitOf returns the unit of the task; nil if its job or repetition is not known.
+// unitOf returns the unit of the task; nil if its job is not known or has ended, or its repetition has no steps.
 func (c *Core) unitOf(t workload.TaskID) *unit {
 	j := c.jobs[t.Job]
-	if j == nil {
+	if j == nil || j.phase.Final() {
 		return nil
 	}
 	steps := j.repetitions.steps(t.Repetition)
