--- a/node/cancel.go
+++ b/node/cancel.go
@@ -20,7 +20,7 @@
 	// maxEarlyCancelsInFlight limits those of one account that this VM stores at the same time.
 	maxEarlyCancelsInFlight = 32
 	// earlyCancelRetry is the time after which a refused cancellation of an unknown job should be sent again.
-	earlyCancelRetry = 5 * time.Second
+	earlyCancelRetry = 20 * time.Second
 	// counterEarlyCancels counts the stored cancellations of unknown jobs, counterEarlyCancelsRefused those that were refused.
 	counterEarlyCancels        = "requests.early_cancels"
 	counterEarlyCancelsRefused = "requests.early_cancels_refused"
