joblog: a test of early cancellations beside records of earlier versions

An early cancellation must not look like any record that an earlier version knows, as that would cancel a job whoever owns it; and what an earlier version cancels has to hold beside early cancellations of other owners.

--- a/joblog/earlycancel_test.go
+++ b/joblog/earlycancel_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"runtime"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -174,3 +175,21 @@
 		runtime.KeepAlive(v)
 	}
 }
+
+// TestEarlyCancelIsNoRecordOfEarlierVersions guards against a program of an earlier version that takes an early cancellation for one of its own
+// records, and cancels a job of any owner by it. What it cancels itself holds beside early cancellations.
+func TestEarlyCancelIsNoRecordOfEarlierVersions(t *testing.T) {
+	record := earlyCancelRecord(t, "a", Owner{Queue: "q"})
+	for _, prefix := range []string{"s/", "c/", "j/", "q/", "l/"} {
+		if strings.HasPrefix(record.Key, prefix) {
+			t.Errorf("the key %q begins like a record of earlier versions", record.Key)
+		}
+	}
+	v := NewView()
+	mustApply(t, v, earlyCancelRecord(t, "a", Owner{Queue: "other"}))
+	mustApply(t, v, submission(t, "a"))
+	mustApply(t, v, store.Record{Key: "c/a", Value: []byte{1}})
+	if e, _ := v.Get("a"); !e.Cancelled {
+		t.Error("the cancellation of an earlier version has no effect")
+	}
+}
