dispatch: TestStormOfRepetitions plays scheduled jobs under the faults of the storm

The storm had no job with repetitions, so what a takeover, a crash or a lost start does to them was tested by hand-made cases only. Its checks of order, of the tasks per worker, of gangs and of failed jobs now tell the repetitions of a job apart, as the platform's rules do; for jobs that run once they check what they did.

--- a/dispatch/storm_crash_test.go
+++ b/dispatch/storm_crash_test.go
@@ -102,12 +102,22 @@
 
 // mayFail reports whether a task of the job has cause to fail it.
 func (s *storm) mayFail(job *workload.Job) bool {
+	for repetition := range job.RepetitionCount() {
+		if s.mayFailIn(job, repetition) {
+			return true
+		}
+	}
+	return false
+}
+
+// mayFailIn reports whether a task of a repetition has cause to fail its job.
+func (s *storm) mayFailIn(job *workload.Job, repetition int) bool {
 	allowed := s.maxFailedRuns(job)
 	for number := range job.Steps {
 		step := &job.Steps[number]
 		gangFailures := map[int64]bool{}
 		for index := range step.Tasks {
-			task := workload.TaskID{Job: job.ID, Step: number, Index: index}
+			task := workload.TaskID{Job: job.ID, Repetition: repetition, Step: number, Index: index}
 			failures := 0
 			for _, r := range s.runs[task] {
 				if r.reason == workload.EndFailed {
--- a/dispatch/storm_runs_test.go
+++ b/dispatch/storm_runs_test.go
@@ -75,7 +75,7 @@
 }
 
 func sameGang(a, b workload.RunRef) bool {
-	return a.Run == b.Run && a.Task.Job == b.Task.Job && a.Task.Step == b.Task.Step
+	return a.Run == b.Run && a.Task.Job == b.Task.Job && a.Task.Repetition == b.Task.Repetition && a.Task.Step == b.Task.Step
 }
 
 func (s *storm) members(ref workload.RunRef) (workers []string) {
@@ -142,7 +142,7 @@
 		}
 	}
 	for _, predecessor := range step.After {
-		if !s.stepDone(ref.Task.Job, predecessor) {
+		if !s.stepDone(ref.Task, predecessor) {
 			s.t.Fatalf("%v starts before step %d is done", ref, predecessor)
 		}
 	}
@@ -162,17 +162,18 @@
 
 func (s *storm) onWorker(id string, ref workload.RunRef) (count int) {
 	for other := range s.workers[id].running {
-		if other.Task.Job == ref.Task.Job && other.Task.Step == ref.Task.Step {
+		if other.Task.Job == ref.Task.Job && other.Task.Repetition == ref.Task.Repetition && other.Task.Step == ref.Task.Step {
 			count++
 		}
 	}
 	return count
 }
 
-func (s *storm) stepDone(id workload.JobID, number int) bool {
-	step := &s.specs[id].Steps[number]
+// stepDone reports whether a step of the task's repetition is done.
+func (s *storm) stepDone(of workload.TaskID, number int) bool {
+	step := &s.specs[of.Job].Steps[number]
 	for index := range step.Tasks {
-		task := workload.TaskID{Job: id, Step: number, Index: index}
+		task := workload.TaskID{Job: of.Job, Repetition: of.Repetition, Step: number, Index: index}
 		if !slices.ContainsFunc(s.runs[task], func(r *stormRun) bool { return r.reason == workload.EndDone }) {
 			return false
 		}
--- a/dispatch/storm_test.go
+++ b/dispatch/storm_test.go
@@ -55,6 +55,8 @@
 	evacuations *evacuationFaults
 	// restarts is nil in a storm in which workers and holders share a clock and requests need no connection.
 	restarts *restartFaults
+	// scheduled is nil in a storm whose jobs run once.
+	scheduled *scheduledJobs
 }
 
 type stormWorker struct {
@@ -138,6 +140,7 @@
 		s.send(&stormCommand{epoch: s.epoch, stop: &plan.Stops[i]})
 	}
 	s.checkFailedJobs()
+	s.checkRepetitions()
 }
 
 // exchange delivers commands, renews leases and lists runs.
@@ -296,6 +299,7 @@
 			job := s.randomJob(n)
 			s.crashing.choose(job)
 			s.restarts.lengthen(job)
+			s.scheduled.schedule(job)
 			s.jobs = append(s.jobs, job)
 			s.submitJob(job)
 		}
