joblog: a load after lost history removes what was deleted meanwhile

A load that follows lost records now notes its keys, and removes from the view the jobs and early cancellations of that stream that it lacks. It removes nothing if any page is of an earlier state of the stream than what was read before, or missing.

--- a/joblog/earlycancel.go
+++ b/joblog/earlycancel.go
@@ -71,6 +71,22 @@
 	}
 }
 
+// removeMissing removes the cancellations whose records are in the stream, as far as keys lacks them, and returns their number.
+func (c *earlyCancels) removeMissing(stream store.Stream, keys map[string]bool) (removed int) {
+	for name := range c.byKey {
+		if streamOf(name) == stream && !keys[keyEarlyCancel+name] {
+			c.remove(name)
+			removed++
+		}
+	}
+	return removed
+}
+
+// streamOf returns the stream of an early cancellation. name is the key without its prefix.
+func streamOf(name string) store.Stream {
+	return IntakeStream(workload.JobID(name[:strings.LastIndexByte(name, '/')]))
+}
+
 // find returns the early cancellation of the job by the owner.
 func (c *earlyCancels) find(id workload.JobID, owner Owner) (earlyCancel, bool) {
 	found, known := c.byKey[strings.TrimPrefix(earlyCancelKey(id, owner), keyEarlyCancel)]
@@ -134,7 +150,7 @@
 		if c.readAt >= before {
 			continue
 		}
-		stream := IntakeStream(workload.JobID(name[:strings.LastIndexByte(name, '/')]))
+		stream := streamOf(name)
 		tombstones[stream] = append(tombstones[stream], store.Record{Key: keyEarlyCancel + name})
 	}
 	return tombstones
--- a/joblog/reader.go
+++ b/joblog/reader.go
@@ -33,11 +33,11 @@
 type reader struct {
 	log    store.Log
 	stream store.Stream
-	// cursor and loadedRecords, the number of records of the present load, are used only by the goroutine of run.
-	cursor        store.Cursor
-	loadedRecords int
-	view          *View
-	logger        zerolog.Logger
+	// cursor and loadedKeys, the keys of the present load, are used only by the goroutine of run.
+	cursor     store.Cursor
+	loadedKeys map[string]bool
+	view       *View
+	logger     zerolog.Logger
 	// wake ends the pause before the next read.
 	wake chan struct{}
 	// subscriber is called with the ids of the jobs whose records were read; nil for none.
@@ -136,16 +136,32 @@
 	}
 	ids := r.apply(update.Records)
 	if update.Loaded {
-		r.loadedRecords += len(ids)
-	}
-	if update.Loaded && update.Complete {
-		r.logger.Info().Int64("offset", update.Next).Int("records", r.loadedRecords).Msg("records loaded")
-		r.loadedRecords = 0
+		r.noteLoaded(update)
 	}
 	r.publish(update.StartedAt, update.Complete, ids)
 	return nil
 }
 
+// noteLoaded notes the keys of a page of a load. After the last page it removes from the view what the stream has no more: the records that
+// delete it may have expired before they were read.
+func (r *reader) noteLoaded(update *store.Update) {
+	if r.loadedKeys == nil {
+		r.loadedKeys = map[string]bool{}
+	}
+	for _, record := range update.Records {
+		r.loadedKeys[record.Key] = true
+	}
+	if !update.Complete {
+		return
+	}
+	removed := 0
+	if update.Reloaded {
+		removed = r.view.RemoveMissing(r.stream, r.loadedKeys)
+	}
+	r.logger.Info().Int64("offset", update.Next).Int("records", len(r.loadedKeys)).Int("removed", removed).Msg("records loaded")
+	r.loadedKeys = nil
+}
+
 // setPolling notes whether a read waits for new records.
 func (r *reader) setPolling(waits bool) {
 	next, loaded := r.cursor.Position()
--- a/joblog/view.go
+++ b/joblog/view.go
@@ -220,6 +220,24 @@
 	return id, err
 }
 
+// RemoveMissing removes the jobs and early cancellations whose records are in the stream, as far as keys lacks them: they were deleted. It
+// returns their number. keys are those of all records of the stream.
+func (v *View) RemoveMissing(stream store.Stream, keys map[string]bool) (removed int) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for id, e := range v.entries {
+		// A job without a submission exists for its state only.
+		missing := stream == IntakeStream(id) && e.job != nil && !keys[keySubmission+string(id)] ||
+			stream == store.States && e.job == nil && !keys[keyState+string(id)]
+		if missing {
+			v.adjustCounts(e, -1)
+			delete(v.entries, id)
+			removed++
+		}
+	}
+	return removed + v.earlyCancels.removeMissing(stream, keys)
+}
+
 // foldPolicy applies the record of a queue's policy, or returns an error if it cannot be decoded. mu must be held.
 func (v *View) foldPolicy(queue string, value []byte) error {
 	if len(value) == 0 {
--- a/overload/admission.go
+++ b/overload/admission.go
@@ -14,9 +14,8 @@
 	// safetyFactor is the factor by which a forecast may be too long. Demand varies by half within 13 s, and estimates are wrong by half.
 	safetyFactor = 2
 	// MaxCharge limits what all jobs take that are kept, in units of the memory of one waiting task: jobs count as Charge and EndedCharge
-	// say. The smallest VM has 144 MB, of which the Go runtime may use 70 percent (101 MB). On the holder, a unit takes up to
-	// 300 bytes (219 measured in TestMemoryOfWaitingTasks), so 100,000 take 30 MB, or 60 MB before the garbage collector runs. The
-	// largest expected load of a minute, 660 jobs of 78 tasks in up to 5 steps, counts 74,580.
+	// say. On the holder they take 30 MB, or 60 MB before the garbage collector runs, of the 101 MB that the Go runtime may use on the
+	// smallest VM; see package footprint. The largest expected load of a minute, 660 jobs of 78 tasks in up to 5 steps, counts 74,580.
 	MaxCharge = 100_000
 	// EndedCharge is the charge of a job that has ended and is kept until its state need not be readable any more.
 	EndedCharge = 3
--- a/store/cursor.go
+++ b/store/cursor.go
@@ -34,6 +34,9 @@
 	Complete  bool
 	// Loaded is true if Records holds the newest record of every key, or of those of one page; keys that are missing have been deleted.
 	Loaded bool
+	// Reloaded is true for the last page of a load that followed the loss of records and is not of an earlier state of the stream than what
+	// was read before: keys that none of its pages has have been deleted.
+	Reloaded bool
 	// Expired is true if records expired before they were read, so that the newest record of every key was read instead.
 	Expired bool
 	// Next is the offset of the next read. End is the offset after the last record of the stream as the store returned it; an end that
@@ -86,15 +89,18 @@
 	// next is the end of the stream as of the first page, after the last key that was read.
 	next  int64
 	after string
-	// expired is true if records expired before they were read.
-	expired bool
+	// expired is true if records expired before they were read, from offset resumedFrom on.
+	expired     bool
+	resumedFrom int64
+	// end is the lowest end of the stream of the pages.
+	end int64
 }
 
 // loadPage reads the next page of the newest record of each key. After a failure the next call reads the same page again.
 func (c *Cursor) loadPage(ctx context.Context, log Log, expired bool) (*Update, error) {
 	first := c.loading == nil
 	if first {
-		c.loading = &pagedLoad{startedAt: boottime.Now(), expired: expired}
+		c.loading = &pagedLoad{startedAt: boottime.Now(), expired: expired, resumedFrom: c.next}
 	}
 	l := c.loading
 	page, err := log.Newest(ctx, c.Stream, l.after)
@@ -105,14 +111,16 @@
 		return nil, err
 	}
 	if first {
-		l.next = page.End
+		l.next, l.end = page.End, page.End
 	}
-	update := &Update{StartedAt: l.startedAt, Loaded: true, Records: page.Records, Next: l.next, End: min(l.next, page.End), Expired: first && l.expired}
+	l.end = min(l.end, page.End)
+	update := &Update{StartedAt: l.startedAt, Loaded: true, Records: page.Records, Next: l.next, End: l.end, Expired: first && l.expired}
 	if page.More && len(page.Records) > 0 {
 		l.after = page.Records[len(page.Records)-1].Key
 		return update, nil
 	}
 	update.Complete = true
+	update.Reloaded = l.expired && l.end >= l.resumedFrom
 	c.next, c.loaded, c.loading = l.next, true, nil
 	return update, nil
 }
