node: count the jobs that this VM accepts before their records are read

A VM decided by the jobs that it had read; what it had accepted since, up to 1.5 s long, counted nothing, so a burst at one VM had no limit, nor one at many VMs.

A job is now reserved in the view from the decision until its submission is read. A VM that has reserved more than a sixty-fourth of the limit, or knows that half of it is used, reads the count anew first. The peek beside a waiting read no longer wakes its waiters in vain: on one core they kept the reader from its turn for up to 0.4 s, and those that came before the read began to wait were not woken.

--- a/joblog/joblog_test.go
+++ b/joblog/joblog_test.go
@@ -508,7 +508,6 @@
 	go f.Run(t.Context())
 	refresh(t, f)
 	f.Subscribe(func([]workload.JobID) {})
-	time.Sleep(50 * time.Millisecond)
 	stream := IntakeStream("a")
 	for i := range 20 {
 		startedAt := time.Now()
--- a/joblog/reader.go
+++ b/joblog/reader.go
@@ -162,12 +162,21 @@
 	r.loadedKeys = nil
 }
 
-// setPolling notes whether a read waits for new records.
+// setPolling notes whether a read waits for new records. Those who wait for a fresh view peek then.
 func (r *reader) setPolling(waits bool) {
 	next, loaded := r.cursor.Position()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.polling, r.polledFrom = waits && loaded, next
+	if r.polling {
+		r.wakeWaiters()
+	}
+}
+
+// wakeWaiters makes the waiters of await look again. mu must be held.
+func (r *reader) wakeWaiters() {
+	close(r.updated)
+	r.updated = make(chan struct{})
 }
 
 // peek makes sure that the view becomes fresh while a read waits for new records, which may take longer than a caller waits: it asks for
@@ -194,11 +203,14 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.peeking = false
-	if err == nil && len(batch.Records) == 0 && batch.End <= from {
+	if err == nil && batch.End > from {
+		// The read that waits returns the new record, and wakes the waiters.
+		return
+	}
+	if err == nil {
 		r.freshAt = max(r.freshAt, startedAt)
 	}
-	close(r.updated)
-	r.updated = make(chan struct{})
+	r.wakeWaiters()
 }
 
 // apply applies the records to the view and returns the ids of their jobs. A record that cannot be decoded is logged and
@@ -235,8 +247,7 @@
 		r.complete = true
 		r.freshAt = max(r.freshAt, startedAt)
 	}
-	close(r.updated)
-	r.updated = make(chan struct{})
+	r.wakeWaiters()
 	r.mu.Unlock()
 	if subscriber := r.subscriber.Load(); subscriber != nil && len(ids) > 0 {
 		(*subscriber)(ids)
--- a/joblog/view.go
+++ b/joblog/view.go
@@ -170,8 +170,11 @@
 	// waiting maps the name of each queue to its number of accepted jobs that have not started and are not cancelled.
 	waiting      map[string]int
 	earlyCancels earlyCancels
-	// charge is that of all jobs; see Charge.
-	charge int
+	// charge is that of all jobs, reserved maps the jobs that this VM accepts and whose submissions were not read yet to theirs, and
+	// reservedCharge is the sum of these; see Charge.
+	charge         int
+	reserved       map[workload.JobID]int
+	reservedCharge int
 	// policies maps the names of queues to their stored policies.
 	policies map[string]workload.QueuePolicy
 	// forecast is the newest forecast, nil if none was read, and forecastReadAt when it was read, on the boot clock.
@@ -181,7 +184,8 @@
 
 // NewView returns an empty view.
 func NewView() *View {
-	return &View{entries: map[workload.JobID]*entry{}, waiting: map[string]int{}, policies: map[string]workload.QueuePolicy{}}
+	return &View{entries: map[workload.JobID]*entry{}, waiting: map[string]int{}, policies: map[string]workload.QueuePolicy{},
+		reserved: map[workload.JobID]int{}}
 }
 
 // Apply folds one record and returns the id of its job; empty if the key names none. It returns a BadInput error for a record
@@ -235,6 +239,11 @@
 			removed++
 		}
 	}
+	for id := range v.reserved {
+		if stream == IntakeStream(id) && !keys[keySubmission+string(id)] {
+			v.release(id)
+		}
+	}
 	return removed + v.earlyCancels.removeMissing(stream, keys)
 }
 
@@ -301,6 +310,7 @@
 			delete(v.entries, id)
 			return nil
 		}
+		v.release(id)
 		if err := e.foldSubmission(id, r); err != nil {
 			return err
 		}
@@ -374,12 +384,39 @@
 	}
 }
 
-// Charge returns the charge of all jobs that are kept; see overload.MaxCharge. A job that is cancelled counts in full until the holder of
-// the schedule has stored its end.
+// Charge returns the charge of all jobs that are kept and of those that this VM is about to accept; see overload.MaxCharge. A job that is
+// cancelled counts in full until the holder of the schedule has stored its end.
 func (v *View) Charge() int {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.charge
+	return v.charge + v.reservedCharge
+}
+
+// Reserve counts a job that this VM is about to accept until its submission is read or Release is called. It returns the charge of all other
+// jobs, and that of the jobs that this VM has reserved.
+func (v *View) Reserve(id workload.JobID, charge int) (others, reserved int) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.release(id)
+	others = v.charge + v.reservedCharge
+	if e := v.entries[id]; e == nil || e.job == nil {
+		v.reserved[id] = charge
+		v.reservedCharge += charge
+	}
+	return others, v.reservedCharge
+}
+
+// Release ends the reservation of a job that is not accepted, or whose outcome is not known. It has no effect on other jobs.
+func (v *View) Release(id workload.JobID) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.release(id)
+}
+
+// release is Release. mu must be held.
+func (v *View) release(id workload.JobID) {
+	v.reservedCharge -= v.reserved[id]
+	delete(v.reserved, id)
 }
 
 // Get returns the view of a job; false if its submission was not read.
--- a/node/admission.go
+++ b/node/admission.go
@@ -17,19 +17,24 @@
 // the meantime.
 const chargeMaxAge = 300 * time.Millisecond
 
+// maxUnreadCharge is the charge of the jobs that this VM has accepted and not read yet from which on the count is read anew as well: the other
+// VMs may have accepted as much.
+const maxUnreadCharge = overload.MaxCharge / 64
+
 // largeCharge is the charge of a job from which on the count is read anew: a few such jobs take as much as lower priorities leave to urgent
 // work.
 const largeCharge = overload.MaxCharge / 200
 
-// admit returns an Overloaded error if the job is refused; nothing of it is stored then. A job that another VM has accepted is never
-// refused: the view is refreshed before a refusal. Without the store nothing is refused, and a job for which there is no room gets a
-// DeadlineExceeded error.
+// admit returns an Overloaded error if the job is refused; nothing of it is stored then. It reserves the charge of the job, which the caller
+// must release if the job is not accepted. A job that another VM has accepted is never refused: the view is refreshed before a refusal.
+// Without the store nothing is refused, and a job for which there is no room gets a DeadlineExceeded error.
 func (n *Node) admit(ctx context.Context, job *workload.Job) error {
-	if n.view.Charge() > overload.MaxCharge/2 {
+	charge := overload.Charge(job)
+	if others, reserved := n.view.Reserve(job.ID, charge); others > overload.MaxCharge/2 || reserved > maxUnreadCharge {
 		// Without the store, the append that follows fails.
-		_ = n.refresh(ctx, maxChargeAge(job), n.follower.Streams()...)
+		_ = n.refresh(ctx, maxChargeAge(charge), n.follower.Streams()...)
 	}
-	decision := n.decide(job)
+	decision := n.decide(job, charge)
 	if decision.Reason == "" {
 		return nil
 	}
@@ -51,8 +56,8 @@
 }
 
 // maxChargeAge returns the maximum age of the charge of all jobs for the decision about a job.
-func maxChargeAge(job *workload.Job) time.Duration {
-	if overload.Charge(job) > largeCharge {
+func maxChargeAge(charge int) time.Duration {
+	if charge > largeCharge {
 		return 0
 	}
 	return chargeMaxAge
@@ -69,10 +74,11 @@
 }
 
 // decide applies the present forecast and limit to the job.
-func (n *Node) decide(job *workload.Job) overload.Decision {
+func (n *Node) decide(job *workload.Job, charge int) overload.Decision {
 	chains := overload.NewChains(job.Steps)
-	return overload.Decide(n.view.Forecast(), n.view.Charge(), overload.Job{
-		ID: string(job.ID), Service: job.Service, Priority: job.Priority, Charge: overload.Charge(job),
+	others, _ := n.view.Reserve(job.ID, charge)
+	return overload.Decide(n.view.Forecast(), others, overload.Job{
+		ID: string(job.ID), Service: job.Service, Priority: job.Priority, Charge: charge,
 		Objective:    chains.Objective(job.AcceptedPolicy()),
 		DueIn:        max(0, time.Until(job.DueAt(0))),
 		Accelerators: slices.ContainsFunc(job.Steps, func(s workload.Step) bool { return s.Demand.Accelerators > 0 }),
--- a/node/cancel_test.go
+++ b/node/cancel_test.go
@@ -227,7 +227,6 @@
 	_, v := newConfiguredVM(t)
 	access := v.access()
 	v.follower.Subscribe(func([]workload.JobID) {})
-	time.Sleep(50 * time.Millisecond)
 	for i := range 5 {
 		id := workload.JobID(fmt.Sprintf("%016x", i))
 		if _, err := v.Phase(t.Context(), access, id); !errkind.Is(err, errkind.NotFound) {
--- a/node/frontend.go
+++ b/node/frontend.go
@@ -92,10 +92,14 @@
 	if err := checkStoreReachable(access); err != nil {
 		return err
 	}
-	if err := n.admit(ctx, job); err != nil {
-		return err
+	err := n.admit(ctx, job)
+	if err == nil {
+		err = n.writeError(job.ID, n.writer.Submit(ctx, job))
+	}
+	if err != nil {
+		n.view.Release(job.ID)
 	}
-	return n.writeError(job.ID, n.writer.Submit(ctx, job))
+	return err
 }
 
 // checkStoreReachable returns an Unavailable error if the store has not responded to this VM for readyConfigAge, so that the
