joblog: wake those who wait for a fresh view after a peek that came too late

If the waiting read returned a record while a peek was under way, and the next read began before the peek ended, the peek woke nobody, and a waiter slept until its time was over.

A peek that saw a newer record now wakes the waiters if another read has begun to wait since. TestRefreshDoesNotWaitForNewRecords passes 200 of 200 with one, two and eight processors side by side with the node's tests under load.

--- a/joblog/reader.go
+++ b/joblog/reader.go
@@ -203,11 +203,12 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.peeking = false
-	if err == nil && batch.End > from {
-		// The read that waits returns the new record, and wakes the waiters.
+	newer := err == nil && batch.End > from
+	if newer && !(r.polling && r.polledFrom > from) {
+		// The read that waits, or has just returned, has the new record, and wakes the waiters.
 		return
 	}
-	if err == nil {
+	if err == nil && !newer {
 		r.freshAt = max(r.freshAt, startedAt)
 	}
 	r.wakeWaiters()
