Log each cancellation answered, each submission that one voids, and each start that follows one

The logs could not tell the hypotheses apart: the request line has the status, and not whether the job was known to the VM, whom it belonged to there, or whether and where a record was stored.

One line for each cancellation now has id, queue, account, known, owned, ended, stored, offset and the age of the view; a line and a counter for each submission that an early cancellation voids, on each VM that reads both; and a line and a counter for each start that is answered after the cancellation of its job was read. For the offset, an append returns that of its first record.

--- a/cmd/redwing-node/configcheck_test.go
+++ b/cmd/redwing-node/configcheck_test.go
@@ -177,7 +177,7 @@
 // putRecords appends records to a stream of the store.
 func putRecords(t *testing.T, log store.Log, stream store.Stream, records ...store.Record) {
 	t.Helper()
-	if err := log.Append(t.Context(), stream, records, nil, 0); err != nil {
+	if _, err := log.Append(t.Context(), stream, records, nil, 0); err != nil {
 		t.Fatal(err)
 	}
 }
--- a/joblog/earlycancel.go
+++ b/joblog/earlycancel.go
@@ -93,9 +93,9 @@
 	return found, known && found.owner == owner
 }
 
-// foldEarlyCancel applies the record of an early cancellation, or the one that deletes it, and returns the id of the job. name is the key
-// without its prefix. The error is BadInput if the record cannot be decoded. mu must be held.
-func (v *View) foldEarlyCancel(name string, value []byte) (workload.JobID, error) {
+// foldEarlyCancel applies the record of an early cancellation at the offset, or the one that deletes it, and returns the id of the job. name
+// is the key without its prefix. The error is BadInput if the record cannot be decoded. mu must be held.
+func (v *View) foldEarlyCancel(name string, value []byte, offset int64) (workload.JobID, error) {
 	at := strings.LastIndexByte(name, '/')
 	if at <= 0 {
 		return "", unreadable("the key of the early cancellation names no job")
@@ -112,17 +112,38 @@
 	v.earlyCancels.set(name, owner)
 	if e := v.entries[id]; e != nil && e.job != nil {
 		v.adjustCounts(e, -1)
-		v.cancelIfEarlyCancelled(e)
+		v.cancelIfEarlyCancelled(e, offset)
 		v.adjustCounts(e, 1)
 	}
 	return id, nil
 }
 
-// cancelIfEarlyCancelled cancels the job of the entry if its owner had done so before its submission was read. mu must be held.
-func (v *View) cancelIfEarlyCancelled(e *entry) {
-	if _, cancelled := v.earlyCancels.find(e.job.ID, ownerOf(e.job)); cancelled {
-		e.cancelRequested = true
+// void is a submission that an early cancellation cancels, and the offset of the later one of their records.
+type void struct {
+	job    workload.JobID
+	owner  Owner
+	offset int64
+}
+
+// cancelIfEarlyCancelled cancels the job of the entry if its owner had done so before its submission was read. offset is that of the record
+// that was read last. mu must be held.
+func (v *View) cancelIfEarlyCancelled(e *entry, offset int64) {
+	if _, cancelled := v.earlyCancels.find(e.job.ID, ownerOf(e.job)); !cancelled {
+		return
+	}
+	if !e.cancelled() && !e.phase.Final() {
+		v.newVoids = append(v.newVoids, void{job: e.job.ID, owner: ownerOf(e.job), offset: offset})
 	}
+	e.cancelRequested = true
+}
+
+// takeVoids returns the submissions that were cancelled by an early cancellation since the last call.
+func (v *View) takeVoids() []void {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	voids := v.newVoids
+	v.newVoids = nil
+	return voids
 }
 
 // EarlyCancelAge returns the time since which the view has an early cancellation of the job by the owner; false if it has none.
--- a/joblog/earlycancel_test.go
+++ b/joblog/earlycancel_test.go
@@ -130,7 +130,10 @@
 	stream := IntakeStream("a")
 	left := job("a")
 	go func() { result <- w.Submit(ctx, left) }()
-	go func() { result <- w.Cancel(ctx, "a") }()
+	go func() {
+		_, err := w.Cancel(ctx, "a")
+		result <- err
+	}()
 	part := &w.parts[stream.Part]
 	for pending := 0; pending < 2; time.Sleep(time.Millisecond) {
 		part.mu.Lock()
--- a/joblog/memory_test.go
+++ b/joblog/memory_test.go
@@ -102,7 +102,7 @@
 func TestStatesAreLoadedFirst(t *testing.T) {
 	log := &loadOrder{Fake: storetest.New()}
 	for i := range 1200 {
-		if err := log.Append(t.Context(), store.States, []store.Record{state(fmt.Sprint(i), workload.PhaseCancelled)}, nil, 0); err != nil {
+		if _, err := log.Append(t.Context(), store.States, []store.Record{state(fmt.Sprint(i), workload.PhaseCancelled)}, nil, 0); err != nil {
 			t.Fatal(err)
 		}
 	}
--- a/joblog/reader.go
+++ b/joblog/reader.go
@@ -29,6 +29,9 @@
 // counterUnreadable counts the records of jobs that could not be decoded.
 const counterUnreadable = "jobs.unreadable_records"
 
+// counterVoided counts the submissions that an early cancellation has cancelled, as read by this VM.
+const counterVoided = "jobs.voided_submissions"
+
 // reader folds the records of one stream into a view.
 type reader struct {
 	log    store.Log
@@ -228,6 +231,11 @@
 			ids = append(ids, id)
 		}
 	}
+	for _, void := range r.view.takeVoids() {
+		r.logger.Info().Str("job", string(void.job)).Str("queue", void.owner.Queue).Str("account", void.owner.Account).
+			Int64("offset", void.offset).Msg("submission voided by an early cancellation")
+		metrics.GetOrRegisterCounter(counterVoided, nil).Inc(1)
+	}
 	return ids
 }
 
--- a/joblog/reader_test.go
+++ b/joblog/reader_test.go
@@ -27,7 +27,7 @@
 	refresh(t, f)
 	for i := range 7 {
 		id := fmt.Sprint(i)
-		if err := log.Append(ctx, IntakeStream(workload.JobID(id)), []store.Record{submission(t, id)}, nil, time.Second); err != nil {
+		if _, err := log.Append(ctx, IntakeStream(workload.JobID(id)), []store.Record{submission(t, id)}, nil, time.Second); err != nil {
 			t.Fatal(err)
 		}
 	}
@@ -50,7 +50,7 @@
 	go f.Run(t.Context())
 	put := func(id workload.JobID, records ...store.Record) {
 		t.Helper()
-		if err := log.Append(t.Context(), IntakeStream(id), records, nil, time.Second); err != nil {
+		if _, err := log.Append(t.Context(), IntakeStream(id), records, nil, time.Second); err != nil {
 			t.Fatal(err)
 		}
 	}
@@ -62,7 +62,7 @@
 		}
 		put(id, submission(t, string(id)))
 		put(id+"-early", early)
-		if err := log.Append(t.Context(), store.States, []store.Record{state(string(id), workload.PhaseCompleted)}, nil, time.Second); err != nil {
+		if _, err := log.Append(t.Context(), store.States, []store.Record{state(string(id), workload.PhaseCompleted)}, nil, time.Second); err != nil {
 			t.Fatal(err)
 		}
 	}
@@ -80,7 +80,7 @@
 		id := workload.JobID(fmt.Sprint(i))
 		put(id, IntakeTombstones(id)...)
 		put(id+"-early", store.Record{Key: earlyCancelKey(id+"-early", Owner{Account: "acme"})})
-		if err := log.Append(t.Context(), store.States, []store.Record{StateTombstone(id)}, nil, time.Second); err != nil {
+		if _, err := log.Append(t.Context(), store.States, []store.Record{StateTombstone(id)}, nil, time.Second); err != nil {
 			t.Fatal(err)
 		}
 	}
@@ -108,14 +108,14 @@
 	log := storetest.New()
 	cursor := store.Cursor{Stream: store.States, Paged: true}
 	for i := range 5 {
-		if err := log.Append(t.Context(), store.States, []store.Record{state(fmt.Sprint(i), workload.PhaseRunning)}, nil, time.Second); err != nil {
+		if _, err := log.Append(t.Context(), store.States, []store.Record{state(fmt.Sprint(i), workload.PhaseRunning)}, nil, time.Second); err != nil {
 			t.Fatal(err)
 		}
 	}
 	if update, err := cursor.Read(t.Context(), log, 0); err != nil || update.Reloaded {
 		t.Fatalf("the first load is %+v, %v; want it not to remove anything", update, err)
 	}
-	if err := log.Append(t.Context(), store.States, []store.Record{state("5", workload.PhaseRunning)}, nil, time.Second); err != nil {
+	if _, err := log.Append(t.Context(), store.States, []store.Record{state("5", workload.PhaseRunning)}, nil, time.Second); err != nil {
 		t.Fatal(err)
 	}
 	log.DropHistory(store.States)
@@ -153,7 +153,7 @@
 	for i := range 20 {
 		startedAt := time.Now()
 		if i == 10 {
-			if err := log.Append(t.Context(), stream, []store.Record{submission(t, "a")}, nil, time.Second); err != nil {
+			if _, err := log.Append(t.Context(), stream, []store.Record{submission(t, "a")}, nil, time.Second); err != nil {
 				t.Fatal(err)
 			}
 		}
--- a/joblog/view.go
+++ b/joblog/view.go
@@ -170,6 +170,8 @@
 	// waiting maps the name of each queue to its number of accepted jobs that have not started and are not cancelled.
 	waiting      map[string]int
 	earlyCancels earlyCancels
+	// newVoids are those that takeVoids has not returned yet.
+	newVoids []void
 	// charge is that of all jobs, reserved maps the jobs that this VM accepts and whose submissions were not read yet to theirs, and
 	// reservedCharge is the sum of these; see Charge.
 	charge         int
@@ -203,7 +205,7 @@
 	case keyForecast:
 		return "", v.foldForecast(string(id), r.Value)
 	case keyEarlyCancel:
-		return v.foldEarlyCancel(string(id), r.Value)
+		return v.foldEarlyCancel(string(id), r.Value, r.Offset)
 	case keySubmission, keyCancel, keyState:
 	default:
 		return "", unreadable("the key is of an unknown kind")
@@ -314,7 +316,7 @@
 		if err := e.foldSubmission(id, r); err != nil {
 			return err
 		}
-		v.cancelIfEarlyCancelled(e)
+		v.cancelIfEarlyCancelled(e, r.Offset)
 		return nil
 	case keyCancel:
 		e.cancelRequested = e.cancelRequested || len(r.Value) > 0
--- a/joblog/writer.go
+++ b/joblog/writer.go
@@ -66,25 +66,28 @@
 		return errkind.New(errkind.TooLarge, "send a smaller submission", "the submission needs a record of %d bytes, at most %d can be stored",
 			size, w.maxRecordBytes)
 	}
-	return w.write(job.ID, &write{record: record, ctx: ctx, abandonable: true})
+	_, err = w.write(job.ID, &write{record: record, ctx: ctx, abandonable: true})
+	return err
 }
 
-// Cancel stores a cancellation; see Submit for the outcomes.
-func (w *Writer) Cancel(ctx context.Context, id workload.JobID) error {
+// Cancel stores a cancellation and returns its offset; see Submit for the outcomes.
+func (w *Writer) Cancel(ctx context.Context, id workload.JobID) (offset int64, err error) {
 	return w.write(id, &write{record: CancelRecord(id), ctx: ctx})
 }
 
-// CancelEarly stores a cancellation that also holds for a submission of the owner that is stored later; see Submit for the outcomes.
-func (w *Writer) CancelEarly(ctx context.Context, id workload.JobID, owner Owner) error {
+// CancelEarly stores a cancellation that also holds for a submission of the owner that is stored later, and returns its offset; see Submit
+// for the outcomes.
+func (w *Writer) CancelEarly(ctx context.Context, id workload.JobID, owner Owner) (offset int64, err error) {
 	record, err := EarlyCancelRecord(id, owner)
 	if err != nil {
-		return errors.Join(store.ErrNotExecuted, err)
+		return 0, errors.Join(store.ErrNotExecuted, err)
 	}
 	return w.write(id, &write{record: record, ctx: ctx})
 }
 
-func (w *Writer) write(id workload.JobID, item *write) error {
-	return w.parts[IntakeStream(id).Part].write(item)
+func (w *Writer) write(id workload.JobID, item *write) (offset int64, err error) {
+	err = w.parts[IntakeStream(id).Part].write(item)
+	return item.offset, err
 }
 
 // partWriter writes to one part. Records that arrive while appends are in flight are batched in the next one.
@@ -112,7 +115,9 @@
 	rejections int
 	// startedAt is the start of the write on the boot clock, which also counts the time for which the VM is suspended.
 	startedAt time.Duration
-	done      chan error
+	// offset is that of the record once it is stored, or store.UnknownOffset.
+	offset int64
+	done   chan error
 }
 
 // write stores the record and returns its outcome; see Writer.Submit.
@@ -152,8 +157,8 @@
 func (w *partWriter) appendBatch(batch []*write) {
 	batch = dropAbandoned(batch)
 	for len(batch) > 0 {
-		err := w.append(batch)
-		batch = deliverOutcomes(batch, err)
+		offset, err := w.append(batch)
+		batch = deliverOutcomes(batch, offset, err)
 		if len(batch) > 0 {
 			time.Sleep(appendRetryInterval)
 			batch = dropAbandoned(batch)
@@ -185,21 +190,25 @@
 	return i.abandonable && (i.ctx.Err() != nil || boottime.Now()-i.startedAt > unknownRetryWindow+appendTimeout)
 }
 
-// append makes one hedged append of the batch.
-func (w *partWriter) append(batch []*write) error {
+// append makes one hedged append of the batch and returns the offset of its first record.
+func (w *partWriter) append(batch []*write) (offset int64, err error) {
 	records := make([]store.Record, len(batch))
 	for i, item := range batch {
 		records[i] = item.record
 	}
-	_, err := w.hedge.Append(context.Background(), w.log, w.stream, records, nil, appendTimeout)
-	return err
+	offset, _, err = w.hedge.Append(context.Background(), w.log, w.stream, records, nil, appendTimeout)
+	return offset, err
 }
 
-// deliverOutcomes sends the outcomes of the writes that have one after an append that returned err, and returns the other
+// deliverOutcomes sends the outcomes of the writes that have one after an append that returned offset and err, and returns the other
 // writes.
-func deliverOutcomes(batch []*write, err error) []*write {
+func deliverOutcomes(batch []*write, offset int64, err error) []*write {
 	var unsettled []*write
-	for _, item := range batch {
+	for n, item := range batch {
+		item.offset = store.UnknownOffset
+		if err == nil && offset != store.UnknownOffset {
+			item.offset = offset + int64(n)
+		}
 		if outcome, ok := item.outcome(err); ok {
 			item.done <- outcome
 			continue
--- a/leader/cleanup.go
+++ b/leader/cleanup.go
@@ -33,7 +33,7 @@
 	for stream, tombstones := range l.View.EarlyCancelTombstones(boottime.Now() - l.StatusRetention - CleanupMargin) {
 		tombstones = tombstones[:min(len(tombstones), maxTombstones)]
 		l.spawn(func() {
-			if err := l.Log.Append(ctx, stream, tombstones, nil, journalTimeout); err != nil {
+			if _, err := l.Log.Append(ctx, stream, tombstones, nil, journalTimeout); err != nil {
 				l.logger.Warn().Err(err).Stringer("stream", stream).Msg("early cancellations not deleted")
 			}
 		})
@@ -61,7 +61,7 @@
 	states := make([]store.Record, len(ids))
 	for i, id := range ids {
 		states[i] = joblog.StateTombstone(id)
-		err := l.Log.Append(ctx, joblog.IntakeStream(id), joblog.IntakeTombstones(id), nil, journalTimeout)
+		_, err := l.Log.Append(ctx, joblog.IntakeStream(id), joblog.IntakeTombstones(id), nil, journalTimeout)
 		if err != nil {
 			l.logger.Warn().Err(err).Str("job", string(id)).Msg("records of an ended job not deleted; the next holder of the schedule retries")
 			return nil
--- a/leader/cleanup_test.go
+++ b/leader/cleanup_test.go
@@ -25,7 +25,7 @@
 			t.Fatal(err)
 		}
 		stream := joblog.IntakeStream(id)
-		if err := log.Append(t.Context(), stream, []store.Record{record}, nil, time.Second); err != nil {
+		if _, err := log.Append(t.Context(), stream, []store.Record{record}, nil, time.Second); err != nil {
 			t.Fatal(err)
 		}
 		if _, err := l.View.Apply(record); err != nil {
--- a/leader/journal.go
+++ b/leader/journal.go
@@ -128,7 +128,8 @@
 
 // send makes one hedged append and returns the number of its attempts.
 func (j *journal) send(ctx context.Context, records []store.Record, producer *store.Producer) (attempts int, err error) {
-	return j.hedge.Append(ctx, j.log, store.States, records, producer, journalTimeout)
+	_, attempts, err = j.hedge.Append(ctx, j.log, store.States, records, producer, journalTimeout)
+	return attempts, err
 }
 
 // stateRecords returns the records of the changed job states.
--- a/leader/journal_test.go
+++ b/leader/journal_test.go
@@ -154,16 +154,16 @@
 	appends atomic.Int64
 }
 
-func (s *halfResponding) Append(ctx context.Context, stream store.Stream, records []store.Record, p *store.Producer, timeout time.Duration) error {
-	err := s.Fake.Append(ctx, stream, records, p, timeout)
+func (s *halfResponding) Append(ctx context.Context, stream store.Stream, records []store.Record, p *store.Producer, timeout time.Duration) (int64, error) {
+	offset, err := s.Fake.Append(ctx, stream, records, p, timeout)
 	if s.appends.Add(1)%2 == 0 {
-		return err
+		return offset, err
 	}
 	select {
 	case <-ctx.Done():
 	case <-time.After(timeout):
 	}
-	return store.ErrUnknown
+	return 0, store.ErrUnknown
 }
 
 // TestLostAnswersHoldUpTheJournalBriefly guards against a schedule that stalls for the whole timeout of each lost response,
--- a/leader/metrics.go
+++ b/leader/metrics.go
@@ -13,9 +13,11 @@
 	counterStartsAccepted = "schedule.starts.accepted"
 	counterStartsRefused  = "schedule.starts.refused"
 	counterStops          = "schedule.stops"
-	counterSlowMoves      = "schedule.stops.slow"
-	counterSlowWorkers    = "schedule.workers.slow"
-	counterSpeedsLearned  = "schedule.workers.speed"
+	// counterStartsCancelled counts the starts that were answered after the cancellation of their job was read.
+	counterStartsCancelled = "schedule.starts.cancelled"
+	counterSlowMoves       = "schedule.stops.slow"
+	counterSlowWorkers     = "schedule.workers.slow"
+	counterSpeedsLearned   = "schedule.workers.speed"
 	// counterWorkersRestarted counts the processes that respond under the id and address of a former one.
 	counterWorkersRestarted = "schedule.workers.restarted"
 	// counterStartsEvacuated counts the starts that were given up because the failure domain is evacuated, counterStartsHeld the
--- a/leader/requests.go
+++ b/leader/requests.go
@@ -213,6 +213,18 @@
 		count(counterStartsRefused)
 	}
 	s.logAttempt(a).Bool("resumed", a.planned.Checkpoint != "").AnErr("refusal", err).Msg("start answered")
+	s.logIfCancelled(a, err)
+}
+
+// logIfCancelled logs and counts an accepted start whose job was cancelled, as far as this VM has read: its stop follows.
+func (s *session) logIfCancelled(a *startAttempts, err error) {
+	if err != nil || s.leader.View == nil {
+		return
+	}
+	if entry, known := s.leader.View.Get(a.planned.Ref.Task.Job); known && entry.Cancelled {
+		count(counterStartsCancelled)
+		s.logAttempt(a).Msg("start answered after the cancellation of its job")
+	}
 }
 
 // logFailedAttempt logs the first attempt of a start and then one in loggedAttempts of those that have to be repeated.
--- a/leader/workers_test.go
+++ b/leader/workers_test.go
@@ -44,7 +44,7 @@
 
 func putWorker(t *testing.T, log store.Log, id, state string) {
 	record := store.Record{Key: id, Value: []byte(state)}
-	if err := log.Append(t.Context(), store.Workers, []store.Record{record}, nil, time.Second); err != nil {
+	if _, err := log.Append(t.Context(), store.Workers, []store.Record{record}, nil, time.Second); err != nil {
 		t.Fatal(err)
 	}
 }
--- a/node/admission_test.go
+++ b/node/admission_test.go
@@ -31,7 +31,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		if err := log.Append(t.Context(), store.States, []store.Record{record}, nil, time.Second); err != nil {
+		if _, err := log.Append(t.Context(), store.States, []store.Record{record}, nil, time.Second); err != nil {
 			t.Fatal(err)
 		}
 	}
@@ -102,7 +102,7 @@
 		t.Fatal(err)
 	}
 	// The follower has just read the intake, and reads it again only after a pause.
-	if err := log.Append(t.Context(), joblog.IntakeStream(testID), []store.Record{record}, nil, time.Second); err != nil {
+	if _, err := log.Append(t.Context(), joblog.IntakeStream(testID), []store.Record{record}, nil, time.Second); err != nil {
 		t.Fatal(err)
 	}
 	if err := v.Submit(t.Context(), access, testJob()); err != nil {
@@ -137,7 +137,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		if err := log.Append(t.Context(), joblog.IntakeStream(flood.ID), []store.Record{record}, nil, time.Second); err != nil {
+		if _, err := log.Append(t.Context(), joblog.IntakeStream(flood.ID), []store.Record{record}, nil, time.Second); err != nil {
 			t.Fatal(err)
 		}
 	}
--- a/node/cancel.go
+++ b/node/cancel.go
@@ -10,6 +10,7 @@
 	"github.com/redwingthread/redwingthread/errkind"
 	"github.com/redwingthread/redwingthread/joblog"
 	"github.com/redwingthread/redwingthread/leader"
+	"github.com/redwingthread/redwingthread/store"
 	"github.com/redwingthread/redwingthread/workload"
 )
 
@@ -24,6 +25,8 @@
 	// counterEarlyCancels counts the stored cancellations of unknown jobs, counterEarlyCancelsRefused those that were refused.
 	counterEarlyCancels        = "requests.early_cancels"
 	counterEarlyCancelsRefused = "requests.early_cancels_refused"
+	// counterCancelsOfOthers counts the cancellations of known jobs that do not belong to the caller.
+	counterCancelsOfOthers = "requests.cancels_of_others"
 )
 
 // errNoSuchJob returns the error for a job that the caller does not have.
@@ -36,26 +39,65 @@
 // stored; Overloaded if the job is not known and the account has too many cancellations of such jobs; and DeadlineExceeded if the
 // outcome of the write is unknown.
 func (n *Node) Cancel(ctx context.Context, access Access, id workload.JobID) error {
+	outcome := cancelOutcome{offset: store.UnknownOffset}
+	err := n.cancel(ctx, access, id, &outcome)
+	n.logCancel(access, id, &outcome, err)
+	return err
+}
+
+// cancelOutcome is what a cancellation has come to, beside its error.
+type cancelOutcome struct {
+	// known is true if the job's submission was read, owned if the job then belongs to the caller, and ended if it had ended.
+	known, owned, ended bool
+	// stored is true if this request has stored a record, at the given offset.
+	stored bool
+	offset int64
+}
+
+// cancel is Cancel without the log line. It sets the outcome.
+func (n *Node) cancel(ctx context.Context, access Access, id workload.JobID, outcome *cancelOutcome) error {
 	entry, known, err := n.find(ctx, id)
-	switch {
-	case err != nil:
+	if err != nil {
 		return err
-	case !known:
-		return n.cancelEarly(ctx, access, id)
-	case !access.owns(entry.Job):
+	}
+	outcome.known = known
+	if !known {
+		return n.cancelEarly(ctx, access, id, outcome)
+	}
+	outcome.owned, outcome.ended = access.owns(entry.Job), entry.Phase.Final()
+	switch {
+	case !outcome.owned:
 		return errNoSuchJob()
-	case entry.Phase.Final():
+	case outcome.ended:
 		return nil
 	}
 	if err := checkStoreReachable(access); err != nil {
 		return err
 	}
-	return n.writeError("", n.writer.Cancel(ctx, id))
+	offset, err := n.writer.Cancel(ctx, id)
+	outcome.stored, outcome.offset = err == nil, offset
+	return n.writeError("", err)
+}
+
+// logCancel logs and counts a cancellation. What it stored, and what it was answered by without a record, tells an answer that nothing
+// backs from one that was not followed.
+func (n *Node) logCancel(access Access, id workload.JobID, o *cancelOutcome, err error) {
+	switch {
+	case o.stored && !o.known:
+		metrics.GetOrRegisterCounter(counterEarlyCancels, nil).Inc(1)
+	case o.known && !o.owned:
+		metrics.GetOrRegisterCounter(counterCancelsOfOthers, nil).Inc(1)
+	}
+	age, loaded := n.follower.Age()
+	n.Logger.Info().Str("job", string(id)).Str("queue", access.Queue.Name).Str("account", access.Account).Bool("public", access.Queue.Public).
+		Int64("config_version", access.ConfigVersion).Bool("known", o.known).Bool("owned", o.owned).Bool("ended", o.ended).
+		Bool("stored", o.stored).Int64("offset", o.offset).Bool("view_loaded", loaded).Dur("view_age", age).AnErr("error", err).
+		Msg("cancellation answered")
 }
 
 // cancelEarly stores the cancellation of a job that is not known: a submission of it may be in flight, at this VM, at another one or at
 // the store, and may be stored after this response. It returns a NotFound error once the cancellation is stored.
-func (n *Node) cancelEarly(ctx context.Context, access Access, id workload.JobID) error {
+func (n *Node) cancelEarly(ctx context.Context, access Access, id workload.JobID, outcome *cancelOutcome) error {
 	owner := joblog.Owner{Queue: access.Queue.Name, Account: access.Account}
 	retention := n.Settings.Bounds.StatusRetention + leader.CleanupMargin
 	if age, stored := n.view.EarlyCancelAge(id, owner); stored && age < retention/2 {
@@ -70,10 +112,11 @@
 			"there is no such job yet, and the account has too many cancellations of unknown jobs")
 	}
 	defer n.earlyCancels.end(owner.Account)
-	if err := n.writeError("", n.writer.CancelEarly(ctx, id, owner)); err != nil {
+	offset, err := n.writer.CancelEarly(ctx, id, owner)
+	outcome.stored, outcome.offset = err == nil, offset
+	if err := n.writeError("", err); err != nil {
 		return err
 	}
-	metrics.GetOrRegisterCounter(counterEarlyCancels, nil).Inc(1)
 	return errNoSuchJob()
 }
 
--- a/node/cancel_test.go
+++ b/node/cancel_test.go
@@ -4,12 +4,15 @@
 	"bytes"
 	"context"
 	"fmt"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/redwingthread/redwingthread/errkind"
 	"github.com/redwingthread/redwingthread/joblog"
 	"github.com/redwingthread/redwingthread/store"
@@ -25,19 +28,19 @@
 	held   []func()
 }
 
-func (l *lateLog) Append(ctx context.Context, stream store.Stream, records []store.Record, p *store.Producer, timeout time.Duration) error {
+func (l *lateLog) Append(ctx context.Context, stream store.Stream, records []store.Record, p *store.Producer, timeout time.Duration) (int64, error) {
 	l.mu.Lock()
 	lost := l.losses > 0 && len(records) > 0 && strings.HasPrefix(records[0].Key, "s/")
 	if lost {
 		l.losses--
-		l.held = append(l.held, func() { _ = l.Fake.Append(context.Background(), stream, records, p, timeout) })
+		l.held = append(l.held, func() { _, _ = l.Fake.Append(context.Background(), stream, records, p, timeout) })
 	}
 	l.mu.Unlock()
 	if !lost {
 		return l.Fake.Append(ctx, stream, records, p, timeout)
 	}
 	<-ctx.Done()
-	return fmt.Errorf("%w: %w", store.ErrUnknown, ctx.Err())
+	return 0, fmt.Errorf("%w: %w", store.ErrUnknown, ctx.Err())
 }
 
 // late executes the lost appends.
@@ -196,6 +199,44 @@
 	}
 }
 
+// TestCancellationsAreLogged guards against answers to cancellations that cannot be told apart afterwards: whether the job was known, and
+// whether and where a record was stored.
+func TestCancellationsAreLogged(t *testing.T) {
+	var logged bytes.Buffer
+	log, v := newConfiguredVM(t)
+	v.Logger = zerolog.New(zerolog.SyncWriter(&logged))
+	access := v.access()
+	for range 2 {
+		if err := v.Cancel(t.Context(), access, testID); !errkind.Is(err, errkind.NotFound) {
+			t.Fatalf("the cancellation returned %v, want that there is no such job", err)
+		}
+	}
+	const known = workload.JobID("00000000000000aa")
+	job := testJob()
+	job.ID = known
+	if err := v.Submit(t.Context(), access, job); err != nil {
+		t.Fatal(err)
+	}
+	if err := v.Cancel(t.Context(), access, known); err != nil {
+		t.Fatal(err)
+	}
+	batch, err := log.Read(t.Context(), joblog.IntakeStream(known), 0, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []string{
+		`"known":false,"owned":false,"ended":false,"stored":true,"offset":0,`,
+		`"known":true,"owned":true,"ended":false,"stored":true,"offset":` + strconv.FormatInt(batch.End-1, 10) + `,`,
+	} {
+		if !strings.Contains(logged.String(), want) {
+			t.Errorf("no log line holds %s", want)
+		}
+	}
+	if lines := strings.Count(logged.String(), "cancellation answered"); lines != 3 {
+		t.Errorf("3 cancellations have %d log lines:\n%s", lines, logged.String())
+	}
+}
+
 // TestRepeatedCancelOfAnUnknownJobIsStoredOnce guards against callers that repeat a cancellation and take the store's calls of others.
 func TestRepeatedCancelOfAnUnknownJobIsStoredOnce(t *testing.T) {
 	log, v := newConfiguredVM(t)
--- a/node/evacuation_test.go
+++ b/node/evacuation_test.go
@@ -31,7 +31,7 @@
 	if on {
 		record.Value = []byte("{}")
 	}
-	if err := log.Append(t.Context(), store.Config, []store.Record{record}, nil, time.Second); err != nil {
+	if _, err := log.Append(t.Context(), store.Config, []store.Record{record}, nil, time.Second); err != nil {
 		t.Fatal(err)
 	}
 }
@@ -78,8 +78,8 @@
 	evacuate(t, log, "a", true)
 	v.awaitEvacuated("a")
 	log.SetFault(func(request string) (error, bool) { return store.ErrUnknown, request == "append" })
-	_ = log.Append(t.Context(), store.Config, []store.Record{{Key: evacuationKey + "a"}}, nil, time.Second)
-	_ = log.Append(t.Context(), store.Config, []store.Record{{Key: evacuationKey + "b", Value: []byte("{}")}}, nil, time.Second)
+	_, _ = log.Append(t.Context(), store.Config, []store.Record{{Key: evacuationKey + "a"}}, nil, time.Second)
+	_, _ = log.Append(t.Context(), store.Config, []store.Record{{Key: evacuationKey + "b", Value: []byte("{}")}}, nil, time.Second)
 	log.DropHistory(store.Config)
 	log.SetFault(nil)
 	v.awaitEvacuated("b")
@@ -355,7 +355,7 @@
 	log := storetest.New()
 	publish(t, log, testConfig{Version: 1, Keys: map[string]string{testKey: "acme"}})
 	for id, domain := range map[string]string{"worker-a": "a", "worker-b": "b"} {
-		if err := log.Append(t.Context(), store.Workers, []store.Record{{Key: id, Value: []byte(domain)}}, nil, time.Second); err != nil {
+		if _, err := log.Append(t.Context(), store.Workers, []store.Record{{Key: id, Value: []byte(domain)}}, nil, time.Second); err != nil {
 			t.Fatal(err)
 		}
 	}
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -90,7 +90,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if err := log.Append(t.Context(), store.Config, []store.Record{{Key: "config", Value: text}}, nil, time.Second); err != nil {
+	if _, err := log.Append(t.Context(), store.Config, []store.Record{{Key: "config", Value: text}}, nil, time.Second); err != nil {
 		t.Fatal(err)
 	}
 }
@@ -441,7 +441,7 @@
 
 // epochFenced reports whether a holder with a higher epoch has registered with the store.
 func epochFenced(t *testing.T, log store.Log, epoch int64) bool {
-	err := log.Append(t.Context(), store.States, nil, &store.Producer{Name: "schedule", Epoch: epoch}, time.Second)
+	_, err := log.Append(t.Context(), store.States, nil, &store.Producer{Name: "schedule", Epoch: epoch}, time.Second)
 	return errors.Is(err, store.ErrFenced)
 }
 
@@ -451,10 +451,10 @@
 	hang atomic.Bool
 }
 
-func (c *hangingAppends) Append(ctx context.Context, stream store.Stream, records []store.Record, p *store.Producer, timeout time.Duration) error {
+func (c *hangingAppends) Append(ctx context.Context, stream store.Stream, records []store.Record, p *store.Producer, timeout time.Duration) (int64, error) {
 	if c.hang.Load() {
 		<-ctx.Done()
-		return store.ErrUnknown
+		return 0, store.ErrUnknown
 	}
 	return c.Log.Append(ctx, stream, records, p, timeout)
 }
--- a/store/cursor_test.go
+++ b/store/cursor_test.go
@@ -15,7 +15,7 @@
 	t.Helper()
 	for version := first; version <= last; version++ {
 		record := store.Record{Key: "config", Value: []byte(strconv.Itoa(version))}
-		if err := log.Append(t.Context(), store.Config, []store.Record{record}, nil, time.Second); err != nil {
+		if _, err := log.Append(t.Context(), store.Config, []store.Record{record}, nil, time.Second); err != nil {
 			t.Fatal(err)
 		}
 	}
@@ -78,7 +78,7 @@
 	fake := storetest.New()
 	fake.PageSize = 1
 	for _, key := range []string{"a", "b"} {
-		if err := fake.Append(t.Context(), store.Config, []store.Record{{Key: key, Value: []byte("{}")}}, nil, time.Second); err != nil {
+		if _, err := fake.Append(t.Context(), store.Config, []store.Record{{Key: key, Value: []byte("{}")}}, nil, time.Second); err != nil {
 			t.Fatal(err)
 		}
 	}
@@ -98,7 +98,7 @@
 	log.PageSize = 3
 	put := func(key, value string) {
 		t.Helper()
-		if err := log.Append(t.Context(), store.States, []store.Record{{Key: key, Value: []byte(value)}}, nil, time.Second); err != nil {
+		if _, err := log.Append(t.Context(), store.States, []store.Record{{Key: key, Value: []byte(value)}}, nil, time.Second); err != nil {
 			t.Fatal(err)
 		}
 	}
--- a/store/hedge.go
+++ b/store/hedge.go
@@ -83,13 +83,12 @@
 	}
 }
 
-// Append makes a hedged append and returns the number of attempts. A repeat must have no effect, so the records need keys
-// or the producer a sequence number.
-func (h *Hedge) Append(ctx context.Context, log Log, stream Stream, records []Record, producer *Producer, timeout time.Duration) (attempts int, err error) {
-	_, attempts, err = Hedged(ctx, h, timeout, func(ctx context.Context) (struct{}, error) {
-		return struct{}{}, log.Append(ctx, stream, records, producer, timeout)
+// Append makes a hedged append and returns the offset of its first record and the number of attempts. A repeat must have no effect, so
+// the records need keys or the producer a sequence number.
+func (h *Hedge) Append(ctx context.Context, log Log, stream Stream, records []Record, producer *Producer, timeout time.Duration) (offset int64, attempts int, err error) {
+	return Hedged(ctx, h, timeout, func(ctx context.Context) (int64, error) {
+		return log.Append(ctx, stream, records, producer, timeout)
 	})
-	return attempts, err
 }
 
 // lessCertain returns the error that leaves more outcomes of the request possible: one attempt of unknown outcome makes the
--- a/store/store.go
+++ b/store/store.go
@@ -19,6 +19,9 @@
 	ErrFenced = errors.New("store: a newer epoch of the producer exists")
 	// ErrExpired means that the offset of a read is before the first retained record.
 	ErrExpired = errors.New("store: offset is before the first retained record")
+	// ErrMoved means that a conditional append was rejected because the stream does not end at the given offset. That attempt had no
+	// effect; an earlier one of the same append may have been executed.
+	ErrMoved = errors.New("store: the stream ends at another offset")
 )
 
 // SequenceError rejects an append whose sequence number does not follow the last one. The rejected attempt had no effect;
@@ -74,6 +77,9 @@
 // String returns the topic and the part for log lines, separated by a slash.
 func (s Stream) String() string { return string(s.Topic) + "/" + strconv.Itoa(s.Part) }
 
+// UnknownOffset stands for the offset of records that are stored at an offset that the response does not tell.
+const UnknownOffset = -1
+
 // Record is one record of a keyed topic. A record without value deletes its key. Offset is set by reads only.
 type Record struct {
 	Key    string
@@ -116,9 +122,12 @@
 
 // Log is the client of the store. Its errors match ErrNotExecuted, ErrUnknown or a more specific error of this package.
 type Log interface {
-	// Append adds the records to the stream, all or none. producer may be nil. An append without records registers the
-	// producer's epoch.
-	Append(ctx context.Context, stream Stream, records []Record, producer *Producer, timeout time.Duration) error
+	// Append adds the records to the stream, all or none, and returns the offset of the first one or UnknownOffset. producer may be
+	// nil. An append without records registers the producer's epoch.
+	Append(ctx context.Context, stream Stream, records []Record, producer *Producer, timeout time.Duration) (offset int64, err error)
+	// AppendAt adds the records to the stream, all or none, provided that the stream ends at the given offset; otherwise the error
+	// matches ErrMoved. Without a response it may still be executed later, under the same condition.
+	AppendAt(ctx context.Context, stream Stream, records []Record, end int64, timeout time.Duration) error
 	// Read returns the records from offset from on; it waits up to wait for the first one. The error matches ErrExpired if
 	// from is before the first retained record.
 	Read(ctx context.Context, stream Stream, from int64, wait time.Duration) (*Batch, error)
--- a/store/storetest/fake.go
+++ b/store/storetest/fake.go
@@ -101,25 +101,49 @@
 }
 
 // Append implements store.Log.
-func (f *Fake) Append(_ context.Context, stream store.Stream, records []store.Record, p *store.Producer, _ time.Duration) error {
+func (f *Fake) Append(_ context.Context, stream store.Stream, records []store.Record, p *store.Producer, _ time.Duration) (int64, error) {
 	fault, execute := f.injectFault("append")
 	if !execute {
-		return fault
+		return 0, fault
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if p != nil {
 		repeat, err := f.checkProducer(p, len(records))
 		if err != nil {
-			return err
+			return 0, err
 		}
 		if repeat {
-			return fault
+			return store.UnknownOffset, fault
 		}
 	}
+	return f.add(f.streamData(stream), records), fault
+}
+
+// AppendAt implements store.Log.
+func (f *Fake) AppendAt(_ context.Context, stream store.Stream, records []store.Record, end int64, _ time.Duration) error {
+	fault, execute := f.injectFault("appendat")
+	if !execute {
+		return fault
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	t := f.streamData(stream)
+	if t.end() != end {
+		return store.ErrMoved
+	}
+	f.add(t, records)
+	return fault
+}
+
+// end returns the offset after the last record.
+func (t *streamData) end() int64 { return t.first + int64(len(t.records)) }
+
+// add appends the records and returns the offset of the first one. mu must be held.
+func (f *Fake) add(t *streamData, records []store.Record) (offset int64) {
+	offset = t.end()
 	for _, r := range records {
-		r.Offset = t.first + int64(len(t.records))
+		r.Offset = t.end()
 		t.records = append(t.records, r)
 		if len(r.Value) == 0 {
 			delete(t.newest, r.Key)
@@ -129,7 +153,7 @@
 	}
 	close(f.changed)
 	f.changed = make(chan struct{})
-	return fault
+	return offset
 }
 
 // checkProducer checks the epoch and the sequence number of a producer's append, and records them. repeat is true if there
@@ -171,7 +195,7 @@
 	for {
 		f.mu.Lock()
 		t := f.streamData(stream)
-		end := t.first + int64(len(t.records))
+		end := t.end()
 		if from < t.first {
 			f.mu.Unlock()
 			return nil, store.ErrExpired
@@ -213,7 +237,7 @@
 		}
 	}
 	sort.Strings(keys)
-	page := &store.Page{End: t.first + int64(len(t.records)), More: len(keys) > f.PageSize}
+	page := &store.Page{End: t.end(), More: len(keys) > f.PageSize}
 	for _, key := range keys[:min(len(keys), f.PageSize)] {
 		page.Records = append(page.Records, t.newest[key])
 	}
