Answer for a job by who may access it after its key or queue has changed, and cancel submissions in flight alike

Cause: a job belonged to whoever had both the name of its queue and its account. Both can change between a submission and a later request, and who no longer matched was told that the job does not exist, although he had submitted it. An early cancellation matched submissions the same way, so the same held for submissions in flight.

Now: calls on a public queue may access its jobs, whenever they were submitted; a job that was submitted while its queue was public belongs to no account; a URL stays the same when its queue gets another name. A key that has moved to another account gets 403 for the jobs that it has submitted: its caller knows of them, they are the former account's, and they go on. Everybody else gets 410 as before. For this a submission and an early cancellation hold hashes of URL and key, never the key.

Mixed versions: records gain fields that earlier versions ignore; records of earlier versions lack them and match by queue and account alone.

TestJobOfOtherAccountIsHidden changed the account of an access and kept the key, which is now the case of a moved key; it uses the key of another account instead, and also checks that the job goes on. The job of TestEarlyCancelsOfOthersHaveNoEffect gets an account: one without is that of a public queue, which anybody may cancel.

--- a/joblog/earlycancel.go
+++ b/joblog/earlycancel.go
@@ -1,118 +1,181 @@
 package joblog
 
 import (
+	"slices"
 	"strconv"
 	"strings"
 	"time"
+	"unique"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
 
-	"github.com/redwingthread/redwingthread/boottime"
 	"github.com/redwingthread/redwingthread/store"
 	"github.com/redwingthread/redwingthread/workload"
 )
 
-// Owner is whom a job belongs to. A job can be seen and cancelled only by callers with the same owner.
-type Owner struct {
+// Caller is who asks for a job.
+type Caller struct {
+	// Queue is the queue to which the URL belongs.
 	Queue string
-	// Account is the client account; empty on a public queue.
+	// Account is the client account of the key; empty on a public queue.
 	Account string
+	// Origin is that of the request; its values are 0 in records of versions that did not store it.
+	Origin workload.Origin
 }
 
-// ownerOf returns the owner of the job.
-func ownerOf(job *workload.Job) Owner { return Owner{Queue: job.Queue, Account: job.Account} }
+// MayAccess reports whether the caller may see and cancel the job. A call on a public queue needs no key, whenever its jobs were
+// submitted, and a job that was submitted while its queue was public belongs to no account.
+func (c Caller) MayAccess(job *workload.Job) bool {
+	return c.sameQueue(job) && (c.Account == "" || job.Account == "" || c.Account == job.Account)
+}
+
+// HasSubmitted reports whether the job was submitted by the same URL with the same key. That key may belong to another account now.
+func (c Caller) HasSubmitted(job *workload.Job) bool {
+	return c.sameQueue(job) && c.Origin.SameKey(job.Origin)
+}
+
+// sameQueue reports whether the job is in the queue, or was submitted by the same URL while that belonged to another queue.
+func (c Caller) sameQueue(job *workload.Job) bool {
+	return c.Queue == job.Queue || c.Origin.SameURL(job.Origin)
+}
 
 // EarlyCancelRecord returns the record of a cancellation that is stored before the submission of its job was read: the submission may
-// be in flight and be stored later. It cancels the job only if that has the given owner. Each owner has a key of its own, so that none
-// replaces the cancellation of another. The error is that of the encoding.
-func EarlyCancelRecord(id workload.JobID, owner Owner) (store.Record, error) {
-	value, err := encoding.Marshal(owner)
-	return store.Record{Key: earlyCancelKey(id, owner), Value: value}, err
+// be in flight and be stored later. It cancels the job only if the caller may access it, or has submitted it. The callers of each queue and
+// account have a key of their own, so that none replaces the cancellation of another. The error is that of the encoding.
+func EarlyCancelRecord(id workload.JobID, c Caller) (store.Record, error) {
+	value, err := encoding.Marshal(c)
+	return store.Record{Key: earlyCancelKey(id, c.ownerHash()), Value: value}, err
 }
 
-func earlyCancelKey(id workload.JobID, owner Owner) string {
-	hash := xxhash.Sum64String(owner.Queue + "\x00" + owner.Account)
-	return keyEarlyCancel + string(id) + "/" + strconv.FormatUint(hash, 16)
+// ownerHash returns the hash of queue and account in the key of an early cancellation.
+func (c Caller) ownerHash() uint64 { return xxhash.Sum64String(c.Queue + "\x00" + c.Account) }
+
+func earlyCancelKey(id workload.JobID, ownerHash uint64) string {
+	return keyEarlyCancel + string(id) + "/" + strconv.FormatUint(ownerHash, 16)
 }
 
-// earlyCancel is an early cancellation and the boot-clock time at which it was read.
+// parseEarlyCancelKey returns the parts of the key of an early cancellation without its prefix.
+func parseEarlyCancelKey(name string) (id workload.JobID, ownerHash uint64, err error) {
+	at := strings.LastIndexByte(name, '/')
+	if at <= 0 {
+		return "", 0, unreadable("the key of the early cancellation names no job")
+	}
+	ownerHash, err = strconv.ParseUint(name[at+1:], 16, 64)
+	if err != nil {
+		return "", 0, unreadable("the key of the early cancellation names no owner")
+	}
+	return workload.JobID(name[:at]), ownerHash, nil
+}
+
+// earlyCancel is an early cancellation. Many have the same queue and account, which are shared.
 type earlyCancel struct {
-	owner  Owner
+	queue, account unique.Handle[string]
+	origin         workload.Origin
+	// readAt is the boot-clock time at which the record was read.
 	readAt time.Duration
 }
 
+func newEarlyCancel(c Caller, readAt time.Duration) earlyCancel {
+	return earlyCancel{queue: unique.Make(c.Queue), account: unique.Make(c.Account), origin: c.Origin, readAt: readAt}
+}
+
+// caller returns who has cancelled the job.
+func (e *earlyCancel) caller() Caller {
+	return Caller{Queue: e.queue.Value(), Account: e.account.Value(), Origin: e.origin}
+}
+
 // earlyCancels holds the early cancellations. The zero value is ready for use.
 type earlyCancels struct {
-	// byKey maps the keys of the records, without their prefix.
-	byKey map[string]earlyCancel
+	// byJob maps each job to its cancellations, of which each is for another queue or account.
+	byJob map[workload.JobID][]earlyCancel
 	// counts maps each account to the number of its cancellations.
 	counts map[string]int
 }
 
-func (c *earlyCancels) set(key string, owner Owner) {
-	if c.byKey == nil {
-		c.byKey, c.counts = map[string]earlyCancel{}, map[string]int{}
+func (c *earlyCancels) set(id workload.JobID, cancel earlyCancel) {
+	if c.byJob == nil {
+		c.byJob, c.counts = map[workload.JobID][]earlyCancel{}, map[string]int{}
 	}
-	c.remove(key)
-	c.byKey[key] = earlyCancel{owner: owner, readAt: boottime.Now()}
-	c.counts[owner.Account]++
+	c.remove(id, cancel.caller().ownerHash())
+	c.byJob[id] = append(c.byJob[id], cancel)
+	c.counts[cancel.account.Value()]++
 }
 
-func (c *earlyCancels) remove(key string) {
-	former, known := c.byKey[key]
-	if !known {
+func (c *earlyCancels) remove(id workload.JobID, ownerHash uint64) {
+	ofJob := c.byJob[id]
+	n := slices.IndexFunc(ofJob, func(e earlyCancel) bool { return e.caller().ownerHash() == ownerHash })
+	if n < 0 {
 		return
 	}
-	delete(c.byKey, key)
-	c.counts[former.owner.Account]--
-	if c.counts[former.owner.Account] == 0 {
-		delete(c.counts, former.owner.Account)
+	account := ofJob[n].account.Value()
+	c.counts[account]--
+	if c.counts[account] == 0 {
+		delete(c.counts, account)
+	}
+	c.byJob[id] = slices.Delete(ofJob, n, n+1)
+	if len(c.byJob[id]) == 0 {
+		delete(c.byJob, id)
 	}
 }
 
 // removeMissing removes the cancellations whose records are in the stream, as far as keys lacks them, and returns their number.
 func (c *earlyCancels) removeMissing(stream store.Stream, keys map[string]bool) (removed int) {
-	for name := range c.byKey {
-		if streamOf(name) == stream && !keys[keyEarlyCancel+name] {
-			c.remove(name)
-			removed++
+	for id, ofJob := range c.byJob {
+		if IntakeStream(id) != stream {
+			continue
+		}
+		for _, e := range slices.Clone(ofJob) {
+			hash := e.caller().ownerHash()
+			if !keys[earlyCancelKey(id, hash)] {
+				c.remove(id, hash)
+				removed++
+			}
 		}
 	}
 	return removed
 }
 
-// streamOf returns the stream of an early cancellation. name is the key without its prefix.
-func streamOf(name string) store.Stream {
-	return IntakeStream(workload.JobID(name[:strings.LastIndexByte(name, '/')]))
+// find returns the early cancellation of the job by the caller.
+func (c *earlyCancels) find(id workload.JobID, caller Caller) (earlyCancel, bool) {
+	for _, e := range c.byJob[id] {
+		if e.caller() == caller {
+			return e, true
+		}
+	}
+	return earlyCancel{}, false
 }
 
-// find returns the early cancellation of the job by the owner.
-func (c *earlyCancels) find(id workload.JobID, owner Owner) (earlyCancel, bool) {
-	found, known := c.byKey[strings.TrimPrefix(earlyCancelKey(id, owner), keyEarlyCancel)]
-	return found, known && found.owner == owner
+// cancel reports whether one of the cancellations holds for the submission.
+func (c *earlyCancels) cancel(job *workload.Job) bool {
+	return slices.ContainsFunc(c.byJob[job.ID], func(e earlyCancel) bool {
+		caller := e.caller()
+		return caller.MayAccess(job) || caller.HasSubmitted(job)
+	})
 }
 
-// foldEarlyCancel applies the record of an early cancellation at the offset, or the one that deletes it, and returns the id of the job. name
-// is the key without its prefix. The error is BadInput if the record cannot be decoded. mu must be held.
-func (v *View) foldEarlyCancel(name string, value []byte, offset int64) (workload.JobID, error) {
-	at := strings.LastIndexByte(name, '/')
-	if at <= 0 {
-		return "", unreadable("the key of the early cancellation names no job")
+// foldEarlyCancel applies the record of an early cancellation, or the one that deletes it, and returns the id of the job. name is the key
+// without its prefix. The error is BadInput if the record cannot be decoded. mu must be held.
+func (v *View) foldEarlyCancel(name string, r store.Record) (workload.JobID, error) {
+	id, ownerHash, err := parseEarlyCancelKey(name)
+	if err != nil {
+		return "", err
 	}
-	id := workload.JobID(name[:at])
-	if len(value) == 0 {
-		v.earlyCancels.remove(name)
+	if len(r.Value) == 0 {
+		v.earlyCancels.remove(id, ownerHash)
 		return id, nil
 	}
-	var owner Owner
-	if err := cbor.Unmarshal(value, &owner); err != nil {
+	var caller Caller
+	if err := cbor.Unmarshal(r.Value, &caller); err != nil {
 		return id, unreadable(err.Error())
 	}
-	v.earlyCancels.set(name, owner)
+	if caller.ownerHash() != ownerHash {
+		return id, unreadable("the early cancellation has the key of another queue or account")
+	}
+	v.earlyCancels.set(id, newEarlyCancel(caller, v.now()))
 	if e := v.entries[id]; e != nil && e.job != nil {
 		v.adjustCounts(e, -1)
-		v.cancelIfEarlyCancelled(e, offset)
+		v.cancelIfEarlyCancelled(e, r.Offset)
 		v.adjustCounts(e, 1)
 	}
 	return id, nil
@@ -120,19 +183,19 @@
 
 // void is a submission that an early cancellation cancels, and the offset of the later one of their records.
 type void struct {
-	job    workload.JobID
-	owner  Owner
-	offset int64
+	job            workload.JobID
+	queue, account string
+	offset         int64
 }
 
-// cancelIfEarlyCancelled cancels the job of the entry if its owner had done so before its submission was read. offset is that of the record
+// cancelIfEarlyCancelled cancels the job of the entry if that was cancelled before its submission was read. offset is that of the record
 // that was read last. mu must be held.
 func (v *View) cancelIfEarlyCancelled(e *entry, offset int64) {
-	if _, cancelled := v.earlyCancels.find(e.job.ID, ownerOf(e.job)); !cancelled {
+	if !v.earlyCancels.cancel(e.job) {
 		return
 	}
 	if !e.cancelled() && !e.phase.Final() {
-		v.newVoids = append(v.newVoids, void{job: e.job.ID, owner: ownerOf(e.job), offset: offset})
+		v.newVoids = append(v.newVoids, void{job: e.job.ID, queue: e.job.Queue, account: e.job.Account, offset: offset})
 	}
 	e.cancelRequested = true
 }
@@ -146,12 +209,12 @@
 	return voids
 }
 
-// EarlyCancelAge returns the time since which the view has an early cancellation of the job by the owner; false if it has none.
-func (v *View) EarlyCancelAge(id workload.JobID, owner Owner) (time.Duration, bool) {
+// EarlyCancelAge returns the time since which the view has an early cancellation of the job by the caller; false if it has none.
+func (v *View) EarlyCancelAge(id workload.JobID, caller Caller) (time.Duration, bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	found, known := v.earlyCancels.find(id, owner)
-	return boottime.Now() - found.readAt, known
+	found, known := v.earlyCancels.find(id, caller)
+	return v.now() - found.readAt, known
 }
 
 // EarlyCancels returns the number of early cancellations of the account.
@@ -167,12 +230,14 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	tombstones := map[store.Stream][]store.Record{}
-	for name, c := range v.earlyCancels.byKey {
-		if c.readAt >= before {
-			continue
+	for id, ofJob := range v.earlyCancels.byJob {
+		for _, e := range ofJob {
+			if e.readAt >= before {
+				continue
+			}
+			stream := IntakeStream(id)
+			tombstones[stream] = append(tombstones[stream], store.Record{Key: earlyCancelKey(id, e.caller().ownerHash())})
 		}
-		stream := streamOf(name)
-		tombstones[stream] = append(tombstones[stream], store.Record{Key: keyEarlyCancel + name})
 	}
 	return tombstones
 }
--- a/joblog/earlycancel_test.go
+++ b/joblog/earlycancel_test.go
@@ -18,9 +18,9 @@
 	"github.com/redwingthread/redwingthread/workload"
 )
 
-func earlyCancelRecord(t *testing.T, id workload.JobID, owner Owner) store.Record {
+func earlyCancelRecord(t *testing.T, id workload.JobID, caller Caller) store.Record {
 	t.Helper()
-	r, err := EarlyCancelRecord(id, owner)
+	r, err := EarlyCancelRecord(id, caller)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -30,7 +30,7 @@
 // TestEarlyCancelHoldsInAnyOrder guards against an early cancellation that has an effect only if its record is read before, or after, the
 // submission, and against counts that drift with it.
 func TestEarlyCancelHoldsInAnyOrder(t *testing.T) {
-	early := earlyCancelRecord(t, "a", Owner{Queue: "q"})
+	early := earlyCancelRecord(t, "a", Caller{Queue: "q"})
 	for _, records := range [][]store.Record{
 		{early, submission(t, "a")}, {submission(t, "a"), early}, {early, early, submission(t, "a")}, {state("a", workload.PhaseRunning), early, submission(t, "a")},
 	} {
@@ -53,13 +53,20 @@
 // TestEarlyCancelsOfOthersHaveNoEffect guards against an early cancellation by another owner, which must not replace that of the owner either.
 func TestEarlyCancelsOfOthersHaveNoEffect(t *testing.T) {
 	v := NewView()
-	mustApply(t, v, earlyCancelRecord(t, "a", Owner{Queue: "q", Account: "rival"}))
-	mustApply(t, v, earlyCancelRecord(t, "a", Owner{Queue: "other"}))
-	mustApply(t, v, submission(t, "a"))
-	if e, _ := v.Get("a"); e.Cancelled || v.Charge() != overload.Charge(job("a")) {
+	own := job("a")
+	own.Account = "acme"
+	submitted, err := SubmissionRecord(own)
+	if err != nil {
+		t.Fatal(err)
+	}
+	mustApply(t, v, earlyCancelRecord(t, "a", Caller{Queue: "q", Account: "rival"}))
+	mustApply(t, v, earlyCancelRecord(t, "a", Caller{Queue: "other"}))
+	mustApply(t, v, earlyCancelRecord(t, "a", Caller{Queue: "other", Account: "acme"}))
+	mustApply(t, v, submitted)
+	if e, _ := v.Get("a"); e.Cancelled || v.Charge() != overload.Charge(own) {
 		t.Fatal("the job is cancelled by others")
 	}
-	mustApply(t, v, earlyCancelRecord(t, "a", Owner{Queue: "q"}))
+	mustApply(t, v, earlyCancelRecord(t, "a", Caller{Queue: "q", Account: "acme"}))
 	if e, _ := v.Get("a"); !e.Cancelled {
 		t.Fatal("the job is not cancelled by its owner")
 	}
@@ -70,7 +77,7 @@
 func TestEarlyCancelsAreDeleted(t *testing.T) {
 	v := NewView()
 	for i := range 10 {
-		mustApply(t, v, earlyCancelRecord(t, workload.JobID(fmt.Sprint(i)), Owner{Account: "acme"}))
+		mustApply(t, v, earlyCancelRecord(t, workload.JobID(fmt.Sprint(i)), Caller{Account: "acme"}))
 	}
 	if n := v.EarlyCancels("acme"); n != 10 {
 		t.Errorf("%d early cancellations are counted, want 10", n)
@@ -166,7 +173,7 @@
 		v := NewView()
 		before := footprinttest.LiveHeap()
 		for i := range count {
-			r, err := EarlyCancelRecord(workload.JobID(fmt.Sprintf("%016x", i)), Owner{Queue: "a-queue-of-24-characters", Account: "an-account-of-24-letters"})
+			r, err := EarlyCancelRecord(workload.JobID(fmt.Sprintf("%016x", i)), Caller{Queue: "a-queue-of-24-characters", Account: "an-account-of-24-letters", Origin: workload.Origin{URL: 1 << 63, Key: 1 << 63}})
 			if err != nil {
 				b.Fatal(err)
 			}
@@ -182,14 +189,14 @@
 // TestEarlyCancelIsNoRecordOfEarlierVersions guards against a program of an earlier version that takes an early cancellation for one of its own
 // records, and cancels a job of any owner by it. What it cancels itself holds beside early cancellations.
 func TestEarlyCancelIsNoRecordOfEarlierVersions(t *testing.T) {
-	record := earlyCancelRecord(t, "a", Owner{Queue: "q"})
+	record := earlyCancelRecord(t, "a", Caller{Queue: "q"})
 	for _, prefix := range []string{"s/", "c/", "j/", "q/", "l/"} {
 		if strings.HasPrefix(record.Key, prefix) {
 			t.Errorf("the key %q begins like a record of earlier versions", record.Key)
 		}
 	}
 	v := NewView()
-	mustApply(t, v, earlyCancelRecord(t, "a", Owner{Queue: "other"}))
+	mustApply(t, v, earlyCancelRecord(t, "a", Caller{Queue: "other"}))
 	mustApply(t, v, submission(t, "a"))
 	mustApply(t, v, store.Record{Key: "c/a", Value: []byte{1}})
 	if e, _ := v.Get("a"); !e.Cancelled {
--- a/joblog/reader.go
+++ b/joblog/reader.go
@@ -232,7 +232,7 @@
 		}
 	}
 	for _, void := range r.view.takeVoids() {
-		r.logger.Info().Str("job", string(void.job)).Str("queue", void.owner.Queue).Str("account", void.owner.Account).
+		r.logger.Info().Str("job", string(void.job)).Str("queue", void.queue).Str("account", void.account).
 			Int64("offset", void.offset).Msg("submission voided by an early cancellation")
 		metrics.GetOrRegisterCounter(counterVoided, nil).Inc(1)
 	}
--- a/joblog/reader_test.go
+++ b/joblog/reader_test.go
@@ -56,7 +56,7 @@
 	}
 	for i := range 12 {
 		id := workload.JobID(fmt.Sprint(i))
-		early, err := EarlyCancelRecord(id+"-early", Owner{Account: "acme"})
+		early, err := EarlyCancelRecord(id+"-early", Caller{Account: "acme"})
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -79,7 +79,7 @@
 	for i := range 10 {
 		id := workload.JobID(fmt.Sprint(i))
 		put(id, IntakeTombstones(id)...)
-		put(id+"-early", store.Record{Key: earlyCancelKey(id+"-early", Owner{Account: "acme"})})
+		put(id+"-early", store.Record{Key: earlyCancelKey(id+"-early", Caller{Account: "acme"}.ownerHash())})
 		if _, err := log.Append(t.Context(), store.States, []store.Record{StateTombstone(id)}, nil, time.Second); err != nil {
 			t.Fatal(err)
 		}
--- a/joblog/view.go
+++ b/joblog/view.go
@@ -182,12 +182,14 @@
 	// forecast is the newest forecast, nil if none was read, and forecastReadAt when it was read, on the boot clock.
 	forecast       *overload.Forecast
 	forecastReadAt time.Duration
+	// now returns the time on the boot clock.
+	now func() time.Duration
 }
 
 // NewView returns an empty view.
 func NewView() *View {
 	return &View{entries: map[workload.JobID]*entry{}, waiting: map[string]int{}, policies: map[string]workload.QueuePolicy{},
-		reserved: map[workload.JobID]int{}}
+		reserved: map[workload.JobID]int{}, now: boottime.Now}
 }
 
 // Apply folds one record and returns the id of its job; empty if the key names none. It returns a BadInput error for a record
@@ -205,7 +207,7 @@
 	case keyForecast:
 		return "", v.foldForecast(string(id), r.Value)
 	case keyEarlyCancel:
-		return v.foldEarlyCancel(string(id), r.Value, r.Offset)
+		return v.foldEarlyCancel(string(id), r)
 	case keySubmission, keyCancel, keyState:
 	default:
 		return "", unreadable("the key is of an unknown kind")
@@ -281,7 +283,7 @@
 	}
 	if v.forecast == nil || !v.forecast.MadeAt.Equal(forecast.MadeAt) {
 		// A forecast that is read again does not become younger.
-		v.forecastReadAt = boottime.Now()
+		v.forecastReadAt = v.now()
 	}
 	v.forecast = forecast
 	return nil
@@ -293,7 +295,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	f := v.forecast
-	if f == nil || time.Since(f.MadeAt) > overload.MaxForecastAge || boottime.Now()-v.forecastReadAt > overload.MaxForecastAge {
+	if f == nil || time.Since(f.MadeAt) > overload.MaxForecastAge || v.now()-v.forecastReadAt > overload.MaxForecastAge {
 		return nil
 	}
 	return f
--- a/joblog/writer.go
+++ b/joblog/writer.go
@@ -75,10 +75,10 @@
 	return w.write(id, &write{record: CancelRecord(id), ctx: ctx})
 }
 
-// CancelEarly stores a cancellation that also holds for a submission of the owner that is stored later, and returns its offset; see Submit
-// for the outcomes.
-func (w *Writer) CancelEarly(ctx context.Context, id workload.JobID, owner Owner) (offset int64, err error) {
-	record, err := EarlyCancelRecord(id, owner)
+// CancelEarly stores a cancellation that also holds for a submission that is stored later, if the caller may cancel that, and returns its
+// offset; see Submit for the outcomes.
+func (w *Writer) CancelEarly(ctx context.Context, id workload.JobID, caller Caller) (offset int64, err error) {
+	record, err := EarlyCancelRecord(id, caller)
 	if err != nil {
 		return 0, errors.Join(store.ErrNotExecuted, err)
 	}
--- a/leader/cleanup_test.go
+++ b/leader/cleanup_test.go
@@ -20,7 +20,7 @@
 		l := newTestLeader(t, log, &bytes.Buffer{})
 		l.View = joblog.NewView()
 		l.StatusRetention = retention
-		record, err := joblog.EarlyCancelRecord(id, joblog.Owner{Queue: "q", Account: "acme"})
+		record, err := joblog.EarlyCancelRecord(id, joblog.Caller{Queue: "q", Account: "acme"})
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/node/cancel.go
+++ b/node/cancel.go
@@ -8,7 +8,6 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/redwingthread/redwingthread/errkind"
-	"github.com/redwingthread/redwingthread/joblog"
 	"github.com/redwingthread/redwingthread/leader"
 	"github.com/redwingthread/redwingthread/store"
 	"github.com/redwingthread/redwingthread/workload"
@@ -35,7 +34,8 @@
 }
 
 // Cancel stores the cancellation of a job; it does nothing if the job has ended. The error is NotFound if the caller has no
-// such job, and then none that the caller has submitted before can start; Unavailable if this VM cannot tell or the cancellation is not
+// such job, and then none that the caller has submitted before can start; Forbidden if the key of the caller belonged to another account when
+// the job was submitted with it, and then the job goes on; Unavailable if this VM cannot tell or the cancellation is not
 // stored; Overloaded if the job is not known and the account has too many cancellations of such jobs; and DeadlineExceeded if the
 // outcome of the write is unknown.
 func (n *Node) Cancel(ctx context.Context, access Access, id workload.JobID) error {
@@ -64,11 +64,11 @@
 	if !known {
 		return n.cancelEarly(ctx, access, id, outcome)
 	}
-	outcome.owned, outcome.ended = access.owns(entry.Job), entry.Phase.Final()
-	switch {
-	case !outcome.owned:
-		return errNoSuchJob()
-	case outcome.ended:
+	if err := access.check(entry.Job); err != nil {
+		return err
+	}
+	outcome.owned, outcome.ended = true, entry.Phase.Final()
+	if outcome.ended {
 		return nil
 	}
 	if err := checkStoreReachable(access); err != nil {
@@ -98,21 +98,21 @@
 // cancelEarly stores the cancellation of a job that is not known: a submission of it may be in flight, at this VM, at another one or at
 // the store, and may be stored after this response. It returns a NotFound error once the cancellation is stored.
 func (n *Node) cancelEarly(ctx context.Context, access Access, id workload.JobID, outcome *cancelOutcome) error {
-	owner := joblog.Owner{Queue: access.Queue.Name, Account: access.Account}
+	caller := access.caller(id)
 	retention := n.Settings.Bounds.StatusRetention + leader.CleanupMargin
-	if age, stored := n.view.EarlyCancelAge(id, owner); stored && age < retention/2 {
+	if age, stored := n.view.EarlyCancelAge(id, caller); stored && age < retention/2 {
 		return errNoSuchJob()
 	}
 	if err := checkStoreReachable(access); err != nil {
 		return err
 	}
-	if !n.earlyCancels.begin(owner.Account, n.view.EarlyCancels(owner.Account), access.maxEarlyCancels()) {
+	if !n.earlyCancels.begin(caller.Account, n.view.EarlyCancels(caller.Account), access.maxEarlyCancels()) {
 		metrics.GetOrRegisterCounter(counterEarlyCancelsRefused, nil).Inc(1)
 		return errkind.Refuse(errkind.Overloaded, earlyCancelRetry, "send the cancellation again after the time in Retry-After",
 			"there is no such job yet, and the account has too many cancellations of unknown jobs")
 	}
-	defer n.earlyCancels.end(owner.Account)
-	offset, err := n.writer.CancelEarly(ctx, id, owner)
+	defer n.earlyCancels.end(caller.Account)
+	offset, err := n.writer.CancelEarly(ctx, id, caller)
 	outcome.stored, outcome.offset = err == nil, offset
 	if err := n.writeError("", err); err != nil {
 		return err
--- a/node/frontend.go
+++ b/node/frontend.go
@@ -36,11 +36,30 @@
 	ConfigAge     time.Duration
 	// Accounts is the number of client accounts of the configuration.
 	Accounts int
+	// Key is the key that the caller has sent, if any.
+	Key string
 }
 
-// owns reports whether the job is in the queue of the access and belongs to its account.
-func (a *Access) owns(job *workload.Job) bool {
-	return job.Queue == a.Queue.Name && job.Account == a.Account
+// caller returns who asks for the job.
+func (a *Access) caller(id workload.JobID) joblog.Caller {
+	return joblog.Caller{
+		Queue: a.Queue.Name, Account: a.Account, Origin: workload.NewOrigin(a.Queue.Host, a.Queue.PathPrefix, a.Key, id),
+	}
+}
+
+// check returns nil if the caller may see and cancel the job. Otherwise the error is NotFound, as for an unknown job, so that nobody learns
+// of the jobs of others; or Forbidden if the job was submitted with the same key, which belongs to another account now: its caller knows of
+// the job and must not take it for gone.
+func (a *Access) check(job *workload.Job) error {
+	caller := a.caller(job.ID)
+	switch {
+	case caller.MayAccess(job):
+		return nil
+	case caller.HasSubmitted(job):
+		return errkind.New(errkind.Forbidden, "send a key of the account that has submitted the job",
+			"the key belonged to another account when the job was submitted with it")
+	}
+	return errNoSuchJob()
 }
 
 // Authorize returns the access that the key gives to the queue at host and path. The error is Unavailable if this VM has no
@@ -61,6 +80,7 @@
 	if access.Queue == nil {
 		return access, errkind.New(errkind.NotFound, "check host and path", "no queue matches this host and path")
 	}
+	access.Key = key
 	if access.Queue.Public {
 		return access, nil
 	}
@@ -79,6 +99,7 @@
 	job.Queue = access.Queue.Name
 	job.SetPolicy(access.Queue.Policy(access.ConfigVersion))
 	job.Account = access.Account
+	job.Origin = access.caller(job.ID).Origin
 	job.AcceptedAt = time.Now()
 	if err := job.Validate(); err != nil {
 		return err
@@ -127,17 +148,17 @@
 	return errkind.Wrap(err, errkind.DeadlineExceeded, "send the same request again", "the store has not answered")
 }
 
-// Phase returns the phase of a job. The error is NotFound if the caller has no such job, or Unavailable if this VM cannot
-// tell.
+// Phase returns the phase of a job. The error is NotFound if the caller has no such job, Forbidden if its key belonged to another account when
+// the job was submitted with it, or Unavailable if this VM cannot tell.
 func (n *Node) Phase(ctx context.Context, access Access, id workload.JobID) (workload.Phase, error) {
 	entry, known, err := n.find(ctx, id)
 	if err != nil {
 		return entry.Phase, err
 	}
-	if !known || !access.owns(entry.Job) {
+	if !known {
 		return entry.Phase, errNoSuchJob()
 	}
-	return entry.Phase, nil
+	return entry.Phase, access.check(entry.Job)
 }
 
 // find returns the job, whoever it belongs to; false if none is stored. The view is refreshed first if the job is not known or has not
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -31,6 +31,8 @@
 type testConfig struct {
 	Version int64
 	Keys    map[string]string
+	// Scan replaces the queue of testPath; the zero value stands for the default one, and one without host for no such queue.
+	Scan workload.Queue
 	// Queues holds further queues.
 	Queues []workload.Queue
 	Limits workload.RequestLimits
@@ -41,9 +43,13 @@
 	if err := json.Unmarshal(text, &stored); err != nil {
 		return nil, err
 	}
+	scan := workload.Queue{Name: "scan", Host: testHost, PathPrefix: "/scan/", Service: "svc", MaxFailedRuns: 2}
+	if stored.Scan != (workload.Queue{}) {
+		scan = stored.Scan
+	}
 	config := &workload.Config{
 		Version:     stored.Version,
-		Queues:      []workload.Queue{{Name: "scan", Host: testHost, PathPrefix: "/scan/", Service: "svc", MaxFailedRuns: 2}},
+		Queues:      []workload.Queue{scan},
 		KeyAccounts: stored.Keys,
 		Limits:      stored.Limits,
 	}
@@ -338,18 +344,25 @@
 
 // TestJobOfOtherAccountIsHidden guards against an account that can read or cancel another account's job.
 func TestJobOfOtherAccountIsHidden(t *testing.T) {
-	_, v := newConfiguredVM(t)
-	access := v.access()
-	if err := v.Submit(t.Context(), access, testJob()); err != nil {
+	log := storetest.New()
+	publish(t, log, testConfig{Version: 1, Keys: map[string]string{testKey: "acme", "key-2": "other"}})
+	v := newVM(t, log)
+	if err := v.Submit(t.Context(), v.access(), testJob()); err != nil {
+		t.Fatal(err)
+	}
+	access, err := v.Authorize(testHost, testPath, "key-2")
+	if err != nil {
 		t.Fatal(err)
 	}
-	access.Account = "other"
 	if _, err := v.Phase(t.Context(), access, testID); !errkind.Is(err, errkind.NotFound) {
 		t.Fatalf("Phase for another account returned %v, want not found", err)
 	}
 	if err := v.Cancel(t.Context(), access, testID); !errkind.Is(err, errkind.NotFound) {
 		t.Fatalf("Cancel for another account returned %v, want not found", err)
 	}
+	if phase, err := v.Phase(t.Context(), v.access(), testID); err != nil || phase != workload.PhaseQueued {
+		t.Fatalf("after the cancellation by another account the job is %v, %v; want queued", phase, err)
+	}
 }
 
 // TestRepeatedSubmissionIsOneJob guards against a repeated submission that is rejected or creates a second job.
--- a/workload/job.go
+++ b/workload/job.go
@@ -77,6 +77,8 @@
 	Target      time.Duration
 	// Account is the client account whose key authorised the submission; empty on a public queue.
 	Account string
+	// Origin is that of the submission; its values are 0 in records of versions that did not store it.
+	Origin Origin
 	// Specification is passed to the workers without being interpreted.
 	Specification string
 	Steps         []Step
@@ -189,7 +191,7 @@
 // It shares no memory with the job but its names.
 func (j *Job) Ended() *Job {
 	return &Job{
-		ID: j.ID, Queue: j.Queue, Service: j.Service, Account: j.Account, AcceptedAt: j.AcceptedAt,
+		ID: j.ID, Queue: j.Queue, Service: j.Service, Account: j.Account, Origin: j.Origin, AcceptedAt: j.AcceptedAt,
 		Steps: []Step{{Tasks: 1, Demand: j.MaxDemand()}},
 	}
 }
