joblog: decide about a cancellation in one step on the view

What a VM does about a cancellation was spread over node.Cancel and two queries of the view, between which records can be read. DecideCancel returns one of six actions under one lock; node carries it out. The log line of a cancellation names the action.

--- a/joblog/earlycancel.go
+++ b/joblog/earlycancel.go
@@ -209,14 +209,6 @@
 	return voids
 }
 
-// EarlyCancelAge returns the time since which the view has an early cancellation of the job by the caller; false if it has none.
-func (v *View) EarlyCancelAge(id workload.JobID, caller Caller) (time.Duration, bool) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	found, known := v.earlyCancels.find(id, caller)
-	return v.now() - found.readAt, known
-}
-
 // EarlyCancels returns the number of early cancellations of the account.
 func (v *View) EarlyCancels(account string) int {
 	v.mu.Lock()
--- a/joblog/view.go
+++ b/joblog/view.go
@@ -12,6 +12,7 @@
 //
 //   - view.go: the records and the view
 //   - earlycancel.go: cancellations of jobs whose submissions were not read
+//   - cancel.go: what to do about a cancellation
 //   - follower.go, reader.go: reading the records into the view
 //   - writer.go: appends of submissions and cancellations
 package joblog
--- a/node/cancel.go
+++ b/node/cancel.go
@@ -8,6 +8,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/redwingthread/redwingthread/errkind"
+	"github.com/redwingthread/redwingthread/joblog"
 	"github.com/redwingthread/redwingthread/leader"
 	"github.com/redwingthread/redwingthread/store"
 	"github.com/redwingthread/redwingthread/workload"
@@ -33,6 +34,12 @@
 	return errkind.New(errkind.NotFound, "check the id", "there is no such job")
 }
 
+// errKeyMoved returns the error for a job that was submitted with the caller's key when that belonged to another account.
+func errKeyMoved() error {
+	return errkind.New(errkind.Forbidden, "send a key of the account that has submitted the job",
+		"the key belonged to another account when the job was submitted with it")
+}
+
 // Cancel stores the cancellation of a job; it does nothing if the job has ended. The error is NotFound if the caller has no
 // such job, and then none that the caller has submitted before can start; Forbidden if the key of the caller belonged to another account when
 // the job was submitted with it, and then the job goes on; Unavailable if this VM cannot tell or the cancellation is not
@@ -47,79 +54,71 @@
 
 // cancelOutcome is what a cancellation has come to, beside its error.
 type cancelOutcome struct {
-	// known is true if the job's submission was read, owned if the job then belongs to the caller, and ended if it had ended.
-	known, owned, ended bool
+	// action is what was decided; empty if this VM could not tell.
+	action string
 	// stored is true if this request has stored a record, at the given offset.
 	stored bool
 	offset int64
 }
 
+// set records the result of the write of the cancellation.
+func (o *cancelOutcome) set(offset int64, err error) { o.stored, o.offset = err == nil, offset }
+
 // cancel is Cancel without the log line. It sets the outcome.
 func (n *Node) cancel(ctx context.Context, access Access, id workload.JobID, outcome *cancelOutcome) error {
-	entry, known, err := n.find(ctx, id)
-	if err != nil {
-		return err
-	}
-	outcome.known = known
-	if !known {
-		return n.cancelEarly(ctx, access, id, outcome)
-	}
-	if err := access.check(entry.Job); err != nil {
+	if _, _, err := n.find(ctx, id); err != nil {
 		return err
 	}
-	outcome.owned, outcome.ended = true, entry.Phase.Final()
-	if outcome.ended {
+	action := n.view.DecideCancel(id, access.caller(id), n.Settings.Bounds.StatusRetention+leader.CleanupMargin)
+	outcome.action = action.String()
+	switch action {
+	case joblog.CancelEnded:
 		return nil
+	case joblog.CancelStored:
+		return errNoSuchJob()
+	case joblog.CancelOfOthers:
+		metrics.GetOrRegisterCounter(counterCancelsOfOthers, nil).Inc(1)
+		return errNoSuchJob()
+	case joblog.CancelForbidden:
+		return errKeyMoved()
 	}
 	if err := checkStoreReachable(access); err != nil {
 		return err
 	}
+	if action == joblog.CancelStoreEarly {
+		return n.cancelEarly(ctx, access, id, outcome)
+	}
 	offset, err := n.writer.Cancel(ctx, id)
-	outcome.stored, outcome.offset = err == nil, offset
+	outcome.set(offset, err)
 	return n.writeError("", err)
 }
 
-// logCancel logs and counts a cancellation. What it stored, and what it was answered by without a record, tells an answer that nothing
-// backs from one that was not followed.
-func (n *Node) logCancel(access Access, id workload.JobID, o *cancelOutcome, err error) {
-	switch {
-	case o.stored && !o.known:
-		metrics.GetOrRegisterCounter(counterEarlyCancels, nil).Inc(1)
-	case o.known && !o.owned:
-		metrics.GetOrRegisterCounter(counterCancelsOfOthers, nil).Inc(1)
-	}
-	age, loaded := n.follower.Age()
-	n.Logger.Info().Str("job", string(id)).Str("queue", access.Queue.Name).Str("account", access.Account).Bool("public", access.Queue.Public).
-		Int64("config_version", access.ConfigVersion).Bool("known", o.known).Bool("owned", o.owned).Bool("ended", o.ended).
-		Bool("stored", o.stored).Int64("offset", o.offset).Bool("view_loaded", loaded).Dur("view_age", age).AnErr("error", err).
-		Msg("cancellation answered")
-}
-
 // cancelEarly stores the cancellation of a job that is not known: a submission of it may be in flight, at this VM, at another one or at
 // the store, and may be stored after this response. It returns a NotFound error once the cancellation is stored.
 func (n *Node) cancelEarly(ctx context.Context, access Access, id workload.JobID, outcome *cancelOutcome) error {
-	caller := access.caller(id)
-	retention := n.Settings.Bounds.StatusRetention + leader.CleanupMargin
-	if age, stored := n.view.EarlyCancelAge(id, caller); stored && age < retention/2 {
-		return errNoSuchJob()
-	}
-	if err := checkStoreReachable(access); err != nil {
-		return err
-	}
-	if !n.earlyCancels.begin(caller.Account, n.view.EarlyCancels(caller.Account), access.maxEarlyCancels()) {
+	if !n.earlyCancels.begin(access.Account, n.view.EarlyCancels(access.Account), access.maxEarlyCancels()) {
 		metrics.GetOrRegisterCounter(counterEarlyCancelsRefused, nil).Inc(1)
 		return errkind.Refuse(errkind.Overloaded, earlyCancelRetry, "send the cancellation again after the time in Retry-After",
 			"there is no such job yet, and the account has too many cancellations of unknown jobs")
 	}
-	defer n.earlyCancels.end(caller.Account)
-	offset, err := n.writer.CancelEarly(ctx, id, caller)
-	outcome.stored, outcome.offset = err == nil, offset
+	defer n.earlyCancels.end(access.Account)
+	offset, err := n.writer.CancelEarly(ctx, id, access.caller(id))
+	outcome.set(offset, err)
 	if err := n.writeError("", err); err != nil {
 		return err
 	}
+	metrics.GetOrRegisterCounter(counterEarlyCancels, nil).Inc(1)
 	return errNoSuchJob()
 }
 
+// logCancel logs a cancellation. Its action, and where it stored what, tell an answer that nothing backs from one that was not followed.
+func (n *Node) logCancel(access Access, id workload.JobID, o *cancelOutcome, err error) {
+	age, loaded := n.follower.Age()
+	n.Logger.Info().Str("job", string(id)).Str("queue", access.Queue.Name).Str("account", access.Account).Bool("public", access.Queue.Public).
+		Int64("config_version", access.ConfigVersion).Str("action", o.action).Bool("stored", o.stored).Int64("offset", o.offset).
+		Bool("view_loaded", loaded).Dur("view_age", age).AnErr("error", err).Msg("cancellation answered")
+}
+
 // maxEarlyCancels returns the share of the caller's account in maxEarlyCancels. The callers of public queues share one.
 func (a *Access) maxEarlyCancels() int { return maxEarlyCancels / (a.Accounts + 1) }
 
--- a/node/cancel_test.go
+++ b/node/cancel_test.go
@@ -225,8 +225,8 @@
 		t.Fatal(err)
 	}
 	for _, want := range []string{
-		`"known":false,"owned":false,"ended":false,"stored":true,"offset":0,`,
-		`"known":true,"owned":true,"ended":false,"stored":true,"offset":` + strconv.FormatInt(batch.End-1, 10) + `,`,
+		`"action":"store early","stored":true,"offset":0,`,
+		`"action":"store","stored":true,"offset":` + strconv.FormatInt(batch.End-1, 10) + `,`,
 	} {
 		if !strings.Contains(logged.String(), want) {
 			t.Errorf("no log line holds %s", want)
--- a/node/frontend.go
+++ b/node/frontend.go
@@ -56,8 +56,7 @@
 	case caller.MayAccess(job):
 		return nil
 	case caller.HasSubmitted(job):
-		return errkind.New(errkind.Forbidden, "send a key of the account that has submitted the job",
-			"the key belonged to another account when the job was submitted with it")
+		return errKeyMoved()
 	}
 	return errNoSuchJob()
 }
