Delete an early cancellation only if nothing was appended to its part since it was chosen

What callers could see: a cancellation answered with 410, "there is no such job", and a job that was submitted before and runs.

The deletion is a write of its own: it may be on its way while a VM stores the same cancellation again, and without a response the store may execute it seconds later. It then deletes the new record, and a submission in flight meets none.

Now the deletion is appended only if the part still ends where the holder had read to when it chose the records; the store checks that when it executes it, late or not. A busy part delays deletions to a later search.

The test of the clean-up reads its records with a follower, since the leader uses the position of that.

--- a/joblog/follower.go
+++ b/joblog/follower.go
@@ -71,6 +71,31 @@
 	}
 }
 
+// Deletion holds the records that delete others of a stream. It must be appended at offset End only: these others may have been replaced
+// by records that were not read.
+type Deletion struct {
+	Stream  store.Stream
+	Records []store.Record
+	End     int64
+}
+
+// DeleteEarlyCancels returns the deletions of the early cancellations that were read before the given boot-clock time.
+func (f *Follower) DeleteEarlyCancels(before time.Duration) []Deletion {
+	ends := map[store.Stream]int64{}
+	for _, r := range f.readers {
+		if end, complete := r.position(); complete {
+			ends[r.stream] = end
+		}
+	}
+	var deletions []Deletion
+	for stream, tombstones := range f.readers[0].view.EarlyCancelTombstones(before) {
+		if end, complete := ends[stream]; complete {
+			deletions = append(deletions, Deletion{Stream: stream, Records: tombstones, End: end})
+		}
+	}
+	return deletions
+}
+
 // Age returns the time since which the view may lack records; false before the first complete read of every stream.
 func (f *Follower) Age() (time.Duration, bool) {
 	oldest := boottime.Now()
--- a/joblog/reader.go
+++ b/joblog/reader.go
@@ -52,6 +52,8 @@
 	// boot clock.
 	complete bool
 	freshAt  time.Duration
+	// next is the offset before which all records are in the view, once complete.
+	next int64
 	// updated is closed and replaced after each read.
 	updated chan struct{}
 	// polling is true while a read waits for the record at offset polledFrom; all earlier ones are in the view. peeking is true while
@@ -141,7 +143,7 @@
 	if update.Loaded {
 		r.noteLoaded(update)
 	}
-	r.publish(update.StartedAt, update.Complete, ids)
+	r.publish(update, ids)
 	return nil
 }
 
@@ -248,13 +250,13 @@
 	return id, err
 }
 
-// publish wakes the waiters of await and calls the subscriber after a read. complete is true if the read reached the end of
-// the stream.
-func (r *reader) publish(startedAt time.Duration, complete bool, ids []workload.JobID) {
+// publish wakes the waiters of await and calls the subscriber after a read, whose records concern the jobs of the given ids.
+func (r *reader) publish(update *store.Update, ids []workload.JobID) {
 	r.mu.Lock()
-	if complete {
+	if update.Complete {
 		r.complete = true
-		r.freshAt = max(r.freshAt, startedAt)
+		r.freshAt = max(r.freshAt, update.StartedAt)
+		r.next = update.Next
 	}
 	r.wakeWaiters()
 	r.mu.Unlock()
@@ -271,6 +273,13 @@
 	return r.freshAt, r.complete
 }
 
+// position returns the offset before which all records are in the view; false before the first complete read.
+func (r *reader) position() (next int64, complete bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.next, r.complete
+}
+
 // includes reports whether the view holds all records stored before the given boot-clock time.
 func (r *reader) includes(at time.Duration) bool {
 	freshAt, complete := r.freshness()
--- a/leader/cleanup.go
+++ b/leader/cleanup.go
@@ -28,13 +28,15 @@
 	l.cleanUpEndedJobs(ctx)
 }
 
-// cleanUpEarlyCancels deletes old early cancellations in the background. A failure is logged; the next search tries again.
+// cleanUpEarlyCancels deletes old early cancellations in the background, unless something was appended to their stream meanwhile: that may
+// be a cancellation that was stored again. A failure is logged; the next search tries again.
 func (l *Leader) cleanUpEarlyCancels(ctx context.Context) {
-	for stream, tombstones := range l.View.EarlyCancelTombstones(boottime.Now() - l.StatusRetention - CleanupMargin) {
-		tombstones = tombstones[:min(len(tombstones), maxTombstones)]
+	for _, d := range l.Follower.DeleteEarlyCancels(boottime.Now() - l.StatusRetention - CleanupMargin) {
+		records := d.Records[:min(len(d.Records), maxTombstones)]
 		l.spawn(func() {
-			if _, err := l.Log.Append(ctx, stream, tombstones, nil, journalTimeout); err != nil {
-				l.logger.Warn().Err(err).Stringer("stream", stream).Msg("early cancellations not deleted")
+			if err := l.Log.AppendAt(ctx, d.Stream, records, d.End, journalTimeout); err != nil {
+				l.logger.Warn().Err(err).Stringer("stream", d.Stream).Int64("end", d.End).Int("records", len(records)).
+					Msg("early cancellations not deleted")
 			}
 		})
 	}
--- a/leader/cleanup_test.go
+++ b/leader/cleanup_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"testing"
 	"time"
 
@@ -28,11 +29,15 @@
 		if _, err := log.Append(t.Context(), stream, []store.Record{record}, nil, time.Second); err != nil {
 			t.Fatal(err)
 		}
-		if _, err := l.View.Apply(record); err != nil {
+		l.Follower = joblog.NewFollower(log, l.View, l.logger)
+		ctx, stop := context.WithCancel(t.Context())
+		go l.Follower.Run(ctx)
+		if err := l.Follower.Refresh(t.Context(), 0, stream); err != nil {
 			t.Fatal(err)
 		}
 		l.cleanUpEarlyCancels(t.Context())
 		l.goroutines.Wait()
+		stop()
 		if kept := log.Value(stream, record.Key) != nil; kept != (retention == 0) {
 			t.Errorf("with a retention of %v the early cancellation is kept: %v", retention+CleanupMargin, kept)
 		}
