Store an early cancellation again unless this VM knows that it was stored recently

What callers could see: a 410 from a VM that has just loaded the records, or was cut off from the store, and a job that was submitted before and runs.

Cause: the VM counted the age of an early cancellation from when it had read it. After a load, or a read that was late, that says nothing of when it was stored: it may be 180 s old and about to be deleted, and the VM answered without storing it again.

Now the reader passes on a time after which a record was stored: the start of the last complete read before it, and nothing for records of a load. The holder still counts from its reading when it deletes, which is later.

Evidence: two scenarios of TestOrdersOfCancellations. Before: tick 1, tick 2, tick 3, restarted reads, submit, cancel, clean-up, execute t1, execute s1. Cost: one append for the first repetition of a cancellation at a VM that has loaded it.

--- a/joblog/cancel.go
+++ b/joblog/cancel.go
@@ -33,7 +33,7 @@
 	e := v.entries[id]
 	switch {
 	case e == nil || e.job == nil:
-		if found, known := v.earlyCancels.find(id, caller); known && v.now()-found.readAt < retention/2 {
+		if found, known := v.earlyCancels.find(id, caller); known && v.now()-found.storedAfter < retention/2 {
 			return CancelStored
 		}
 		return CancelStoreEarly
--- a/joblog/earlycancel.go
+++ b/joblog/earlycancel.go
@@ -1,6 +1,7 @@
 package joblog
 
 import (
+	"math"
 	"slices"
 	"strconv"
 	"strings"
@@ -68,16 +69,21 @@
 	return workload.JobID(name[:at]), ownerHash, nil
 }
 
+// unknownTime stands for a time of which nothing is known but that it is in the past.
+const unknownTime = time.Duration(math.MinInt64 / 2)
+
 // earlyCancel is an early cancellation. Many have the same queue and account, which are shared.
 type earlyCancel struct {
 	queue, account unique.Handle[string]
 	origin         workload.Origin
-	// readAt is the boot-clock time at which the record was read.
-	readAt time.Duration
+	// readAt is the boot-clock time at which the record was read. It was stored after storedAfter, which may be unknownTime.
+	readAt, storedAfter time.Duration
 }
 
-func newEarlyCancel(c Caller, readAt time.Duration) earlyCancel {
-	return earlyCancel{queue: unique.Make(c.Queue), account: unique.Make(c.Account), origin: c.Origin, readAt: readAt}
+func newEarlyCancel(c Caller, readAt, storedAfter time.Duration) earlyCancel {
+	return earlyCancel{
+		queue: unique.Make(c.Queue), account: unique.Make(c.Account), origin: c.Origin, readAt: readAt, storedAfter: storedAfter,
+	}
 }
 
 // caller returns who has cancelled the job.
@@ -155,8 +161,8 @@
 }
 
 // foldEarlyCancel applies the record of an early cancellation, or the one that deletes it, and returns the id of the job. name is the key
-// without its prefix. The error is BadInput if the record cannot be decoded. mu must be held.
-func (v *View) foldEarlyCancel(name string, r store.Record) (workload.JobID, error) {
+// without its prefix; the record was stored after storedAfter. The error is BadInput if the record cannot be decoded. mu must be held.
+func (v *View) foldEarlyCancel(name string, r store.Record, storedAfter time.Duration) (workload.JobID, error) {
 	id, ownerHash, err := parseEarlyCancelKey(name)
 	if err != nil {
 		return "", err
@@ -172,7 +178,7 @@
 	if caller.ownerHash() != ownerHash {
 		return id, unreadable("the early cancellation has the key of another queue or account")
 	}
-	v.earlyCancels.set(id, newEarlyCancel(caller, v.now()))
+	v.earlyCancels.set(id, newEarlyCancel(caller, v.now(), storedAfter))
 	if e := v.entries[id]; e != nil && e.job != nil {
 		v.adjustCounts(e, -1)
 		v.cancelIfEarlyCancelled(e, r.Offset)
--- a/joblog/explore_test.go
+++ b/joblog/explore_test.go
@@ -370,6 +370,33 @@
 			executes("c1"), executes("c2"),
 			reads("holder", after("tick 2")),
 		}},
+		{name: "cancelled at a VM that has loaded the records", setUp: func(w *world) {
+			w.append(IntakeStream(exploredJob), earlyCancelRecord(w.t, exploredJob, Caller{Queue: "q"}))
+			w.readAll("holder")
+		}, steps: []step{
+			ticks("tick 1", nil), ticks("tick 2", after("tick 1")), ticks("tick 3", after("tick 2")),
+			reads("restarted", nil),
+			cancels("cancel", "restarted", nil, "c1"),
+			executes("c1"),
+			submits(nil, "s1"),
+			executes("s1"),
+			cleansUp("clean-up", after("tick 3"), "t1"),
+			executes("t1"),
+		}},
+		{name: "cancelled at a VM that was cut off", setUp: func(w *world) {
+			w.readAll("asked")
+			w.append(IntakeStream(exploredJob), earlyCancelRecord(w.t, exploredJob, Caller{Queue: "q"}))
+			w.readAll("holder")
+		}, steps: []step{
+			ticks("tick 1", nil), ticks("tick 2", after("tick 1")), ticks("tick 3", after("tick 2")),
+			reads("asked", nil),
+			cancels("cancel", "asked", nil, "c1"),
+			executes("c1"),
+			submits(nil, "s1"),
+			executes("s1"),
+			cleansUp("clean-up", after("tick 3"), "t1"),
+			executes("t1"),
+		}},
 	}
 	for _, s := range scenarios {
 		t.Run(s.name, func(t *testing.T) {
--- a/joblog/joblog_test.go
+++ b/joblog/joblog_test.go
@@ -109,7 +109,7 @@
 	var logged bytes.Buffer
 	v := NewView()
 	r := newReader(storetest.New(), store.States, v, zerolog.New(&logged))
-	r.apply(append(records, submission(t, "b")))
+	r.apply(append(records, submission(t, "b")), unknownTime)
 	if got := counter.Count() - before; got != 5 || strings.Count(logged.String(), "\n") != 5 {
 		t.Errorf("%d of 5 unreadable records were counted; the log has %q", got, logged.String())
 	}
--- a/joblog/reader.go
+++ b/joblog/reader.go
@@ -41,6 +41,10 @@
 	loadedKeys map[string]bool
 	view       *View
 	logger     zerolog.Logger
+	// readStartedAt is the start of the last read or, for the page of a load, of the load; completeFrom that of the last read that has
+	// reached the end of the stream: later reads return what was stored after it. Both are on the clock of the view, and used only by
+	// the goroutine of run.
+	readStartedAt, completeFrom time.Duration
 	// wake ends the pause before the next read.
 	wake chan struct{}
 	// subscriber is called with the ids of the jobs whose records were read; nil for none.
@@ -65,9 +69,10 @@
 func newReader(log store.Log, stream store.Stream, view *View, logger zerolog.Logger) *reader {
 	return &reader{
 		log: log, stream: stream, cursor: store.Cursor{Stream: stream, Paged: true}, view: view,
-		logger:  logger.With().Stringer("stream", stream).Logger(),
-		wake:    make(chan struct{}, 1),
-		updated: make(chan struct{}),
+		logger:       logger.With().Stringer("stream", stream).Logger(),
+		completeFrom: unknownTime,
+		wake:         make(chan struct{}, 1),
+		updated:      make(chan struct{}),
 	}
 }
 
@@ -131,6 +136,9 @@
 		wait = longPollWait
 	}
 	r.setPolling(wait > 0)
+	if !r.cursor.Loading() {
+		r.readStartedAt = r.view.now()
+	}
 	update, err := r.cursor.Read(ctx, r.log, wait)
 	r.setPolling(false)
 	if err != nil {
@@ -139,14 +147,25 @@
 	if update.Expired {
 		r.logger.Warn().Msg("records expired before they were read; the newest record of each key was loaded instead")
 	}
-	ids := r.apply(update.Records)
+	ids := r.apply(update.Records, r.storedAfter(update))
 	if update.Loaded {
 		r.noteLoaded(update)
 	}
+	if update.Complete {
+		r.completeFrom = r.readStartedAt
+	}
 	r.publish(update, ids)
 	return nil
 }
 
+// storedAfter returns a time after which the records of the update were stored.
+func (r *reader) storedAfter(update *store.Update) time.Duration {
+	if update.Loaded {
+		return unknownTime
+	}
+	return r.completeFrom
+}
+
 // noteLoaded notes the keys of a page of a load. After the last page it removes from the view what the stream has no more: the records that
 // delete it may have expired before they were read.
 func (r *reader) noteLoaded(update *store.Update) {
@@ -219,12 +238,12 @@
 	r.wakeWaiters()
 }
 
-// apply applies the records to the view and returns the ids of their jobs. A record that cannot be decoded is logged and
-// has no effect.
-func (r *reader) apply(records []store.Record) []workload.JobID {
+// apply applies the records, which were stored after storedAfter, to the view and returns the ids of their jobs. A record that cannot be
+// decoded is logged and has no effect.
+func (r *reader) apply(records []store.Record, storedAfter time.Duration) []workload.JobID {
 	ids := make([]workload.JobID, 0, len(records))
 	for _, record := range records {
-		id, err := r.applyOne(record)
+		id, err := r.applyOne(record, storedAfter)
 		if err != nil {
 			r.logger.Error().Err(err).Str("key", record.Key).Int64("offset", record.Offset).Msg("job record cannot be decoded")
 			metrics.GetOrRegisterCounter(counterUnreadable, nil).Inc(1)
@@ -241,9 +260,9 @@
 	return ids
 }
 
-// applyOne applies one record to the view.
-func (r *reader) applyOne(record store.Record) (id workload.JobID, err error) {
-	returned := telemetry.Contain(r.logger, "apply a job record", func() { id, err = r.view.Apply(record) })
+// applyOne applies one record, which was stored after storedAfter, to the view.
+func (r *reader) applyOne(record store.Record, storedAfter time.Duration) (id workload.JobID, err error) {
+	returned := telemetry.Contain(r.logger, "apply a job record", func() { id, err = r.view.apply(record, storedAfter) })
 	if !returned {
 		return "", unreadable("the decoder has panicked")
 	}
--- a/joblog/view.go
+++ b/joblog/view.go
@@ -193,9 +193,12 @@
 		reserved: map[workload.JobID]int{}, now: boottime.Now}
 }
 
-// Apply folds one record and returns the id of its job; empty if the key names none. It returns a BadInput error for a record
-// that cannot be decoded, which has no effect.
-func (v *View) Apply(r store.Record) (workload.JobID, error) {
+// Apply folds one record, of which it is not known when it was stored, and returns the id of its job; empty if the key names none. It returns a
+// BadInput error for a record that cannot be decoded, which has no effect.
+func (v *View) Apply(r store.Record) (workload.JobID, error) { return v.apply(r, unknownTime) }
+
+// apply is Apply of a record that was stored after the given boot-clock time.
+func (v *View) apply(r store.Record, storedAfter time.Duration) (workload.JobID, error) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if len(r.Key) <= len(keySubmission) {
@@ -208,7 +211,7 @@
 	case keyForecast:
 		return "", v.foldForecast(string(id), r.Value)
 	case keyEarlyCancel:
-		return v.foldEarlyCancel(string(id), r)
+		return v.foldEarlyCancel(string(id), r, storedAfter)
 	case keySubmission, keyCancel, keyState:
 	default:
 		return "", unreadable("the key is of an unknown kind")
