Keep an early cancellation until the end of the job that it has cancelled is stored

What callers could see: a job that was cancelled with 410 or 200 starts after a change of the holder.

Cause: the holder deletes early cancellations after 180 s, also one that has cancelled a job whose end it could not store yet, as while the part of the states does not accept appends. The next holder finds the submission and nothing that cancels it.

Evidence: TestOrdersOfCancellations, holder that cannot store states; before: submit, cancel, execute s1, execute c1, holder reads, tick 1, tick 2, tick 3, clean-up, execute t1.

--- a/joblog/earlycancel.go
+++ b/joblog/earlycancel.go
@@ -91,6 +91,12 @@
 	return Caller{Queue: e.queue.Value(), Account: e.account.Value(), Origin: e.origin}
 }
 
+// cancels reports whether the cancellation holds for the submission.
+func (e *earlyCancel) cancels(job *workload.Job) bool {
+	caller := e.caller()
+	return caller.MayAccess(job) || caller.HasSubmitted(job)
+}
+
 // earlyCancels holds the early cancellations. The zero value is ready for use.
 type earlyCancels struct {
 	// byJob maps each job to its cancellations, of which each is for another queue or account.
@@ -154,10 +160,7 @@
 
 // cancel reports whether one of the cancellations holds for the submission.
 func (c *earlyCancels) cancel(job *workload.Job) bool {
-	return slices.ContainsFunc(c.byJob[job.ID], func(e earlyCancel) bool {
-		caller := e.caller()
-		return caller.MayAccess(job) || caller.HasSubmitted(job)
-	})
+	return slices.ContainsFunc(c.byJob[job.ID], func(e earlyCancel) bool { return e.cancels(job) })
 }
 
 // foldEarlyCancel applies the record of an early cancellation, or the one that deletes it, and returns the id of the job. name is the key
@@ -222,15 +225,21 @@
 	return v.earlyCancels.counts[account]
 }
 
+// isUnsettled reports whether the early cancellation cancels the job, whose end is not stored yet. mu must be held.
+func (v *View) isUnsettled(id workload.JobID, c *earlyCancel) bool {
+	e := v.entries[id]
+	return e != nil && e.job != nil && !e.phase.Final() && c.cancels(e.job)
+}
+
 // EarlyCancelTombstones returns the records that delete the early cancellations that were read before the given boot-clock time, by the
-// streams that hold them.
+// streams that hold them. One that cancels a job stays until the end of that is stored: a later holder has only the record to tell.
 func (v *View) EarlyCancelTombstones(before time.Duration) map[store.Stream][]store.Record {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	tombstones := map[store.Stream][]store.Record{}
 	for id, ofJob := range v.earlyCancels.byJob {
 		for _, e := range ofJob {
-			if e.readAt >= before {
+			if e.readAt >= before || v.isUnsettled(id, &e) {
 				continue
 			}
 			stream := IntakeStream(id)
--- a/joblog/explore_test.go
+++ b/joblog/explore_test.go
@@ -397,6 +397,17 @@
 			cleansUp("clean-up", after("tick 3"), "t1"),
 			executes("t1"),
 		}},
+		{name: "holder that cannot store states", steps: []step{
+			submits(nil, "s1"),
+			executes("s1"),
+			cancels("cancel", "asked", nil, "c1"),
+			executes("c1"),
+			reads("holder", nil),
+			ticks("tick 1", after("holder reads")), ticks("tick 2", after("tick 1")), ticks("tick 3", after("tick 2")),
+			cleansUp("clean-up", after("tick 3"), "t1"),
+			executes("t1"),
+			storesState(after("tick 3")),
+		}},
 	}
 	for _, s := range scenarios {
 		t.Run(s.name, func(t *testing.T) {
