Keep the cancellation of a job whose submission was not read, beside a load of the states

What callers could see: a job that was cancelled with 200 starts after the store's history was lost.

Cause: after lost history a VM loads the newest record of each key, page by page. The cancellation of a job is on an earlier page than its submission. A load of the states that ended between the two pages removed what has neither submission nor state, the cancellation included, and the submission on the next page then looked runnable.

Evidence: TestOrdersOfCancellations, lost history; before: submit, execute s1, cancel, execute c1, intake lost, states lost, holder requests intake 1. Now all orders of that scenario hold. A cancellation without submission is removed when its own part is loaded without it.

--- a/joblog/explore_test.go
+++ b/joblog/explore_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"testing"
@@ -255,6 +256,30 @@
 	seen map[string]bool
 }
 
+// retained returns the records of the stream that can still be read, and its first and last offset.
+func (w *world) retained(stream store.Stream) string {
+	var b strings.Builder
+	for from := int64(0); ; from++ {
+		batch, err := w.log.Read(w.t.Context(), stream, from, 0)
+		if err != nil {
+			continue
+		}
+		fmt.Fprint(&b, from, batch.End, ":")
+		for _, r := range batch.Records {
+			fmt.Fprint(&b, r.Key, len(r.Value), ";")
+		}
+		break
+	}
+	for after := ""; ; {
+		page, err := w.log.Newest(w.t.Context(), stream, after)
+		if err != nil || len(page.Records) == 0 {
+			return b.String()
+		}
+		after = page.Records[0].Key
+		fmt.Fprint(&b, after, page.Records[0].Offset, ";")
+	}
+}
+
 // run returns the world after the steps of the given numbers.
 func (x *explorer) run(order []int) *world {
 	w := newWorld(x.t)
@@ -299,27 +324,14 @@
 	var b strings.Builder
 	fmt.Fprint(&b, made, w.clock, w.cancelled)
 	for _, stream := range []store.Stream{IntakeStream(exploredJob), store.States} {
-		batch, err := w.log.Read(w.t.Context(), stream, 0, 0)
-		if err != nil {
-			// History was lost: such orders are told apart by all their steps.
-			fmt.Fprint(&b, order)
-			continue
-		}
-		for _, r := range batch.Records {
-			fmt.Fprint(&b, r.Key, len(r.Value), ";")
-		}
+		fmt.Fprint(&b, w.retained(stream))
 	}
-	names := make([]string, 0, len(w.vms))
-	for name := range w.vms {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	for _, name := range names {
+	for _, name := range slices.Sorted(maps.Keys(w.vms)) {
 		vm := w.vms[name]
 		fmt.Fprint(&b, name)
 		for _, r := range []*reader{vm.intake, vm.states} {
 			next, loaded := r.cursor.Position()
-			fmt.Fprint(&b, next, loaded, len(r.loadedKeys))
+			fmt.Fprint(&b, next, loaded, r.cursor.Loading(), slices.Sorted(maps.Keys(r.loadedKeys)))
 		}
 		if e := vm.view.entries[exploredJob]; e != nil {
 			fmt.Fprint(&b, e.job != nil, e.cancelRequested, e.phase)
@@ -408,6 +420,21 @@
 			executes("t1"),
 			storesState(after("tick 3")),
 		}},
+		{name: "lost history", setUp: func(w *world) {
+			w.readAll("holder")
+			w.append(store.States, state("other", workload.PhaseRunning))
+		}, steps: []step{
+			submits(nil, "s1"),
+			executes("s1"),
+			cancels("cancel", "asked", nil, "c1"),
+			executes("c1"),
+			losesHistory("intake lost", IntakeStream(exploredJob), nil),
+			losesHistory("states lost", store.States, nil),
+			requests("holder requests intake 1", "holder", false, nil),
+			requests("holder requests intake 2", "holder", false, after("holder requests intake 1")),
+			requests("holder requests states 1", "holder", true, nil),
+			requests("holder requests states 2", "holder", true, after("holder requests states 1")),
+		}},
 	}
 	for _, s := range scenarios {
 		t.Run(s.name, func(t *testing.T) {
--- a/joblog/view.go
+++ b/joblog/view.go
@@ -238,10 +238,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	for id, e := range v.entries {
-		// A job without a submission exists for its state only.
-		missing := stream == IntakeStream(id) && e.job != nil && !keys[keySubmission+string(id)] ||
-			stream == store.States && e.job == nil && !keys[keyState+string(id)]
-		if missing {
+		if e.missing(id, stream, keys) {
 			v.adjustCounts(e, -1)
 			delete(v.entries, id)
 			removed++
@@ -255,6 +252,18 @@
 	return removed + v.earlyCancels.removeMissing(stream, keys)
 }
 
+// missing reports whether the records of the job that are in the stream were deleted, as keys lacks them. A job whose submission was not read
+// exists for its cancellation, in the intake, or its state.
+func (e *entry) missing(id workload.JobID, stream store.Stream, keys map[string]bool) bool {
+	switch {
+	case stream == IntakeStream(id):
+		return e.job != nil && !keys[keySubmission+string(id)] || e.job == nil && e.cancelRequested && !keys[keyCancel+string(id)]
+	case stream == store.States:
+		return e.job == nil && !e.cancelRequested && !keys[keyState+string(id)]
+	}
+	return false
+}
+
 // foldPolicy applies the record of a queue's policy, or returns an error if it cannot be decoded. mu must be held.
 func (v *View) foldPolicy(queue string, value []byte) error {
 	if len(value) == 0 {
