Store the ordinary cancellation of a voided submission, for holders of earlier versions

Callers saw, while machines were being upgraded: a cancellation answered with 410 by a VM of the new version, and the job running to its end under a holder of the version before, which ignores early cancellations.

Now any VM that reads a submission and the early cancellation that voids it, and no ordinary one, stores that. Earlier versions follow it. It names no owner, so it is stored only where the owner of the early one was checked against the submission. VMs read about every 1.5 s, the holder at once, so there is about one such write, and none beside the early cancellation of a job that is never submitted.

--- a/joblog/earlycancel.go
+++ b/joblog/earlycancel.go
@@ -204,6 +204,7 @@
 		return
 	}
 	if !e.cancelled() && !e.phase.Final() {
+		v.voided[e.job.ID] = true
 		v.newVoids = append(v.newVoids, void{job: e.job.ID, queue: e.job.Queue, account: e.job.Account, offset: offset})
 	}
 	e.cancelRequested = true
@@ -218,6 +219,23 @@
 	return voids
 }
 
+// Voided returns jobs, limit at most, that an early cancellation has cancelled and whose cancellation is stored in no other record.
+func (v *View) Voided(limit int) []workload.JobID {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	var ids []workload.JobID
+	for id := range v.voided {
+		if e := v.entries[id]; e == nil || e.job == nil || e.cancelRead || e.phase.Final() {
+			delete(v.voided, id)
+			continue
+		}
+		if ids = append(ids, id); len(ids) == limit {
+			break
+		}
+	}
+	return ids
+}
+
 // EarlyCancels returns the number of early cancellations of the account.
 func (v *View) EarlyCancels(account string) int {
 	v.mu.Lock()
--- a/joblog/follower.go
+++ b/joblog/follower.go
@@ -31,6 +31,14 @@
 	return f
 }
 
+// OnVoided makes the follower call a function after each read in which an early cancellation has cancelled a job. It must be called before
+// Run; the calls may be concurrent.
+func (f *Follower) OnVoided(call func()) {
+	for _, r := range f.readers {
+		r.voided = call
+	}
+}
+
 // Streams returns the streams that the follower reads: the states and every part of the intake.
 func (f *Follower) Streams() []store.Stream {
 	streams := make([]store.Stream, len(f.readers))
--- a/joblog/reader.go
+++ b/joblog/reader.go
@@ -47,6 +47,8 @@
 	readStartedAt, completeFrom time.Duration
 	// wake ends the pause before the next read.
 	wake chan struct{}
+	// voided is called after a read in which an early cancellation has cancelled a job; nil for none.
+	voided func()
 	// subscriber is called with the ids of the jobs whose records were read; nil for none.
 	subscriber atomic.Pointer[func([]workload.JobID)]
 	dependency telemetry.Dependency
@@ -252,11 +254,15 @@
 			ids = append(ids, id)
 		}
 	}
-	for _, void := range r.view.takeVoids() {
+	voids := r.view.takeVoids()
+	for _, void := range voids {
 		r.logger.Info().Str("job", string(void.job)).Str("queue", void.queue).Str("account", void.account).
 			Int64("offset", void.offset).Msg("submission voided by an early cancellation")
 		metrics.GetOrRegisterCounter(counterVoided, nil).Inc(1)
 	}
+	if len(voids) > 0 && r.voided != nil {
+		r.voided()
+	}
 	return ids
 }
 
--- a/joblog/view.go
+++ b/joblog/view.go
@@ -146,8 +146,9 @@
 	job   *workload.Job
 	phase workload.Phase
 	state []byte
-	// cancelRequested is true if a caller has cancelled the job; it has no effect on a job whose phase is final.
-	cancelRequested bool
+	// cancelRequested is true if a caller has cancelled the job; it has no effect on a job whose phase is final. cancelRead is true once
+	// the record of a cancellation, not just of an early one, was read.
+	cancelRequested, cancelRead bool
 }
 
 // cancelled reports whether the job was cancelled before it ended otherwise.
@@ -173,6 +174,8 @@
 	earlyCancels earlyCancels
 	// newVoids are those that takeVoids has not returned yet.
 	newVoids []void
+	// voided holds the jobs that an early cancellation has cancelled, and possibly some that were settled since; see Voided.
+	voided map[workload.JobID]bool
 	// charge is that of all jobs, reserved maps the jobs that this VM accepts and whose submissions were not read yet to theirs, and
 	// reservedCharge is the sum of these; see Charge.
 	charge         int
@@ -190,7 +193,7 @@
 // NewView returns an empty view.
 func NewView() *View {
 	return &View{entries: map[workload.JobID]*entry{}, waiting: map[string]int{}, policies: map[string]workload.QueuePolicy{},
-		reserved: map[workload.JobID]int{}, now: boottime.Now}
+		reserved: map[workload.JobID]int{}, voided: map[workload.JobID]bool{}, now: boottime.Now}
 }
 
 // Apply folds one record, of which it is not known when it was stored, and returns the id of its job; empty if the key names none. It returns a
@@ -334,7 +337,8 @@
 		v.cancelIfEarlyCancelled(e, r.Offset)
 		return nil
 	case keyCancel:
-		e.cancelRequested = e.cancelRequested || len(r.Value) > 0
+		e.cancelRead = e.cancelRead || len(r.Value) > 0
+		e.cancelRequested = e.cancelRequested || e.cancelRead
 		return nil
 	}
 	if len(r.Value) == 0 {
--- a/node/node.go
+++ b/node/node.go
@@ -42,7 +42,8 @@
 	writer   *joblog.Writer
 	hedge    store.Hedge
 	// earlyCancels are the cancellations of unknown jobs that this VM stores.
-	earlyCancels earlyCancelWrites
+	earlyCancels  earlyCancelWrites
+	voidedCancels *voidedCancels
 
 	// leaderMu guards leader, which is nil while this VM does not hold the schedule.
 	leaderMu sync.Mutex
@@ -56,6 +57,7 @@
 	n := &Node{Options: o, view: joblog.NewView()}
 	n.writer = joblog.NewWriter(o.Log, &n.hedge, o.Settings.Store.MaxRecordBytes)
 	n.follower = joblog.NewFollower(o.Log, n.view, o.Logger)
+	n.voidedCancels = newVoidedCancels(n)
 	evacuations := newEvacuationWatch(&n.Options, n.evacuationsChanged)
 	n.config = &configWatch{
 		log: o.Log, cursor: store.Cursor{Stream: store.Config, NewestOnly: true}, decoder: o.Decoder, onChange: n.configChanged,
@@ -123,6 +125,7 @@
 	defer stopWork()
 	go n.config.run(workCtx)
 	go n.follower.Run(workCtx)
+	go n.voidedCancels.run(workCtx)
 	memberCtx, stopMember := context.WithCancel(workCtx)
 	defer stopMember()
 	memberDone := make(chan struct{})
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -88,6 +88,7 @@
 	t.Cleanup(cancel)
 	go n.config.run(ctx)
 	go n.follower.Run(ctx)
+	go n.voidedCancels.run(ctx)
 	return &vm{Node: n, t: t}
 }
 
