--- a/node/ownership_test.go
+++ b/node/ownership_test.go
@@ -58,19 +58,6 @@
 	}
 }
 
-// accessOf waits until the VM uses the version of the configuration, and returns the access of the key.
-func (v *vm) accessOf(version int64, key string) Access {
-	v.t.Helper()
-	var access Access
-	eventually(v.t, "the VM accepts the key in the version", func() bool {
-		a, err := v.Authorize(testHost, testPath, key)
-		access = a
-		_, loaded := v.follower.Age()
-		return err == nil && loaded && a.ConfigVersion >= version
-	})
-	return access
-}
-
 // TestKnownJobAfterAChangeOfOwnership guards against a caller that is told that its job does not exist while that goes on, because its key
 // or its queue has changed since the submission, and against callers that see or cancel jobs of others.
 func TestKnownJobAfterAChangeOfOwnership(t *testing.T) {
