leader: the follower of the clean-up test logs nowhere

The readers of a follower log from several goroutines; the test had given them the logger of the leader, which writes to a plain buffer there.

--- a/leader/cleanup_test.go
+++ b/leader/cleanup_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/redwingthread/redwingthread/joblog"
 	"github.com/redwingthread/redwingthread/store"
 	"github.com/redwingthread/redwingthread/store/storetest"
@@ -29,7 +31,7 @@
 		if _, err := log.Append(t.Context(), stream, []store.Record{record}, nil, time.Second); err != nil {
 			t.Fatal(err)
 		}
-		l.Follower = joblog.NewFollower(log, l.View, l.logger)
+		l.Follower = joblog.NewFollower(log, l.View, zerolog.Nop())
 		ctx, stop := context.WithCancel(t.Context())
 		go l.Follower.Run(ctx)
 		if err := l.Follower.Refresh(t.Context(), 0, stream); err != nil {
