joblog: a test of early cancellations and submissions beside records of the version before

Records gained the hashes of URL and key. The test holds the key and the value that stores, reads them, reads the new value with the fields of that version, and reads a submission without the new field.

--- a/joblog/earlycancel_test.go
+++ b/joblog/earlycancel_test.go
@@ -1,6 +1,7 @@
 package joblog
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -10,6 +11,8 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"github.com/redwingthread/redwingthread/boottime"
 	"github.com/redwingthread/redwingthread/footprint/footprinttest"
 	"github.com/redwingthread/redwingthread/overload"
@@ -203,3 +206,38 @@
 		t.Error("the cancellation of an earlier version has no effect")
 	}
 }
+
+// TestEarlyCancelsOfOtherVersionsAreRead guards against an upgrade, or its undoing, after which an early cancellation does not hold: the version
+// before stored neither URL nor key.
+func TestEarlyCancelsOfOtherVersionsAreRead(t *testing.T) {
+	const key = "e/a/347b4f2cac74d42a"
+	own := job("a")
+	own.Account, own.Origin = "acme", workload.NewOrigin("host", "/q/", "key-1", "a")
+	submitted, err := SubmissionRecord(own)
+	if err != nil {
+		t.Fatal(err)
+	}
+	v := NewView()
+	mustApply(t, v, store.Record{Key: key, Value: []byte("\xa2\x65Queue\x61q\x67Account\x64acme")})
+	mustApply(t, v, submitted)
+	if e, _ := v.Get("a"); !e.Cancelled {
+		t.Error("the early cancellation of the version before has no effect")
+	}
+	record := earlyCancelRecord(t, "a", Caller{Queue: "q", Account: "acme", Origin: own.Origin})
+	var earlier struct{ Queue, Account string }
+	if err := cbor.Unmarshal(record.Value, &earlier); err != nil || earlier.Queue != "q" || earlier.Account != "acme" || record.Key != key {
+		t.Errorf("the version before reads %+v (%v) under %q, want the queue and account under %q", earlier, err, record.Key, key)
+	}
+	former, err := SubmissionRecord(job("a"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	// The version before encoded the same map without this field.
+	former.Value = bytes.Replace(former.Value, []byte("\x66Origin\xa0"), nil, 1)
+	former.Value[0]--
+	v = NewView()
+	mustApply(t, v, former)
+	if e, known := v.Get("a"); !known || e.Job.Origin != (workload.Origin{}) {
+		t.Errorf("a submission of the version before is known %v, %+v", known, e.Job)
+	}
+}
