--- a/review/lab-3/crashes.go
+++ b/review/lab-3/crashes.go
@@ -13,15 +13,7 @@
 		ranBefore = 3 * time.Second
 		crashes   = 4
 	)
-	l.startSystem(map[string]any{
-		"version": 1, "limits": map[string]any{},
-		"services": []any{map[string]any{"name": "lab", "rejects_overload": true}},
-		"routes": []any{map[string]any{
-			"name": "q", "host": queueHost, "path_prefix": "/q/", "service": "lab", "priority": 1, "max_attempts": 4, "slack_factor": 3,
-			"target_runtime_ms": 1000,
-		}},
-		"tenants": []any{map[string]any{"name": "tenant-a", "api_keys": []string{tenantKey}, "guaranteed_gpus": 16}},
-	})
+	l.startSystem(oneQueue(1))
 	size := capacity{CPU: 128000, Memory: 524288, GPU: 8}
 	special := l.addMinion(0, "lab-a", []string{"a", "licensed"}, size)
 	for i := 1; i < 8; i++ {
--- a/review/lab-3/lab.go
+++ b/review/lab-3/lab.go
@@ -337,7 +337,7 @@
 	flag.Parse()
 	l := newLab(*out)
 	trouble := os.Getenv("TROUBLE") != "0"
-	cases := map[string]func(bool) int{"crashes": l.crashes}
+	cases := map[string]func(bool) int{"crashes": l.crashes, "lasting": l.lasting}
 	play := cases[*name]
 	if play == nil {
 		l.cannotRun("there is no case " + *name)
--- a/review/lab-3/minion.go
+++ b/review/lab-3/minion.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -18,6 +19,8 @@
 	maxHold     = 10 * time.Second
 	maxListed   = 500
 	maxWait     = 2 * time.Second
+	// startupTime is how long a work item that lasts takes until it is at work.
+	startupTime = 500 * time.Millisecond
 )
 
 // capacity is what a minion states, or what a work item takes.
@@ -31,6 +34,8 @@
 type item struct {
 	demand capacity
 	work   time.Duration
+	// lasts is true for work items that run until their job is cancelled.
+	lasts bool
 }
 
 // minion is a machine that runs work items. One life of it is a process.
@@ -43,6 +48,8 @@
 	mu             sync.Mutex
 	life           *life
 	draining       bool
+	// silent is true once the machine has lost power: nothing answers, and its connections stay open without a word.
+	silent atomic.Bool
 	// unanswered, if set, decides whether an order stays unanswered and is carried out late, and how late.
 	unanswered func() (time.Duration, bool)
 }
@@ -98,7 +105,12 @@
 	mux.HandleFunc("POST /run-start", l.order(l.runStart))
 	mux.HandleFunc("POST /run-stop", l.order(l.runStop))
 	mux.HandleFunc("POST /hold", l.hold)
-	l.server = &http.Server{Handler: mux}
+	l.server = &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if m.silent.Load() {
+			select {}
+		}
+		mux.ServeHTTP(w, r)
+	})}
 	go func() { _ = l.server.Serve(listener) }()
 	m.mu.Lock()
 	m.life = l
@@ -130,6 +142,30 @@
 	m.lab.record("minion %s crashes; lost with it: %s", m.id, strings.Join(lost, ", "))
 }
 
+// losePower ends the machine without a sign: nothing is answered any more, connections hang, and the store removes its entry after
+// three heartbeats.
+func (m *minion) losePower() {
+	m.mu.Lock()
+	l := m.life
+	m.life = nil
+	m.mu.Unlock()
+	m.silent.Store(true)
+	l.mu.Lock()
+	l.dead = true
+	lost := []string{}
+	for task, r := range l.runs {
+		r.timer.Stop()
+		lost = append(lost, fmt.Sprintf("%s run %d", task, r.number))
+	}
+	l.mu.Unlock()
+	close(l.stop)
+	m.lab.record("minion %s loses power for good; lost with it: %s", m.id, strings.Join(lost, ", "))
+	time.AfterFunc(3*heartbeat, func() {
+		m.lab.store.put("keyed.servers", m.id, nil)
+		m.lab.record("the store removes the entry of minion %s, which is silent", m.id)
+	})
+}
+
 // setDraining writes an entry that announces that the minion leaves.
 func (m *minion) setDraining() {
 	m.mu.Lock()
@@ -389,6 +425,9 @@
 	running, list := [][]any{}, [][]any{}
 	for task, r := range l.runs {
 		percent := min(99, int(100*time.Since(r.startedAt)/r.work))
+		if it, _ := l.m.lab.item(task); it.lasts && time.Since(r.startedAt) > startupTime {
+			percent = 100
+		}
 		running = append(running, []any{task, r.number, "", percent, r.demand.CPU})
 	}
 	for _, e := range l.ended[:min(len(l.ended), maxListed)] {
@@ -396,6 +435,9 @@
 	}
 	answer := map[string]any{"clock_ms": l.clock(), "born": l.born, "running": running, "ended": list}
 	l.mu.Unlock()
+	if l.m.silent.Load() {
+		select {}
+	}
 	reply(w, 200, answer)
 }
 
