--- a/review/lab-3/lab.go
+++ b/review/lab-3/lab.go
@@ -41,6 +41,8 @@
 	starts []runEvent
 	ends   []runEvent
 	late   map[string]bool
+	// wide holds the jobs with so many work items that the record only counts them.
+	wide map[string]bool
 }
 
 // runEvent is a start or an end of a run, as seen by its minion.
@@ -96,6 +98,14 @@
 	return steps[step], true
 }
 
+// terse reports whether the starts and ends of the work item are left out of the record: its job has thousands.
+func (l *lab) terse(task string) bool {
+	job, _ := jobOf(task)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.wide[job]
+}
+
 func (l *lab) setLate(task string, number int64, late bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -107,6 +117,9 @@
 	late := l.late[fmt.Sprint(task, "/", number)]
 	l.starts = append(l.starts, runEvent{time.Now(), m.id, task, number, "", late})
 	l.mu.Unlock()
+	if l.terse(task) {
+		return
+	}
 	l.record("minion %s starts %s run %d%s", m.id, task, number, map[bool]string{true: " (carried out late)"}[late])
 }
 
@@ -114,6 +127,9 @@
 	l.mu.Lock()
 	l.ends = append(l.ends, runEvent{time.Now(), m.id, task, number, how, false})
 	l.mu.Unlock()
+	if l.terse(task) {
+		return
+	}
 	l.record("minion %s: %s run %d has ended %s", m.id, task, number, how)
 }
 
@@ -201,7 +217,7 @@
 		fmt.Println(err)
 		os.Exit(exitNotRun)
 	}
-	return &lab{begin: time.Now(), out: file, dir: dir, store: newStore(), items: map[string][]item{}, minion: map[string]*minion{}, late: map[string]bool{}}
+	return &lab{begin: time.Now(), out: file, dir: dir, store: newStore(), items: map[string][]item{}, minion: map[string]*minion{}, late: map[string]bool{}, wide: map[string]bool{}}
 }
 
 // startSystem starts the store with a configuration, and one process a zone.
@@ -229,7 +245,9 @@
 }
 
 func (l *lab) startNode(i int, zone, storeAddress string) {
-	ip := fmt.Sprintf("127.0.0.%d", 10+i)
+	// Each play has loopback addresses of its own, so that plays side by side do not take each other's ports.
+	pid := os.Getpid()
+	ip := fmt.Sprintf("127.%d.%d.%d", 10+pid>>8&127, pid&255, 10+i)
 	front, ready, first := freePort(ip), freePort(ip), freePort(ip)
 	path := filepath.Join(l.dir, fmt.Sprintf("settings-%d", i))
 	name := "frontend-" + zone + "-1"
@@ -337,7 +355,7 @@
 	flag.Parse()
 	l := newLab(*out)
 	trouble := os.Getenv("TROUBLE") != "0"
-	cases := map[string]func(bool) int{"crashes": l.crashes, "lasting": l.lasting}
+	cases := map[string]func(bool) int{"crashes": l.crashes, "lasting": l.lasting, "checkpoints": l.checkpoints, "quarantine": l.quarantine, "waiting": l.waiting}
 	play := cases[*name]
 	if play == nil {
 		l.cannotRun("there is no case " + *name)
--- a/review/lab-3/minion.go
+++ b/review/lab-3/minion.go
@@ -1,6 +1,8 @@
 package main
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"encoding/json"
 	"fmt"
 	"math/rand"
@@ -19,6 +21,8 @@
 	maxHold     = 10 * time.Second
 	maxListed   = 500
 	maxWait     = 2 * time.Second
+	// failAfter is how long a run works that fails with its minion.
+	failAfter = 300 * time.Millisecond
 	// startupTime is how long a work item that lasts takes until it is at work.
 	startupTime = 500 * time.Millisecond
 )
@@ -36,6 +40,8 @@
 	work   time.Duration
 	// lasts is true for work items that run until their job is cancelled.
 	lasts bool
+	// checkpointLength is the length of the checkpoints that the work item saves once a second; 0 for none.
+	checkpointLength int
 }
 
 // minion is a machine that runs work items. One life of it is a process.
@@ -50,6 +56,10 @@
 	draining       bool
 	// silent is true once the machine has lost power: nothing answers, and its connections stay open without a word.
 	silent atomic.Bool
+	// busy is true while the minion rejects all starts with 503, its status check and its lists being good.
+	busy atomic.Bool
+	// failing is true while all work items that the minion starts fail.
+	failing atomic.Bool
 	// unanswered, if set, decides whether an order stays unanswered and is carried out late, and how late.
 	unanswered func() (time.Duration, bool)
 }
@@ -300,6 +310,10 @@
 				return
 			}
 		}
+		if l.m.busy.Load() && r.URL.Path == "/run-start" {
+			reply(w, 503, map[string]any{})
+			return
+		}
 		status, answer := do(body)
 		reply(w, status, answer)
 	}
@@ -341,11 +355,15 @@
 		return l.answer(409, "room")
 	}
 	r := &run{number: b.Run, startedAt: time.Now(), work: it.work, demand: it.demand}
-	r.timer = time.AfterFunc(it.work, func() {
+	work, how := it.work, "done"
+	if l.m.failing.Load() {
+		work, how = failAfter, "failed"
+	}
+	r.timer = time.AfterFunc(work, func() {
 		l.mu.Lock()
 		defer l.mu.Unlock()
 		if l.runs[b.Task] == r && !r.stopping {
-			l.end(b.Task, "done")
+			l.end(b.Task, how)
 		}
 	})
 	l.runs[b.Task] = r
@@ -428,7 +446,7 @@
 		if it, _ := l.m.lab.item(task); it.lasts && time.Since(r.startedAt) > startupTime {
 			percent = 100
 		}
-		running = append(running, []any{task, r.number, "", percent, r.demand.CPU})
+		running = append(running, []any{task, r.number, l.checkpoint(task, r), percent, r.demand.CPU})
 	}
 	for _, e := range l.ended[:min(len(l.ended), maxListed)] {
 		list = append(list, []any{e.n, e.task, e.run, e.how, ""})
@@ -441,6 +459,17 @@
 	reply(w, 200, answer)
 }
 
+// checkpoint returns the latest checkpoint of a run: hexadecimal digits that differ for each second of work.
+func (l *life) checkpoint(task string, r *run) string {
+	it, _ := l.m.lab.item(task)
+	seconds := int(time.Since(r.startedAt).Seconds())
+	if it.checkpointLength == 0 || seconds == 0 {
+		return ""
+	}
+	sum := sha256.Sum256(fmt.Appendf(nil, "%s/%d/%d", task, r.number, seconds))
+	return hex.EncodeToString(sum[:])[:it.checkpointLength]
+}
+
 // jobOf returns the job and the step of a work item's name.
 func jobOf(task string) (job string, step int) {
 	parts := strings.Split(task, ".")
--- a/review/lab-3/store.go
+++ b/review/lab-3/store.go
@@ -9,6 +9,7 @@
 	"sort"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -17,6 +18,7 @@
 	pageRecords  = 500
 	pageBytes    = 1 << 20
 	maxRead      = 1 << 20
+	maxRecord    = 262144
 	keepSequence = 5
 )
 
@@ -25,6 +27,8 @@
 	mu      sync.Mutex
 	streams map[string]*stream
 	groups  map[string]*group
+	// tooLarge counts the appends that were rejected for a record that is too large.
+	tooLarge atomic.Int64
 }
 
 type stream struct {
@@ -106,6 +110,11 @@
 			reply(w, 400, map[string]string{})
 			return
 		}
+		if n > maxRecord {
+			s.tooLarge.Add(1)
+			reply(w, 400, map[string]string{"error": "the record exceeds record_bytes"})
+			return
+		}
 		records = append(records, body[4:4+n])
 		body = body[4+n:]
 	}
