--- a/review/lab-3/checkpoints.go
+++ b/review/lab-3/checkpoints.go
@@ -16,6 +16,8 @@
 		idle       = 3 * time.Second
 		longLength = 64
 		length     = 16
+		// wideTime bounds the wait for the first rejected append, or for the end of the wide job.
+		wideTime = 50 * time.Second
 	)
 	l.startSystem(oneQueue(1))
 	size := capacity{CPU: 128000, Memory: 524288, GPU: 8}
@@ -29,7 +31,12 @@
 	}
 	l.wide[wideID] = true
 	l.submit(tenantKey, "/q/", wideID, it, map[string]any{"count": wideItems, "checkpointing": true})
-	time.Sleep(16 * time.Second)
+	for end := time.Now().Add(wideTime); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+		if l.store.tooLarge.Load() > 0 || l.countEnds(wideID, "done") == wideItems {
+			break
+		}
+	}
+	time.Sleep(time.Second)
 	l.record("%d starts of the wide job so far; %d appends were rejected for a record over record_bytes", l.countStarts(wideID), l.store.tooLarge.Load())
 	var small []string
 	for i := range smallJobs {
