--- a/dispatch/units.go
+++ b/dispatch/units.go
@@ -92,7 +92,7 @@
 	c.freeAccelerators += u.step.claimedAccelerators() - u.size*u.step.spec.Demand.Accelerators
 	u.step.claim = nil
 	if j.phase == workload.PhaseQueued {
-		j.phase = workload.PhaseRunning
+		c.setPhase(j, workload.PhaseRunning, fmt.Sprintf("start of %v run %d decided", u.task(0), u.state.Run))
 	}
 	for member, w := range workers {
 		p := u.newPlacement(member, w)
@@ -337,16 +337,23 @@
 	}
 	u.aborting = false
 	u.state.Status = workload.UnitWaiting
-	u.step.job.requeue()
+	c.requeue(u.step.job, reason)
 }
 
-// requeue counts a job as waiting again if none of its starts has reached a worker and none is under way.
-func (j *job) requeue() {
+// requeue counts a job as waiting again if none of its starts has reached a worker and none is under way. reason is why the last one is not,
+// for the log.
+func (c *Core) requeue(j *job, reason string) {
 	if j.phase == workload.PhaseRunning && !j.begun && j.placements == 0 {
-		j.phase = workload.PhaseQueued
+		c.setPhase(j, workload.PhaseQueued, reason)
 	}
 }
 
+// setPhase changes whether an unfinished job is queued or running, which decides whether callers see it as waiting. reason is for the log.
+func (c *Core) setPhase(j *job, phase workload.Phase, reason string) {
+	j.phase = phase
+	c.event(Event{Name: "job " + phase.String(), Job: j.spec.ID, Detail: reason})
+}
+
 // avoidWorker makes later runs of the unit prefer other workers.
 func (u *unit) avoidWorker(workerID string) {
 	if u.avoid == nil {
