dispatch: a job is queued until a worker has begun one of its runs

Cause: start() set the phase to running when a start was decided. requeue() took that back once no start was under way, but the plan of the same event decided the next start, so that the stored state never showed the job as queued. A start without response never got there at all.

The phase now follows what workers have shown: the response to a start, a listed run or a listed end, also when it arrives after the run was given up or after a takeover. Until then the stored state has the run and the phase queued.

An earlier holder that takes over between a start and the record of its begin shows the job as queued until it starts another run of it, or the job ends.

TestJobWhoseStartsFailedWaits (27 of 27 cases) and three cases of TestJobThatBeganRuns, begun jobs shown as waiting, failed before.

--- /dev/null
+++ b/dispatch/begin_test.go
@@ -0,0 +1,202 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/redwingthread/redwingthread/workload"
+)
+
+const beginJob workload.JobID = "0000000000000001"
+
+// checkStoredPhase checks the phase in the job's stored state once the begin of the job must have been stored.
+func (c *cluster) checkStoredPhase(id workload.JobID, want workload.Phase) {
+	c.t.Helper()
+	c.advance(beginStoreDelay)
+	c.store()
+	if got := c.phases[id]; got != want {
+		c.t.Fatalf("the stored job is %v, want %v", got, want)
+	}
+}
+
+// loseProcess ends the worker's process with all its runs and starts another one under the same id.
+func (c *cluster) loseProcess(worker string) {
+	w := c.workers[worker]
+	w.info.Incarnation++
+	w.running, w.ended, w.lastSequence = map[workload.RunRef]*simRun{}, nil, 0
+	c.core.SetUnreachable(worker, false)
+	c.core.SetWorker(w.info)
+	c.list(worker)
+}
+
+// TestJobWhoseStartsFailedWaits guards against a job that is counted as running although nothing of it has begun: starts of it are
+// decided again and again, and each is rejected, has no response, or is lost with its worker, so that the callers' count of waiting jobs is
+// too low.
+func TestJobWhoseStartsFailedWaits(t *testing.T) {
+	cases := []struct {
+		name string
+		fail func(c *cluster, s Start)
+	}{
+		{"rejected at the first attempt", func(c *cluster, s Start) { c.core.StartRejected(s.Worker, s.Ref, "no room") }},
+		{"rejected after an attempt without response", func(c *cluster, s Start) {
+			c.core.AbandonStart(s.Worker, s.Ref, "not healthy")
+			c.core.StopConfirmed(s.Worker, s.Ref)
+		}},
+		{"no response", func(*cluster, Start) {}},
+		{"lost without a response", func(c *cluster, s Start) { c.core.MarkWorkerGone(s.Worker, GoneLeaseExpired) }},
+		{"lost with a replaced worker", func(c *cluster, s Start) { c.core.MarkWorkerGone(s.Worker, GoneReplaced) }},
+		{"lost with a process under the same id", func(c *cluster, s Start) { c.loseProcess(s.Worker) }},
+		{"not sent before a takeover", func(c *cluster, _ Start) { c.takeOver() }},
+		{"rejected after a takeover", func(c *cluster, s Start) {
+			c.takeOver()
+			c.listAll()
+			c.core.StartRejected(s.Worker, s.Ref, "no room")
+		}},
+		{"worker lost in a takeover", func(c *cluster, s Start) {
+			c.takeOver()
+			c.core.MarkWorkerGone(s.Worker, GoneUnlisted)
+		}},
+	}
+	steps := map[string][]workload.Step{
+		"task": {tasks(1, 8)}, "gang": {gangOf(2, 8)}, "two steps": {tasks(2, 8), func() workload.Step { s := tasks(1, 8); s.After = []int{0}; return s }()},
+	}
+	for _, tc := range cases {
+		for shape, spec := range steps {
+			t.Run(tc.name+"/"+shape, func(t *testing.T) {
+				c := newCluster(t, 3)
+				c.submitJob(&workload.Job{ID: beginJob, Queue: "normal", Service: "svc", Account: "large", Steps: spec, AcceptedAt: c.wall()})
+				for range 3 {
+					starts := c.decide().Starts
+					c.checkStoredPhase(beginJob, workload.PhaseQueued)
+					for _, s := range starts {
+						tc.fail(c, s)
+					}
+					c.listAll()
+					c.checkStoredPhase(beginJob, workload.PhaseQueued)
+				}
+			})
+		}
+	}
+}
+
+// TestJobThatBeganRuns guards against a job that is counted as waiting although a worker has begun one of its runs: only the response, a
+// listing or the listed end showed it, late, after a takeover, for one member of a gang or for a run that was given up.
+func TestJobThatBeganRuns(t *testing.T) {
+	run := func(c *cluster, s Start) { c.workers[s.Worker].running[s.Ref] = &simRun{} }
+	cases := []struct {
+		name  string
+		begin func(c *cluster, s Start)
+	}{
+		{"start accepted", func(c *cluster, s Start) { c.core.StartAccepted(s.Worker, s.Ref) }},
+		{"start accepted and its worker lost", func(c *cluster, s Start) {
+			c.core.StartAccepted(s.Worker, s.Ref)
+			c.core.MarkWorkerGone(s.Worker, GoneLeaseExpired)
+		}},
+		{"start accepted after the run was given up", func(c *cluster, s Start) {
+			c.core.MarkWorkerGone(s.Worker, GoneLeaseExpired)
+			c.core.StartAccepted(s.Worker, s.Ref)
+		}},
+		{"run listed", func(c *cluster, s Start) {
+			run(c, s)
+			c.list(s.Worker)
+		}},
+		{"run listed after it was given up", func(c *cluster, s Start) {
+			c.core.MarkWorkerGone(s.Worker, GoneLeaseExpired)
+			run(c, s)
+			c.list(s.Worker)
+		}},
+		{"end listed", func(c *cluster, s Start) {
+			run(c, s)
+			c.end(s.Worker, s.Ref, workload.EndFailed)
+			c.list(s.Worker)
+		}},
+		{"end listed after the run was given up", func(c *cluster, s Start) {
+			c.core.MarkWorkerGone(s.Worker, GoneLeaseExpired)
+			run(c, s)
+			c.end(s.Worker, s.Ref, workload.EndGangMemberEnded)
+			c.list(s.Worker)
+		}},
+		{"run listed after a takeover", func(c *cluster, s Start) {
+			run(c, s)
+			c.takeOver()
+			c.list(s.Worker)
+		}},
+		{"end listed after a takeover", func(c *cluster, s Start) {
+			run(c, s)
+			c.takeOver()
+			c.end(s.Worker, s.Ref, workload.EndFailed)
+			c.list(s.Worker)
+		}},
+		{"begin stored before a takeover", func(c *cluster, s Start) {
+			c.core.StartAccepted(s.Worker, s.Ref)
+			c.checkStoredPhase(beginJob, workload.PhaseRunning)
+			c.takeOver()
+			c.core.MarkWorkerGone(s.Worker, GoneUnlisted)
+		}},
+	}
+	for _, tc := range cases {
+		for shape, spec := range map[string]workload.Step{"task": tasks(1, 8), "gang": gangOf(2, 8)} {
+			t.Run(tc.name+"/"+shape, func(t *testing.T) {
+				c := newCluster(t, 2)
+				c.submit(string(beginJob), "normal", "large", spec)
+				tc.begin(c, c.decide().Starts[0])
+				c.checkStoredPhase(beginJob, workload.PhaseRunning)
+				c.decide()
+				c.checkStoredPhase(beginJob, workload.PhaseRunning)
+			})
+		}
+	}
+}
+
+// TestJobThatHasBegunIsNotQueuedAgain guards against a job that is shown as queued after it was running, because its later starts fail,
+// also under the next holder.
+func TestJobThatHasBegunIsNotQueuedAgain(t *testing.T) {
+	for _, takeover := range []bool{false, true} {
+		c := newCluster(t, 1)
+		c.submit(string(beginJob), "normal", "large", tasks(1, 8))
+		c.plan()
+		c.endAll(string(beginJob), workload.EndFailed)
+		c.listAll()
+		c.checkStoredPhase(beginJob, workload.PhaseRunning)
+		if takeover {
+			c.takeOver()
+			c.listAll()
+		}
+		for _, s := range c.decide().Starts {
+			c.core.StartRejected(s.Worker, s.Ref, "no room")
+		}
+		c.checkStoredPhase(beginJob, workload.PhaseRunning)
+	}
+}
+
+// TestBeginOfAJobIsStoredOnce guards against more records than callers need: the begin of a job is stored with another change if there is
+// one in time, and alone at most beginStoreDelay after it; a job that ends before that has no record of its begin.
+func TestBeginOfAJobIsStoredOnce(t *testing.T) {
+	const other, short workload.JobID = "0000000000000002", "0000000000000003"
+	c := newCluster(t, 3)
+	for _, id := range []workload.JobID{beginJob, other, short} {
+		c.submit(string(id), "normal", "large", tasks(1, 8))
+	}
+	c.plan()
+	c.advance(beginStoreDelay/2 - time.Millisecond)
+	if changes := c.core.TakeChanges(); len(changes) != 0 {
+		t.Errorf("%d states before half of the delay, want none", len(changes))
+	}
+	c.advance(time.Millisecond)
+	c.endAll(string(short), workload.EndDone)
+	c.listAll()
+	changes := c.core.TakeChanges()
+	if len(changes) != 3 || changes[0].Phase != workload.PhaseRunning || changes[2].Phase != workload.PhaseCompleted {
+		t.Errorf("%d states with the end of a job, want two begins and the end", len(changes))
+	}
+	c.advance(beginStoreDelay)
+	if changes := c.core.TakeChanges(); len(changes) != 0 {
+		t.Errorf("%d states after the begins were stored, want none", len(changes))
+	}
+	c.submit("0000000000000004", "normal", "large", tasks(1, 8))
+	c.plan()
+	c.advance(beginStoreDelay)
+	if changes := c.core.TakeChanges(); len(changes) != 1 {
+		t.Errorf("%d states at the end of the delay, want the begin", len(changes))
+	}
+}
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -10,6 +10,7 @@
 //   - state.go: the durable state of jobs
 //   - policy.go: the settings of queues that jobs keep
 //   - workers.go: workers, their listings and their loss
+//   - begin.go: what shows that a job has begun, and when that is stored
 //   - units.go: the life cycle of a unit from start to end
 //   - repetitions.go: which repetitions of a job have steps in memory
 //   - plan.go: the order in which waiting steps are tried
@@ -115,6 +116,8 @@
 	sortedJobs []*job
 	// changed holds the jobs whose states have changed since the last call of TakeChanges.
 	changed map[workload.JobID]*job
+	// unstoredBegins holds the jobs that have begun and whose states have not changed otherwise since; see markBegins.
+	unstoredBegins map[workload.JobID]*job
 	// policies maps the names of queues to their last policies, as far as they differ from those with which jobs were accepted.
 	// changedPolicies holds the names of those that have changed since the last call of TakePolicyChanges.
 	policies        map[string]workload.QueuePolicy
@@ -171,8 +174,10 @@
 	repetitions repetitions
 	// placements is the number of placements of all units of the job.
 	placements int
-	// begun is true once a worker has confirmed a start of the job, or listed one of its runs.
-	begun bool
+	// begun is true once a worker has accepted a start of the job, or has listed one of its runs or the end of one; begunAt is when the
+	// core learned of it.
+	begun   bool
+	begunAt time.Duration
 	// chains and work describe one repetition of the job.
 	chains overload.Chains
 	work   overload.Load
@@ -279,12 +284,12 @@
 // New returns an empty core.
 func New(options Options) *Core {
 	return &Core{
-		options:  options,
-		config:   &workload.Config{},
-		workers:  map[string]*worker{},
-		jobs:     map[workload.JobID]*job{},
-		ended:    map[workload.JobID]endedJob{},
-		changed:  map[workload.JobID]*job{},
+		options: options,
+		config:  &workload.Config{},
+		workers: map[string]*worker{},
+		jobs:    map[workload.JobID]*job{},
+		ended:   map[workload.JobID]endedJob{},
+		changed: map[workload.JobID]*job{}, unstoredBegins: map[workload.JobID]*job{},
 		policies: map[string]workload.QueuePolicy{}, changedPolicies: map[string]bool{},
 		accountUse:    map[string]int{},
 		typicalPaces:  map[string]*typicalPace{},
@@ -401,11 +406,14 @@
 
 func (c *Core) markChanged(j *job) { c.changed[j.spec.ID] = j }
 
-// TakeChanges returns the job states that changed since the last call, in order of job id.
+// TakeChanges returns the job states that changed since the last call, in order of job id. The begin of a job is returned up to
+// beginStoreDelay later if nothing else of the job has changed.
 func (c *Core) TakeChanges() []Change {
+	c.markBegins()
 	changes := make([]Change, 0, len(c.changed))
 	for id, j := range c.changed {
 		state := j.export()
+		delete(c.unstoredBegins, id)
 		changes = append(changes, Change{ID: id, Phase: j.phase, State: state.Encode()})
 	}
 	clear(c.changed)
--- a/dispatch/units.go
+++ b/dispatch/units.go
@@ -91,9 +91,6 @@
 	c.noteOverloadedStart(u)
 	c.freeAccelerators += u.step.claimedAccelerators() - u.size*u.step.spec.Demand.Accelerators
 	u.step.claim = nil
-	if j.phase == workload.PhaseQueued {
-		c.setPhase(j, workload.PhaseRunning, fmt.Sprintf("start of %v run %d decided", u.task(0), u.state.Run))
-	}
 	for member, w := range workers {
 		p := u.newPlacement(member, w)
 		c.attach(p)
@@ -140,9 +137,7 @@
 	if p != nil && p.beganAt < 0 {
 		p.beganAt = c.now
 	}
-	if p != nil && p.unit != nil {
-		p.unit.step.job.begun = true
-	}
+	c.noteRunBegun(workerID, ref, "start accepted")
 	c.confirm(workerID, ref)
 }
 
@@ -182,6 +177,7 @@
 
 // applyEnd applies the end of a run in a listing. clock is the worker's clock at the listing.
 func (c *Core) applyEnd(w *worker, end *workload.EndedRun, clock time.Duration) {
+	c.noteRunBegun(w.id, end.RunRef, "end listed")
 	p := w.runs[end.RunRef]
 	if p == nil {
 		c.applyUnknownEnd(end)
@@ -199,7 +195,6 @@
 	if end.Reason != workload.EndDone && end.Reason != workload.EndStopped {
 		c.event(Event{Name: "run ended", Job: end.Task.Job, Worker: w.id, Detail: end.Task.String() + " " + string(end.Reason)})
 	}
-	p.unit.step.job.begun = true
 	c.updateHealth(p, end.Reason)
 	c.recordEnd(p.unit, end)
 	c.afterPlacementGone(p.unit, string(end.Reason))
@@ -337,21 +332,6 @@
 	}
 	u.aborting = false
 	u.state.Status = workload.UnitWaiting
-	c.requeue(u.step.job, reason)
-}
-
-// requeue counts a job as waiting again if none of its starts has reached a worker and none is under way. reason is why the last one is not,
-// for the log.
-func (c *Core) requeue(j *job, reason string) {
-	if j.phase == workload.PhaseRunning && !j.begun && j.placements == 0 {
-		c.setPhase(j, workload.PhaseQueued, reason)
-	}
-}
-
-// setPhase changes whether an unfinished job is queued or running, which decides whether callers see it as waiting. reason is for the log.
-func (c *Core) setPhase(j *job, phase workload.Phase, reason string) {
-	j.phase = phase
-	c.event(Event{Name: "job " + phase.String(), Job: j.spec.ID, Detail: reason})
 }
 
 // avoidWorker makes later runs of the unit prefer other workers.
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -281,6 +281,7 @@
 
 // applyRunning applies one listed running run.
 func (c *Core) applyRunning(w *worker, r *workload.RunningRun) {
+	c.noteRunBegun(w.id, r.RunRef, "run listed")
 	p := w.runs[r.RunRef]
 	if p == nil {
 		c.stopOrphan(w, r.RunRef)
@@ -297,7 +298,6 @@
 	if p.unit == nil {
 		return
 	}
-	p.unit.step.job.begun = true
 	if p.unit.state.Run == r.Run && r.Checkpoint != "" {
 		p.unit.state.Checkpoint = r.Checkpoint
 	}
