A start that the worker has closed has not begun

A worker answers 409 with "old" to a start if it has received a stop of the run before, also if that stop overtook the start and nothing ever ran. The holder took this for an accepted start: the job counted as begun, the end of the worker's process within a second as a crash under the task, and the time to a later end as the run's duration.

The response now only rules out that the run begins later. Whether it had begun is told by its end, which the worker lists until it is acknowledged.

--- a/dispatch/begin_test.go
+++ b/dispatch/begin_test.go
@@ -42,6 +42,7 @@
 			c.core.AbandonStart(s.Worker, s.Ref, "not healthy")
 			c.core.StopConfirmed(s.Worker, s.Ref)
 		}},
+		{"closed by a stop that arrived first", func(c *cluster, s Start) { c.core.StartClosed(s.Worker, s.Ref) }},
 		{"no response", func(*cluster, Start) {}},
 		{"lost without a response", func(c *cluster, s Start) { c.core.MarkWorkerGone(s.Worker, GoneLeaseExpired) }},
 		{"lost with a replaced worker", func(c *cluster, s Start) { c.core.MarkWorkerGone(s.Worker, GoneReplaced) }},
--- a/dispatch/storm_commands_test.go
+++ b/dispatch/storm_commands_test.go
@@ -196,8 +196,10 @@
 		return
 	}
 	switch {
-	case outcome == outcomeDone || outcome == outcomeStale:
+	case outcome == outcomeDone:
 		s.core.StartAccepted(id, cmd.start.Ref)
+	case outcome == outcomeStale:
+		s.core.StartClosed(id, cmd.start.Ref)
 	case cmd.attempt > 1:
 		s.core.AbandonStart(id, cmd.start.Ref, "no room")
 	default:
--- a/dispatch/units.go
+++ b/dispatch/units.go
@@ -131,7 +131,7 @@
 	c.stops = append(c.stops, Stop{Ref: p.ref, Worker: p.worker.id, Reason: p.stopReason})
 }
 
-// StartAccepted records that the worker has accepted the start or has ended the run.
+// StartAccepted records that the worker has accepted the start, so that the run has begun there.
 func (c *Core) StartAccepted(workerID string, ref workload.RunRef) {
 	p := c.placement(workerID, ref)
 	if p != nil && p.beganAt < 0 {
@@ -141,6 +141,10 @@
 	c.confirm(workerID, ref)
 }
 
+// StartClosed records that the worker will not start the run any more: it has ended the run, or has received a stop of it before. Whether
+// the run had begun is told by its listed end alone.
+func (c *Core) StartClosed(workerID string, ref workload.RunRef) { c.confirm(workerID, ref) }
+
 // StopConfirmed records that the worker will not start the run any more.
 func (c *Core) StopConfirmed(workerID string, ref workload.RunRef) { c.confirm(workerID, ref) }
 
--- a/leader/requests.go
+++ b/leader/requests.go
@@ -185,8 +185,10 @@
 func (s *session) reportStartOutcome(a *startAttempts, err error) bool {
 	ref := a.planned.Ref
 	switch {
-	case err == nil, errors.Is(err, ErrRunEnded):
+	case err == nil:
 		s.leader.enqueue(func(c *dispatch.Core) { c.StartAccepted(s.id, ref) })
+	case errors.Is(err, ErrRunEnded):
+		s.leader.enqueue(func(c *dispatch.Core) { c.StartClosed(s.id, ref) })
 	case errors.Is(err, ErrStaleEpoch):
 		s.leader.stepDown("worker " + s.id)
 	case errors.Is(err, ErrOtherIncarnation):
--- a/leader/worker.go
+++ b/leader/worker.go
@@ -32,7 +32,7 @@
 	ErrNotSent = errors.New("leader: no connection to the worker")
 	// ErrStaleEpoch means that the worker has received a request with a higher epoch.
 	ErrStaleEpoch = errors.New("leader: epoch rejected: the worker follows a newer holder of the schedule")
-	// ErrRunEnded means that the worker has ended the run, or has rejected its start before.
+	// ErrRunEnded means that the worker has ended the run, or has received a stop of it, or of a later one of its task, before the start.
 	ErrRunEnded = errors.New("leader: the worker has already ended this run")
 	// ErrLeaseExpired means that the lease in a start request had expired on arrival.
 	ErrLeaseExpired = errors.New("leader: the lease in the request expired before it arrived")
