--- a/dispatch/begin.go
+++ b/dispatch/begin.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/redwingthread/redwingthread/workload"
@@ -33,6 +34,45 @@
 	}
 }
 
+// restoreEarlierPhase restores whether the job has begun from a state of an earlier version, in which it runs from the decision to start
+// it. Such a job has begun if anything else in the state shows that. Otherwise its workers tell: it is queued again if none of them has
+// begun the run that was meant for it.
+func (c *Core) restoreEarlierPhase(j *job, state *workload.JobState) {
+	j.unprovenRuns = j.placements
+	j.begun = j.placements == 0 || slices.ContainsFunc(state.Repetitions, showsBegin)
+}
+
+// showsBegin reports whether the stored steps of a repetition show that a run of it has begun.
+func showsBegin(steps []workload.StepState) bool {
+	return slices.ContainsFunc(steps, func(s workload.StepState) bool { return s.Done || slices.ContainsFunc(s.Units, unitShowsBegin) })
+}
+
+func unitShowsBegin(u workload.UnitState) bool {
+	certainCrash := slices.ContainsFunc(u.Crashes, func(c workload.MemberCrashes) bool { return c.Certain > 0 })
+	return u.Status == workload.UnitDone || u.LastCountedRun > 0 || u.Checkpoint != "" || certainCrash
+}
+
+// noteNeverBegan records that the process for which a restored run was meant has not begun it: it lists neither the run nor its end.
+func (c *Core) noteNeverBegan(p *placement) {
+	if p.unit == nil || p.unit.step.job.begun || p.unit.step.job.unprovenRuns == 0 {
+		return
+	}
+	j := p.unit.step.job
+	j.unprovenRuns--
+	if j.unprovenRuns == 0 && j.phase == workload.PhaseRunning {
+		c.setPhase(j, workload.PhaseQueued, p.worker.id, "no worker has begun a run that an earlier version has stored as running")
+		c.markChanged(j)
+	}
+}
+
+// noteUnprovenRunLost takes the job of a restored run as begun if the run is lost with the process that could have told: most starts
+// arrive.
+func (c *Core) noteUnprovenRunLost(p *placement) {
+	if p.unverified && p.unit != nil && p.unit.step.job.unprovenRuns > 0 {
+		c.noteBegun(p.unit.step.job, p.worker.id, p.ref, "stored as running by an earlier version")
+	}
+}
+
 // setPhase changes whether an unfinished job is queued or running, which decides whether callers see it as waiting. reason is for the log.
 func (c *Core) setPhase(j *job, phase workload.Phase, worker, reason string) {
 	j.phase = phase
--- a/dispatch/begin_test.go
+++ b/dispatch/begin_test.go
@@ -201,3 +201,94 @@
 		t.Errorf("%d states at the end of the delay, want the begin", len(changes))
 	}
 }
+
+// storeAsEarlierVersion replaces the job's stored state by what an earlier version stores, in which a job runs from the decision to start
+// it.
+func (c *cluster) storeAsEarlierVersion(id workload.JobID) {
+	c.t.Helper()
+	state, err := c.storedState(id)
+	if err != nil || state == nil {
+		c.t.Fatalf("the job has no state: %v", err)
+	}
+	state.Phase, state.Begun = workload.PhaseRunning, false
+	c.stored[id], c.phases[id] = state.Encode(), workload.PhaseRunning
+}
+
+// TestStateOfAnEarlierHolder guards against a new holder that takes what an earlier version has only decided for begun, and against one
+// that counts a job as waiting although one of its runs has begun, or may have.
+func TestStateOfAnEarlierHolder(t *testing.T) {
+	cases := []struct {
+		name string
+		show func(c *cluster, s Start)
+		want workload.Phase
+	}{
+		{"worker has not begun it", func(c *cluster, s Start) { c.list(s.Worker) }, workload.PhaseQueued},
+		{"run listed", func(c *cluster, s Start) {
+			c.workers[s.Worker].running[s.Ref] = &simRun{}
+			c.list(s.Worker)
+		}, workload.PhaseRunning},
+		{"end listed", func(c *cluster, s Start) {
+			c.workers[s.Worker].running[s.Ref] = &simRun{}
+			c.end(s.Worker, s.Ref, workload.EndFailed)
+			c.list(s.Worker)
+		}, workload.PhaseRunning},
+		{"worker gone", func(c *cluster, s Start) { c.core.MarkWorkerGone(s.Worker, GoneUnlisted) }, workload.PhaseRunning},
+		{"process replaced", func(c *cluster, s Start) { c.loseProcess(s.Worker) }, workload.PhaseRunning},
+	}
+	for _, tc := range cases {
+		for shape, spec := range map[string]workload.Step{"task": tasks(1, 8), "tasks": tasks(2, 8), "gang": gangOf(2, 8)} {
+			t.Run(tc.name+"/"+shape, func(t *testing.T) {
+				c := newCluster(t, 2)
+				c.submit(string(beginJob), "normal", "large", spec)
+				starts := c.decide().Starts
+				c.storeAsEarlierVersion(beginJob)
+				c.takeOver()
+				for _, s := range starts {
+					c.checkStoredPhase(beginJob, workload.PhaseRunning)
+					tc.show(c, s)
+				}
+				c.decide()
+				c.checkStoredPhase(beginJob, tc.want)
+				c.takeOver()
+				c.listAll()
+				c.checkStoredPhase(beginJob, tc.want)
+				c.plan()
+				c.checkStoredPhase(beginJob, workload.PhaseRunning)
+			})
+		}
+	}
+}
+
+// TestEarlierStateThatShowsABegin guards against a begun job that is counted as waiting after a takeover from an earlier version: its
+// present run was not begun, but an earlier one was.
+func TestEarlierStateThatShowsABegin(t *testing.T) {
+	for name, end := range map[string]func(c *cluster, s Start){
+		"failed run": func(c *cluster, s Start) { c.end(s.Worker, s.Ref, workload.EndFailed) },
+		"checkpoint": func(c *cluster, s Start) {
+			c.workers[s.Worker].running[s.Ref].checkpoint = "saved"
+			c.end(s.Worker, s.Ref, workload.EndStopped)
+		},
+		"waiting between two runs": func(c *cluster, s Start) {
+			c.end(s.Worker, s.Ref, workload.EndLeaseExpired)
+			c.list(s.Worker)
+			c.store()
+			c.storeAsEarlierVersion(beginJob)
+			c.takeOver()
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := newCluster(t, 1)
+			c.submit(string(beginJob), "normal", "large", tasks(1, 8))
+			end(c, c.plan().Starts[0])
+			c.listAll()
+			c.decide()
+			if name != "waiting between two runs" {
+				c.storeAsEarlierVersion(beginJob)
+				c.takeOver()
+			}
+			c.listAll()
+			c.decide()
+			c.checkStoredPhase(beginJob, workload.PhaseRunning)
+		})
+	}
+}
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -178,6 +178,9 @@
 	// core learned of it.
 	begun   bool
 	begunAt time.Duration
+	// unprovenRuns is the number of runs restored from the state of an earlier version that are yet to show whether the job has begun;
+	// see restoreEarlierPhase.
+	unprovenRuns int
 	// chains and work describe one repetition of the job.
 	chains overload.Chains
 	work   overload.Load
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -12,6 +12,7 @@
 	if j.phase.Final() {
 		return state
 	}
+	state.Begun = j.begun
 	// Repetitions without steps share their entries.
 	done, pending := make([]workload.StepState, len(j.spec.Steps)), make([]workload.StepState, len(j.spec.Steps))
 	for i := range done {
@@ -77,7 +78,7 @@
 // them. Repetitions beyond those of the job are not restored.
 func (c *Core) restore(j *job, state *workload.JobState) {
 	j.phase = state.Phase
-	j.begun = state.Phase == workload.PhaseRunning
+	j.begun = state.Begun
 	if len(state.Repetitions) > j.spec.RepetitionCount() {
 		return
 	}
@@ -94,6 +95,9 @@
 			c.restoreStep(steps[i], &stored[i])
 		}
 	}
+	if state.Phase == workload.PhaseRunning && !state.Begun {
+		c.restoreEarlierPhase(j, state)
+	}
 }
 
 func (c *Core) restoreStep(s *step, state *workload.StepState) {
--- a/dispatch/units.go
+++ b/dispatch/units.go
@@ -300,6 +300,7 @@
 	}
 	detail := fmt.Sprintf("%v run %d: %s, %s", p.ref.Task, p.ref.Run, reason, outcome)
 	c.event(Event{Name: "run lost", Job: p.ref.Task.Job, Worker: p.worker.id, Detail: detail})
+	c.noteUnprovenRunLost(p)
 	c.placementLost(p, reason)
 }
 
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -358,6 +358,11 @@
 // with a new run, as its members would no longer arrive together.
 func (c *Core) handleAbsentAfterTakeover(p *placement) {
 	ended := p.restoredFromEndedProcess()
+	if p.incarnation != 0 && p.incarnation == p.worker.incarnation {
+		c.noteNeverBegan(p)
+	} else {
+		c.noteUnprovenRunLost(p)
+	}
 	p.unverified = false
 	u := p.unit
 	if u.size > 1 || u.aborting || u.step.job.phase.Final() || ended || !p.maySendAgain() || c.startsStale() {
--- a/workload/state.go
+++ b/workload/state.go
@@ -115,7 +115,10 @@
 // JobState is the durable state of a job. Repetitions has an entry for each repetition that has been due, with one
 // StepState per step.
 type JobState struct {
-	Phase       Phase
+	Phase Phase
+	// Begun is true if a worker has shown that a run of the job has begun. Running jobs without it were stored by an earlier version, in
+	// which a job runs from the decision to start it.
+	Begun       bool
 	Repetitions [][]StepState
 }
 
@@ -140,6 +143,9 @@
 			enc.step(&steps[i])
 		}
 	}
+	if s.Begun {
+		enc.processes = append(enc.processes, begunMark)
+	}
 	header := []byte{enc.format, byte(s.Phase)}
 	header = binary.AppendUvarint(header, uint64(len(enc.processes)))
 	for _, p := range enc.processes {
@@ -169,6 +175,9 @@
 	incarnation int64
 }
 
+// begunMark is the last entry in the table of processes of a state with Begun. No unit refers to it, so that earlier versions skip it.
+var begunMark = process{}
+
 // encoder collects the body of an encoded state and the table of processes that the body refers to.
 type encoder struct {
 	format         byte
@@ -257,7 +266,7 @@
 		}
 		d.processes = append(d.processes, p)
 	}
-	s := &JobState{Phase: phase}
+	s := &JobState{Phase: phase, Begun: len(d.processes) > 0 && d.processes[len(d.processes)-1] == begunMark}
 	for range d.count() {
 		s.Repetitions = append(s.Repetitions, d.steps())
 	}
--- a/workload/state_test.go
+++ b/workload/state_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/binary"
 	"encoding/hex"
 	"fmt"
 	"reflect"
@@ -26,6 +27,44 @@
 	})
 }
 
+// TestEarlierVersionsSkipTheBegunMark guards against a state that an earlier version cannot read: the mark of a job that has begun must be
+// a last entry in the table of processes, without a name, to which no unit refers.
+func TestEarlierVersionsSkipTheBegunMark(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		state := drawState(t)
+		state.Begun = false
+		without := state.Encode()
+		state.Begun = true
+		with := state.Encode()
+		table, body := tableOf(t, without)
+		mark := bytes.Repeat([]byte{0}, 1)
+		if without[0] == stateFormatCrashes {
+			mark = binary.AppendUvarint(mark, -CountedIncarnation)
+		}
+		count, n := binary.Uvarint(without[2:])
+		want := append(without[:2:2], binary.AppendUvarint(nil, count+1)...)
+		want = append(append(append(want, table[n:]...), mark...), body...)
+		if !bytes.Equal(with, want) {
+			t.Fatalf("encoded %x, want %x: the state %x with an unnamed process", with, want, without)
+		}
+	})
+}
+
+// tableOf splits an encoded state after its format and phase into the table of processes and the body.
+func tableOf(t *rapid.T, encoded []byte) (table, body []byte) {
+	d := decoder{format: encoded[0], rest: encoded[2:]}
+	for range d.count() {
+		d.string()
+		if d.format >= stateFormatCrashes {
+			d.uint()
+		}
+	}
+	if d.failed {
+		t.Fatalf("the table of %x cannot be read", encoded)
+	}
+	return encoded[2 : len(encoded)-len(d.rest)], d.rest
+}
+
 // TestStateOfTheLargestJobFits guards against a job that is accepted although its state exceeds the largest record: the store
 // would reject each append with it, and the schedule of all jobs would stand still.
 func TestStateOfTheLargestJobFits(t *testing.T) {
@@ -77,11 +116,11 @@
 			steps[i].Units = append(steps[i].Units, unit)
 		}
 	}
-	return &JobState{Phase: PhaseRunning, Repetitions: [][]StepState{steps}}
+	return &JobState{Phase: PhaseRunning, Begun: true, Repetitions: [][]StepState{steps}}
 }
 
 func drawState(t *rapid.T) *JobState {
-	state := &JobState{Phase: Phase(rapid.IntRange(0, 4).Draw(t, "phase"))}
+	state := &JobState{Phase: Phase(rapid.IntRange(0, 4).Draw(t, "phase")), Begun: rapid.Bool().Draw(t, "begun")}
 	for range rapid.IntRange(0, 3).Draw(t, "runs") {
 		var steps []StepState
 		for range rapid.IntRange(1, 3).Draw(t, "steps") {
