--- a/dispatch/storm_runs_test.go
+++ b/dispatch/storm_runs_test.go
@@ -151,6 +151,7 @@
 	}
 	s.checkCrashBudget(ref, id)
 	s.crashing.begin(id, ref.Task)
+	s.noteBegin(ref.Task.Job, id)
 	s.runs[ref.Task] = append(s.runs[ref.Task], &stormRun{run: ref.Run, worker: id})
 	s.workers[id].running[ref] = &simRun{checkpoint: cmd.Checkpoint}
 	duration := time.Duration(s.rng.Int64N(int64(2 * time.Second)))
--- a/dispatch/storm_test.go
+++ b/dispatch/storm_test.go
@@ -48,6 +48,8 @@
 	crashes, startsAfterCrashes map[workload.TaskID]int
 	// failed holds the jobs that have failed.
 	failed map[workload.JobID]bool
+	// begun holds the jobs of which workers have begun a run.
+	begun map[workload.JobID]*begunRuns
 	// crashing is nil in a storm without crashing tasks.
 	crashing *crashingTasks
 	// capacity is nil in a storm without changes of capacity, evacuations in one without evacuations.
@@ -78,7 +80,7 @@
 		cluster: newCluster(t, stormWorkers), rng: rand.New(rand.NewPCG(seed, 1)), epoch: 1,
 		state: map[string]*stormWorker{}, runs: map[workload.TaskID][]*stormRun{},
 		cancelledAt: map[workload.JobID]time.Duration{}, failed: map[workload.JobID]bool{},
-		crashes: map[workload.TaskID]int{}, startsAfterCrashes: map[workload.TaskID]int{},
+		crashes: map[workload.TaskID]int{}, startsAfterCrashes: map[workload.TaskID]int{}, begun: map[workload.JobID]*begunRuns{},
 	}
 	for _, id := range s.workerIDs {
 		s.state[id] = newStormWorker(s.now)
@@ -141,6 +143,7 @@
 	}
 	s.checkFailedJobs()
 	s.checkRepetitions()
+	s.checkWaiting()
 }
 
 // exchange delivers commands, renews leases and lists runs.
@@ -227,6 +230,7 @@
 		cmd.stray = true
 	}
 	s.takeOver()
+	s.loseContact()
 	for _, w := range s.state {
 		w.goneReported = false
 		w.grantedUntil = s.now + stormForeignLease
@@ -280,8 +284,8 @@
 }
 
 // TestStorm guards against runs that overlap, or start after their task is done, before a preceding step is done, beyond
-// MaxPerWorker or after their job was cancelled, and against jobs that never end. Commands are lost and late, workers crash
-// and holders change at random.
+// MaxPerWorker or after their job was cancelled, against jobs that never end, and against a wrong count of waiting jobs. Commands are lost
+// and late, workers crash and holders change at random.
 func TestStorm(t *testing.T) {
 	seeds := slices.Collect(maps.Keys(stormRegressions))
 	for seed := range *stormSeeds {
