--- a/dispatch/cluster_test.go
+++ b/dispatch/cluster_test.go
@@ -36,6 +36,8 @@
 	stops  []Stop
 	// events holds all events.
 	events []Event
+	// appends is the number of appends with states, records and bytes that of the states and of their bytes.
+	appends, records, bytes int
 }
 
 // simWorker is a simulated worker.
@@ -168,7 +170,13 @@
 			c.policies[change.Queue] = *change.Policy
 		}
 	}
-	for _, change := range c.core.TakeChanges() {
+	changes := c.core.TakeChanges()
+	if len(changes) > 0 {
+		c.appends++
+	}
+	for _, change := range changes {
+		c.records++
+		c.bytes += len(change.State)
 		c.stored[change.ID] = change.State
 		c.phases[change.ID] = change.Phase
 		if _, known := c.endedAt[change.ID]; change.Phase.Final() && !known {
