dispatch: the work that a stop loses counts from the begin of the run

Urgent work stopped runs that had worked for seconds and spared starts that no worker had begun: the lost work of a unit counted from the decision to start it. It now counts from when all its tasks are known to have begun, and is none before that. Of a restored run it counts from the takeover, as before.

A run has begun when its worker has accepted the start or listed the run; the listing counted only for the job until now. A run that is listed although its start has no response is suspected of a crash for a second after that, like others, and no longer until the response.

TestStartThatHasNotBegunIsStoppedFirst failed before (the working run was stopped).

--- a/dispatch/begin.go
+++ b/dispatch/begin.go
@@ -27,11 +27,32 @@
 	c.setPhase(j, workload.PhaseRunning, worker, fmt.Sprintf("%v run %d: %s", ref.Task, ref.Run, evidence))
 }
 
-// noteRunBegun is noteBegun for a run that may have no placement any more.
+// noteRunBegun records that a run has begun, which may have no placement any more.
 func (c *Core) noteRunBegun(worker string, ref workload.RunRef, evidence string) {
 	if j := c.jobs[ref.Task.Job]; j != nil {
 		c.noteBegun(j, worker, ref, evidence)
 	}
+	p := c.placement(worker, ref)
+	if p == nil || p.unit == nil || p.beganAt >= 0 {
+		return
+	}
+	p.beganAt = c.now
+	if p.restored {
+		p.beganAt = p.unit.startedAt
+	}
+}
+
+// workedFor returns how long all tasks of the unit's run have been at work as far as the core knows; 0 while one of them has not begun. A
+// restored run counts from the takeover on, also before its worker has listed it.
+func (c *Core) workedFor(u *unit) time.Duration {
+	since := u.startedAt
+	for _, p := range u.placements {
+		if p.beganAt < 0 && !p.unverified {
+			return 0
+		}
+		since = max(since, p.beganAt)
+	}
+	return c.now - since
 }
 
 // restoreEarlierPhase restores whether the job has begun from a state of an earlier version, in which it runs from the decision to start
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -246,9 +246,11 @@
 	// confirmedAt is when the worker responded to the start or a stop; the constant never before that. A listing that
 	// contains the run does not count: another attempt of the start may arrive after the worker's process has restarted.
 	confirmedAt time.Duration
-	// beganAt is when the worker accepted the start; the constant never for a start without response and for runs that an earlier
-	// holder started.
+	// beganAt is when the core learned that the run had begun: the worker accepted the start, or listed the run; the constant never before
+	// that. Of a restored run it is the time of the takeover.
 	beganAt time.Duration
+	// restored is true if an earlier holder has started the run, at a time that is not known.
+	restored bool
 	// awaiting is true while a start was issued and the worker has not responded to it.
 	awaiting bool
 	// unverified placements were restored after a takeover, and their worker has not listed its runs since.
--- a/dispatch/crash.go
+++ b/dispatch/crash.go
@@ -96,8 +96,8 @@
 			continue
 		}
 		all[p.unit] = true
-		unconfirmed := p.confirmedAt < 0 && !p.unverified
-		if unconfirmed || p.beganAt >= 0 && crashedAt-p.beganAt <= startWindow {
+		unconfirmed := p.confirmedAt < 0 && p.beganAt < 0 && !p.unverified
+		if unconfirmed || p.beganAt >= 0 && !p.restored && crashedAt-p.beganAt <= startWindow {
 			recent[p.unit] = true
 		}
 	}
--- a/dispatch/reclaim.go
+++ b/dispatch/reclaim.go
@@ -343,7 +343,7 @@
 
 // stopCost returns the cost of stopping the unit: the work that is lost, in core seconds on a worker of speed 1, weighted by priority.
 func (c *Core) stopCost(u *unit) float64 {
-	lost := c.now - u.startedAt
+	lost := c.workedFor(u)
 	if u.step.spec.Checkpointing {
 		lost = min(lost, maxCheckpointLoss)
 	}
--- a/dispatch/reclaim_test.go
+++ b/dispatch/reclaim_test.go
@@ -77,3 +77,21 @@
 		t.Errorf("work on time started: %v; %d runs were stopped for late urgent work, want 0", started, len(c.stops))
 	}
 }
+
+// TestStartThatHasNotBegunIsStoppedFirst guards against lost work: urgent work stops a run that has worked for seconds and spares a start
+// that was decided earlier and that its worker has not begun, as if it had worked since.
+func TestStartThatHasNotBegunIsStoppedFirst(t *testing.T) {
+	c := newCluster(t, 2)
+	c.submit("pending", "batch", "small", gangOf(1, 8))
+	c.decide()
+	c.advance(4 * time.Second)
+	c.submit("working", "batch", "small", gangOf(1, 8))
+	c.plan()
+	c.advance(2 * time.Second)
+	c.listAll()
+	c.submit("urgent", "urgent", "large", gangOf(1, 8))
+	stops := c.decide().Stops
+	if len(stops) != 1 || stops[0].Ref.Task.Job != "pending" {
+		t.Errorf("the stops are %v, want one, of the start that no worker has begun", stops)
+	}
+}
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -127,7 +127,7 @@
 			continue
 		}
 		p := u.newPlacement(member, c.workerOf(name))
-		p.unverified, p.partial = true, true
+		p.unverified, p.restored, p.partial = true, true, true
 		p.incarnation = 0
 		if member < len(state.Incarnations) {
 			p.incarnation = state.Incarnations[member]
--- a/dispatch/units.go
+++ b/dispatch/units.go
@@ -133,10 +133,6 @@
 
 // StartAccepted records that the worker has accepted the start, so that the run has begun there.
 func (c *Core) StartAccepted(workerID string, ref workload.RunRef) {
-	p := c.placement(workerID, ref)
-	if p != nil && p.beganAt < 0 {
-		p.beganAt = c.now
-	}
 	c.noteRunBegun(workerID, ref, "start accepted")
 	c.confirm(workerID, ref)
 }
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -369,7 +369,7 @@
 		c.runLost(p, "did not reach the worker before the takeover")
 		return
 	}
-	p.incarnation = p.worker.incarnation
+	p.incarnation, p.restored = p.worker.incarnation, false
 	c.issueStart(p, true)
 }
 
