dispatch: a start that has not begun does not bring its job nearer to its end

Whether a running job is hopeless was estimated as if its runs had been at work since their starts were decided. While starts were refused, a hopeless job counted as one that can end in time, so that urgent work stopped others in its place. The work that is ahead now shrinks only with the time since the begin.

TestStartThatHasNotBegunDoesNotProgress failed before.

--- a/dispatch/overload.go
+++ b/dispatch/overload.go
@@ -272,7 +272,7 @@
 // endsHopeless reports whether the job of a running unit will end too late in any case.
 func (c *Core) endsHopeless(u *unit) bool {
 	s := u.step
-	ahead := s.job.chains.From(s.index) - min(max(0, s.spec.Estimate), c.now-u.startedAt)
+	ahead := s.job.chains.From(s.index) - min(max(0, s.spec.Estimate), c.workedFor(u))
 	return c.outlook(s, max(0, ahead)).Class(overload.OnTime) == overload.Hopeless
 }
 
--- a/dispatch/overload_test.go
+++ b/dispatch/overload_test.go
@@ -136,3 +136,23 @@
 		c.core.Forecast()
 	}
 }
+
+// TestStartThatHasNotBegunDoesNotProgress guards against a job that is taken for one that can still end in time, as if its start had been
+// at work since it was decided: it is hopeless, and stopping it costs little.
+func TestStartThatHasNotBegunDoesNotProgress(t *testing.T) {
+	c := newCluster(t, 1)
+	c.submit(string(beginJob), "normal", "large", tasks(1, 8))
+	start := c.decide().Starts[0]
+	// With an estimate of 2 s the job is late until three times its objective of 7 s.
+	c.advance(20 * time.Second)
+	u := c.core.jobs[beginJob].repetitions.steps(0)[0].units[0]
+	if !c.core.endsHopeless(u) {
+		t.Error("a job with 2 s of work that has not begun 1 s before it is hopeless counts as one that can end in time")
+	}
+	c.core.StartAccepted(start.Worker, start.Ref)
+	c.advance(500 * time.Millisecond)
+	c.core.jobs[beginJob].spec.AcceptedAt = c.wall().Add(-18 * time.Second)
+	if c.core.endsHopeless(u) {
+		t.Error("a job that has 1.5 s of work left 3 s before it is hopeless counts as hopeless")
+	}
+}
