dispatch: the time that a run has left counts from its begin

On a worker that is about to leave, a checkpointing run whose start had been refused for seconds counted as nearly done and stayed until it was lost with the worker; a run with one listing of its progress counted as slow and was moved although it would have ended in time. Both estimates took the time since the decision to start for time at work.

The estimate counts from the begin of all tasks now, and the rate from when the run is known to have begun.

TestLateBeginOnALeavingWorkerIsMoved and TestRateOfALateBegin failed before.

--- a/dispatch/drain.go
+++ b/dispatch/drain.go
@@ -90,20 +90,21 @@
 	if rate := p.listedRate(); rate > 0 {
 		return seconds(float64(100-p.percent)/rate) - sinceListed
 	}
-	return c.expectedDuration(p.unit.step, p.worker.speed) - (c.now - p.unit.startedAt)
+	return c.expectedDuration(p.unit.step, p.worker.speed) - c.workedFor(p.unit)
 }
 
 // listedRate returns the rate of the run on its worker's clock in percent per second: the measured one if there is one, else that
-// between its listings, else that since its start; 0 if none of them is known.
+// between its listings, else that since it is known to have begun, unless that is so recent that a late response to its start would
+// matter; 0 if none of them is known.
 func (p *placement) listedRate() float64 {
 	progress, listed := p.percent-p.firstPercent, p.worker.clock-p.firstPercentAt
-	ran := p.worker.listedAt - p.unit.startedAt
+	ran := p.worker.listedAt - p.beganAt
 	switch {
 	case p.rate > 0:
 		return p.rate
 	case progress > 0 && listed > 0:
 		return float64(progress) / listed.Seconds()
-	case !p.partial && p.percent > 0 && ran > 0:
+	case !p.partial && p.percent > 0 && ran >= minRateSpan:
 		return float64(p.percent) / ran.Seconds()
 	}
 	return 0
--- a/dispatch/drain_test.go
+++ b/dispatch/drain_test.go
@@ -186,3 +186,49 @@
 		t.Errorf("%d runs were stopped on a worker that stays", len(p.stops))
 	}
 }
+
+// TestLateBeginOnALeavingWorkerIsMoved guards against lost progress: a checkpointing run whose start was refused for seconds counts as
+// nearly done, stays on a worker that is about to leave, and is lost with it.
+func TestLateBeginOnALeavingWorkerIsMoved(t *testing.T) {
+	for name, percent := range map[string]int{"no progress listed": 0, "progress listed once": 10} {
+		t.Run(name, func(t *testing.T) {
+			c := newCluster(t, 2)
+			step := tasks(1, 8)
+			step.Estimate, step.Checkpointing = 6*time.Second, true
+			c.submit("late", "normal", "large", step)
+			start := c.decide().Starts[0]
+			c.advance(4500 * time.Millisecond)
+			c.start(start)
+			c.advance(500 * time.Millisecond)
+			c.workers[start.Worker].running[start.Ref].percent = percent
+			c.listAll()
+			w := c.workers[start.Worker]
+			w.info.Draining, w.info.RemainingLife = true, leaveNotice
+			c.core.SetWorker(w.info)
+			if stops := c.plan().Stops; len(stops) != 1 {
+				t.Errorf("%d runs are moved off a worker that leaves in %s, want the one with about 5 s of work left", len(stops), leaveNotice)
+			}
+		})
+	}
+}
+
+// TestRateOfALateBegin guards against a run that is taken for slow, because its start was refused for seconds: it stays until its worker
+// leaves, although it would end before, or is moved in vain.
+func TestRateOfALateBegin(t *testing.T) {
+	c := newCluster(t, 1)
+	step := tasks(1, 8)
+	step.Checkpointing = true
+	c.submit("late", "normal", "large", step)
+	start := c.decide().Starts[0]
+	c.advance(4 * time.Second)
+	c.start(start)
+	c.advance(time.Second)
+	w := c.workers[start.Worker]
+	w.running[start.Ref].percent = 50
+	c.listAll()
+	w.info.Draining, w.info.RemainingLife = true, leaveNotice
+	c.core.SetWorker(w.info)
+	if stops := c.plan().Stops; len(stops) != 0 {
+		t.Errorf("a run that ends in 1 s is moved off a worker that leaves in %s", leaveNotice)
+	}
+}
