dispatch: a start that has not begun is not the crash that a suspect is given up for

A job was shown as failed although fewer than two workers had crashed under any of its tasks (LOST): after two certain crashes, a start without any response, whose worker's process had ended before it arrived, counted as the third. A start that was answered as closed even counted as certain.

A suspect is now given up only for a crash of a run that was known to have begun, and a crash is certain only then. A start without response still counts towards the limit of four crashes of any task: a worker that crashes before it responds looks the same, and the limit must hold for it too.

TestStartThatNeverBeganIsNoLastCrash failed before.

--- a/dispatch/crash.go
+++ b/dispatch/crash.go
@@ -32,7 +32,7 @@
 			continue
 		}
 		crashes := c.countCrash(p, proven, len(suspects))
-		if exceedsCrashLimit(crashes, suspects[p.unit]) {
+		if exceedsCrashLimit(crashes, suspects[p.unit] && p.beganAt >= 0) {
 			toGiveUp = append(toGiveUp, p.unit)
 		}
 	}
@@ -61,7 +61,8 @@
 	return crashes
 }
 
-// exceedsCrashLimit reports whether a task with these crashes is given up; suspected is true if it may have caused the last one.
+// exceedsCrashLimit reports whether a task with these crashes is given up; suspected is true if it has begun on the worker that crashed
+// last and may have been the cause. A start of which nothing is known may as well have been lost on its way.
 func exceedsCrashLimit(crashes workload.MemberCrashes, suspected bool) bool {
 	if suspected && crashes.Certain >= minCertainCrashes && crashes.Count >= suspectCrashes {
 		return true
@@ -70,10 +71,10 @@
 }
 
 // ranUntilCrash reports whether the run is certain to have been under way when its worker crashed. It is not if the start had no
-// response, if an earlier holder has sent the start, if the run was being stopped, or if the worker was silent for some time, as the run
-// may have ended meanwhile. An end that was not listed before the crash is not known here, so that such a run counts as certain.
+// response, if an earlier holder has sent the start and the run was not listed since, if the run was being stopped, or if the worker was
+// silent for some time, as the run may have ended meanwhile. An end that was not listed before the crash is not known here, so that such a run counts as certain.
 func (p *placement) ranUntilCrash() bool {
-	return p.liveUntilCrash() && p.confirmedAt >= 0 && !p.unverified && (p.worker.reachable || !p.worker.silent)
+	return p.liveUntilCrash() && p.beganAt >= 0 && p.confirmedAt >= 0 && (p.worker.reachable || !p.worker.silent)
 }
 
 // liveUntilCrash reports whether the run was live when its worker's connection ended. A stop that was issued after that does not
--- a/dispatch/crash_test.go
+++ b/dispatch/crash_test.go
@@ -283,6 +283,37 @@
 	}
 }
 
+// TestStartThatNeverBeganIsNoLastCrash guards against a job that is shown as failed because of a start that never got through: its worker's
+// process had ended before it arrived. After two certain crashes, such a start counts only towards the limit of any task.
+func TestStartThatNeverBeganIsNoLastCrash(t *testing.T) {
+	for name, lose := range map[string]func(c *cluster, s Start){
+		"no response": func(*cluster, Start) {},
+		"closed":      func(c *cluster, s Start) { c.core.StartClosed(s.Worker, s.Ref) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := newCluster(t, 8)
+			c.submit("a", "normal", "large", tasks(1, 1))
+			for range minCertainCrashes {
+				c.crash(c.plan().Starts[0].Worker)
+			}
+			start := c.decide().Starts[0]
+			lose(c, start)
+			c.advance(simTick)
+			c.crash(start.Worker)
+			last := c.decide()
+			if len(last.Starts) != 1 {
+				t.Fatalf("the job is %v after %d crashes and a start that never got through", c.phases["a"], minCertainCrashes)
+			}
+			c.start(last.Starts[0])
+			c.advance(simTick)
+			c.crash(last.Starts[0].Worker)
+			if c.decide(); c.phases["a"] != workload.PhaseFailed {
+				t.Errorf("the job is %v after %d crashes, want failed", c.phases["a"], maxCrashes)
+			}
+		})
+	}
+}
+
 // TestCrashOfASilentWorkerIsUncertain guards against a job that is shown as failed although its task had ended: a worker that is cut
 // off may end its runs, and then crash, before anyone learns of the ends.
 func TestCrashOfASilentWorkerIsUncertain(t *testing.T) {
