dispatch: a run that its worker lists is not withdrawn as a start without response

The reverse of the fault: a begun run was taken for one that was only decided. If the response to its start was lost, the run was stopped as soon as a later attempt was refused, its failure domain was evacuated or its worker's capacity shrank, although the worker listed it at work; its work was lost.

Such a run is left to the listings: the end is listed, a process that ends with it is replaced or gone. Attempts of its start go only to that process, which answers them without a second start.

TestListedRunIsNotAbandoned: three of its four cases failed before; the fourth, a run whose process has ended, is given up as before.

--- a/dispatch/begin.go
+++ b/dispatch/begin.go
@@ -42,6 +42,9 @@
 	}
 }
 
+// listedRunning reports whether the run has begun on the worker's present process, as far as the core knows.
+func (p *placement) listedRunning() bool { return p.beganAt >= 0 && !p.processEnded }
+
 // workedFor returns how long all tasks of the unit's run have been at work as far as the core knows; 0 while one of them has not begun. A
 // restored run counts from the takeover on, also before its worker has listed it.
 func (c *Core) workedFor(u *unit) time.Duration {
--- a/dispatch/begin_test.go
+++ b/dispatch/begin_test.go
@@ -292,3 +292,32 @@
 		})
 	}
 }
+
+// TestListedRunIsNotAbandoned guards against lost work: a run that its worker lists is stopped because the response to its start was lost
+// and a later attempt is refused, its failure domain is evacuated, or the worker's capacity has shrunk. A run of a process that has ended
+// is given up.
+func TestListedRunIsNotAbandoned(t *testing.T) {
+	for name, abandon := range map[string]func(c *cluster, s Start){
+		"later attempt refused": func(c *cluster, s Start) { c.core.AbandonStart(s.Worker, s.Ref, "not healthy") },
+		"evacuated":             func(c *cluster, _ Start) { c.evacuate("d0") },
+		"capacity shrunk":       func(c *cluster, s Start) { c.resize(s.Worker, 1) },
+		"process ended":         func(c *cluster, s Start) { c.loseProcess(s.Worker) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := newCluster(t, 1)
+			c.submit(string(beginJob), "normal", "large", tasks(1, 8))
+			start := c.decide().Starts[0]
+			c.workers[start.Worker].running[start.Ref] = &simRun{}
+			c.advance(simTick)
+			c.list(start.Worker)
+			abandon(c, start)
+			if stops := c.decide().Stops; (len(stops) == 1) != (name == "process ended") {
+				t.Errorf("the stops are %v", stops)
+			}
+			c.listAll()
+			if wanted := c.core.WantsStart(start.Worker, start.Ref); wanted == (name == "process ended") {
+				t.Errorf("the run is kept: %v", wanted)
+			}
+		})
+	}
+}
--- a/dispatch/capacity.go
+++ b/dispatch/capacity.go
@@ -65,7 +65,10 @@
 	}
 }
 
-// startsWithoutResponse returns the placements whose starts this holder has decided and that had no response so far.
+// startsWithoutResponse returns the placements whose starts this holder has decided, that had no response so far and that the worker has
+// not listed.
 func (w *worker) startsWithoutResponse() []*placement {
-	return slices.DeleteFunc(w.sortedRuns(), func(p *placement) bool { return !p.live() || p.unverified || p.confirmedAt >= 0 })
+	return slices.DeleteFunc(w.sortedRuns(), func(p *placement) bool {
+		return !p.live() || p.unverified || p.confirmedAt >= 0 || p.listedRunning()
+	})
 }
--- a/dispatch/units.go
+++ b/dispatch/units.go
@@ -345,10 +345,10 @@
 
 // AbandonStart gives up a start of which an earlier attempt may still be executed, because it had no response: the worker
 // has rejected a later attempt, or its address or process has changed. It issues a stop, so that the run cannot begin later. It
-// has no effect on a start whose outcome is known.
+// has no effect on a start whose outcome is known, nor on a run that the worker has listed: the next listings tell what becomes of it.
 func (c *Core) AbandonStart(workerID string, ref workload.RunRef, reason string) {
 	p := c.placement(workerID, ref)
-	if p == nil || p.unit == nil || p.confirmedAt >= 0 {
+	if p == nil || p.unit == nil || p.confirmedAt >= 0 || p.listedRunning() {
 		return
 	}
 	p.unit.avoidWorker(workerID)
