dispatch: a task with a crash is apart from others when it begins, not only when its start is decided

A task under which a worker has crashed starts apart from others for a second, so that a further crash shows the cause. The second counted from the decision: if the start was refused for longer, other tasks could start beside it just when it began, and a crash was attributed to all of them.

It counts again from when the run is known to have begun. TestLateBeginIsIsolated failed before.

--- a/dispatch/begin.go
+++ b/dispatch/begin.go
@@ -39,7 +39,9 @@
 	p.beganAt = c.now
 	if p.restored {
 		p.beganAt = p.unit.startedAt
+		return
 	}
+	p.worker.recordStart(p.unit, c.now)
 }
 
 // listedRunning reports whether the run has begun on the worker's present process, as far as the core knows.
--- a/dispatch/crash.go
+++ b/dispatch/crash.go
@@ -131,7 +131,8 @@
 // that a further crash shows which of them is the cause.
 func (u *unit) hasCrashes() bool { return len(u.state.Crashes) > 0 }
 
-// recordStart updates the times by which a crash of the worker is attributed, after a start of the unit there.
+// recordStart updates the times by which a crash of the worker is attributed, after a start of the unit there was decided and again once it
+// has begun: it may have been refused for a while.
 func (w *worker) recordStart(u *unit, now time.Duration) {
 	w.lastStartAt = now
 	if u.hasCrashes() {
--- a/dispatch/crash_test.go
+++ b/dispatch/crash_test.go
@@ -454,3 +454,23 @@
 		}
 	}
 }
+
+// TestLateBeginIsIsolated guards against a crash that cannot be attributed: a task with a crash, whose start was refused for longer than a
+// start window, begins just when others start beside it.
+func TestLateBeginIsIsolated(t *testing.T) {
+	c := newCluster(t, 2)
+	c.submit("a", "normal", "large", tasks(1, 1))
+	c.crash(c.plan().Starts[0].Worker)
+	start := c.decide().Starts[0]
+	c.advance(2 * startWindow)
+	c.start(start)
+	c.advance(simTick)
+	w, u := c.core.workers[start.Worker], &unit{}
+	if !c.core.crashWouldBeAmbiguous(u, w) {
+		t.Error("another unit may start on the worker although a task with a crash has just begun there")
+	}
+	c.advance(startWindow)
+	if c.core.crashWouldBeAmbiguous(u, w) {
+		t.Error("no other unit may start on the worker after the start window")
+	}
+}
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -51,8 +51,8 @@
 	leavesAt time.Duration
 	// drainingIncarnation is the incarnation of the last process whose entry has announced that it leaves; 0 if none has.
 	drainingIncarnation int64
-	// lastStartAt is when the last start on the worker was decided; 0 if none was. Until isolatedUntil, other units should not start
-	// there, so that a crash can be attributed.
+	// lastStartAt is when the last start on the worker was decided, or the last run is known to have begun; 0 if none was. Until
+	// isolatedUntil, other units should not start there, so that a crash can be attributed.
 	lastStartAt, isolatedUntil time.Duration
 	// evacuated workers are registered in an evacuated failure domain.
 	evacuated bool
