dispatch: starts that a worker has refused do not count as work that it got

The limit of workers that are slow after their start compares the tasks that they got with those of a warm worker. Both counted decisions: while warm workers refused their starts, each further decision raised the part of the cold ones, and refused starts used up a cold worker's own part.

A refused start is taken back from both counts, as is one that was abandoned and that its worker's process does not list after the stop. A start whose worker is lost stays counted, as it may have begun.

TestRefusedStartsDoNotRaiseTheShareOfColdWorkers failed before (24 tasks of a warm worker, none of which had begun).

--- a/dispatch/cold.go
+++ b/dispatch/cold.go
@@ -2,15 +2,17 @@
 
 import (
 	"math"
+	"time"
 
 	"github.com/redwingthread/redwingthread/workload"
 )
 
 // coldStart tracks a worker that is slow for a while after its start. until is when that ends; it is in the past for a warm worker.
 type coldStart struct {
-	// starts is the number of tasks that were started on the worker since it has been cold, shareBefore the share of a warm worker of
-	// the service before that.
+	// starts is the number of tasks that were started on the worker since it has been cold, which it has been since the given time;
+	// shareBefore is the share of a warm worker of the service before that.
 	starts      int
+	since       time.Duration
 	shareBefore float64
 	// room is the number of tasks that may still start on the worker in the current plan; unlimited for warm workers.
 	room int
@@ -41,7 +43,7 @@
 	if wasCold {
 		return
 	}
-	w.coldStart = coldStart{shareBefore: c.warmShareOf(w.info.Service).total}
+	w.coldStart = coldStart{since: c.now, shareBefore: c.warmShareOf(w.info.Service).total}
 	if before.ID == "" {
 		// An earlier holder has started these.
 		w.coldStart.starts = len(w.runs)
@@ -87,9 +89,11 @@
 }
 
 // countStart counts the start of a task for the limits of cold workers.
-func (c *Core) countStart(w *worker) {
+func (c *Core) countStart(p *placement) {
+	w := p.worker
 	if share := c.warmShareOf(w.info.Service); !c.cold(w) && share.workers > 0 {
-		share.total += 1 / float64(share.workers)
+		p.warmShare = 1 / float64(share.workers)
+		share.total += p.warmShare
 	}
 	w.coldStart.starts++
 	if w.coldStart.room < unlimited {
@@ -97,6 +101,18 @@
 	}
 }
 
+// uncountStart reverts countStart for a start that its worker has refused, so that the worker has got nothing.
+func (c *Core) uncountStart(p *placement) {
+	if p.unit == nil || p.beganAt >= 0 || p.restored {
+		return
+	}
+	c.warmShareOf(p.worker.info.Service).total -= p.warmShare
+	p.warmShare = 0
+	if cold := &p.worker.coldStart; cold.starts > 0 && p.unit.startedAt >= cold.since {
+		cold.starts--
+	}
+}
+
 // limitOn returns how many more tasks of the step the worker may get apart from its free resources.
 func (s *step) limitOn(w *worker) int {
 	if s.spec.MaxPerWorker > 0 {
--- a/dispatch/cold_test.go
+++ b/dispatch/cold_test.go
@@ -161,3 +161,34 @@
 		t.Error("the worker is as slow as before 5 s after it should be warm, and does not count as slow")
 	}
 }
+
+// TestRefusedStartsDoNotRaiseTheShareOfColdWorkers guards against cold workers that get more than their part, because starts that warm
+// workers have refused count as theirs, and against refused starts that use up the part of a cold worker.
+func TestRefusedStartsDoNotRaiseTheShareOfColdWorkers(t *testing.T) {
+	refusals := map[string]func(c *cluster, s Start){
+		"first attempt": func(c *cluster, s Start) { c.core.StartRejected(s.Worker, s.Ref, "not healthy") },
+		"later attempt": func(c *cluster, s Start) {
+			c.core.AbandonStart(s.Worker, s.Ref, "not healthy")
+			c.core.StopConfirmed(s.Worker, s.Ref)
+			c.advance(simTick)
+			c.list(s.Worker)
+		},
+	}
+	for name, refuse := range refusals {
+		t.Run(name, func(t *testing.T) {
+			c := newCluster(t, 2)
+			c.chill("w00")
+			c.submit("a", "normal", "large", tasks(16, 1))
+			for range 3 {
+				c.advance(simTick)
+				c.listAll()
+				for _, s := range c.decide().Starts {
+					refuse(c, s)
+				}
+			}
+			if share, cold := c.core.warmShareOf("svc").total, c.core.workers["w00"].coldStart.starts; share > 0.001 || cold != 0 {
+				t.Errorf("the share of a warm worker is %.1f and the cold one has got %d tasks although none has begun", share, cold)
+			}
+		})
+	}
+}
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -251,6 +251,8 @@
 	beganAt time.Duration
 	// restored is true if an earlier holder has started the run, at a time that is not known.
 	restored bool
+	// warmShare is what the start added to the share of the warm workers of its service.
+	warmShare float64
 	// awaiting is true while a start was issued and the worker has not responded to it.
 	awaiting bool
 	// unverified placements were restored after a takeover, and their worker has not listed its runs since.
--- a/dispatch/units.go
+++ b/dispatch/units.go
@@ -95,7 +95,7 @@
 		p := u.newPlacement(member, w)
 		c.attach(p)
 		w.recordStart(u, c.now)
-		c.countStart(w)
+		c.countStart(p)
 		c.issueStart(p, false)
 	}
 	c.markChanged(j)
@@ -163,6 +163,7 @@
 		p.unit.avoidWorker(workerID)
 	}
 	c.event(Event{Name: "start refused", Job: ref.Task.Job, Worker: workerID, Detail: reason})
+	c.uncountStart(p)
 	c.placementLost(p, "start refused: "+reason)
 }
 
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -349,6 +349,9 @@
 	if p.confirmedAt < 0 || p.confirmedAt >= sentAt {
 		return
 	}
+	if !p.processEnded {
+		c.uncountStart(p)
+	}
 	c.runLost(p, "absent from the worker's listing")
 }
 
