dispatch: a refused start does not use up the turn of its class

The decision to start counted, so that hopeless work whose starts were refused lost its turn each time, and refused work of other classes earned it turns that nothing had paid for.

The work is taken back if a run ends of which no worker has shown a begin. TestRefusedStartKeepsItsTurn failed before.

--- a/dispatch/begin.go
+++ b/dispatch/begin.go
@@ -36,6 +36,7 @@
 	if p == nil || p.unit == nil || p.beganAt >= 0 {
 		return
 	}
+	p.unit.begun = true
 	p.beganAt = c.now
 	if p.restored {
 		p.beganAt = p.unit.startedAt
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -230,6 +230,10 @@
 	aborting bool
 	// startedAt is when the start of the current run was decided.
 	startedAt time.Duration
+	// begun is true once a worker has shown that a member of the current run has begun.
+	begun bool
+	// turn is what the start of the current run counted as in the turns of an overloaded service.
+	turn countedTurn
 	// avoid counts for each worker id the runs of the unit that failed, stalled, were slow or were rejected there.
 	avoid map[string]int
 }
--- a/dispatch/overload.go
+++ b/dispatch/overload.go
@@ -276,14 +276,35 @@
 	return c.outlook(s, max(0, ahead)).Class(overload.OnTime) == overload.Hopeless
 }
 
+// countedTurn is the work of a start that was counted against the share of its class, while the service was overloaded.
+type countedTurn struct {
+	load  *serviceLoad
+	class overload.Class
+	work  float64
+}
+
 // noteOverloadedStart counts the start of a unit against the share of its class.
 func (c *Core) noteOverloadedStart(u *unit) {
+	u.turn = countedTurn{}
 	load := c.overload.services[u.step.job.policy.Service]
 	if load == nil || !load.overloaded {
 		return
 	}
-	work := inCores(taskWork(u.step.spec, overload.MaxEstimate)) * float64(u.size)
-	load.turns.Started(u.step.rank.Class, work, turnCredit*inCores(loadOf(load.capacity)))
+	u.turn = countedTurn{load: load, class: u.step.rank.Class, work: inCores(taskWork(u.step.spec, overload.MaxEstimate)) * float64(u.size)}
+	load.countTurn(u.turn.class, u.turn.work)
+}
+
+// returnTurn reverts noteOverloadedStart for a run of which nothing has begun.
+func (c *Core) returnTurn(u *unit) {
+	if u.turn.load != nil && u.turn.load.overloaded {
+		u.turn.load.countTurn(u.turn.class, -u.turn.work)
+	}
+	u.turn = countedTurn{}
+}
+
+// countTurn counts work against the share of its class.
+func (l *serviceLoad) countTurn(class overload.Class, work float64) {
+	l.turns.Started(class, work, turnCredit*inCores(loadOf(l.capacity)))
 }
 
 // noteReservation records that the step reserves capacity in the current plan.
--- a/dispatch/overload_test.go
+++ b/dispatch/overload_test.go
@@ -156,3 +156,33 @@
 		t.Error("a job that has 1.5 s of work left 3 s before it is hopeless counts as hopeless")
 	}
 }
+
+// TestRefusedStartKeepsItsTurn guards against hopeless work that never gets its share of an overloaded service, because a start of it that
+// its worker has refused counts as its turn.
+func TestRefusedStartKeepsItsTurn(t *testing.T) {
+	for name, end := range map[string]func(c *cluster, s Start){
+		"refused": func(c *cluster, s Start) { c.core.StartRejected(s.Worker, s.Ref, "not healthy") },
+		"begun and lost": func(c *cluster, s Start) {
+			c.core.StartAccepted(s.Worker, s.Ref)
+			c.core.MarkWorkerGone(s.Worker, GoneLeaseExpired)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := newCluster(t, 2)
+			c.submit(string(beginJob), "batch", "small", gangOf(1, 8))
+			c.specs[beginJob].AcceptedAt = c.wall().Add(-time.Hour)
+			c.core.updateOverload(c.core.readySteps())
+			load := &serviceLoad{overloaded: true, changedAt: never, capacity: workerSize}
+			c.core.overload.services["svc"] = load
+			load.countTurn(overload.OnTime, 1)
+			start := c.decide().Starts[0]
+			if load.turns.Due() {
+				t.Fatal("the start of hopeless work does not count as its turn")
+			}
+			end(c, start)
+			if due := load.turns.Due(); due != (name == "refused") {
+				t.Errorf("it is the turn of hopeless work: %v", due)
+			}
+		})
+	}
+}
--- a/dispatch/units.go
+++ b/dispatch/units.go
@@ -87,7 +87,7 @@
 	j := u.step.job
 	u.state.Run++
 	u.state.Status = workload.UnitActive
-	u.startedAt = c.now
+	u.startedAt, u.begun = c.now, false
 	c.noteOverloadedStart(u)
 	c.freeAccelerators += u.step.claimedAccelerators() - u.size*u.step.spec.Demand.Accelerators
 	u.step.claim = nil
@@ -333,6 +333,9 @@
 		return
 	}
 	u.aborting = false
+	if !u.begun {
+		c.returnTurn(u)
+	}
 	u.state.Status = workload.UnitWaiting
 }
 
