--- a/dispatch/begin_test.go
+++ b/dispatch/begin_test.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -321,3 +323,25 @@
 		})
 	}
 }
+
+// TestRunLostIsLoggedWithItsBegin guards against a log line that tells a lost start from a lost run wrongly: the response to its stop was
+// taken for one to its start.
+func TestRunLostIsLoggedWithItsBegin(t *testing.T) {
+	for want, accept := range map[string]bool{"not known to have begun": false, "it had begun": true} {
+		c := newCluster(t, 1)
+		c.submit(string(beginJob), "normal", "large", tasks(1, 8))
+		start := c.decide().Starts[0]
+		if accept {
+			c.core.StartAccepted(start.Worker, start.Ref)
+		} else {
+			c.core.AbandonStart(start.Worker, start.Ref, "not healthy")
+			c.core.StopConfirmed(start.Worker, start.Ref)
+		}
+		c.advance(simTick)
+		c.listAll()
+		c.store()
+		if !slices.ContainsFunc(c.events, func(e Event) bool { return e.Name == "run lost" && strings.HasSuffix(e.Detail, want) }) {
+			t.Errorf("no event says that the lost run is %q: %v", want, c.events)
+		}
+	}
+}
--- a/dispatch/units.go
+++ b/dispatch/units.go
@@ -291,9 +291,9 @@
 
 // runLost removes the placement of a run that ended with its worker's process, or never began, and records why.
 func (c *Core) runLost(p *placement, reason string) {
-	outcome := "start confirmed"
-	if p.confirmedAt < 0 {
-		outcome = "start not confirmed"
+	outcome := "it had begun"
+	if p.beganAt < 0 {
+		outcome = "not known to have begun"
 	}
 	detail := fmt.Sprintf("%v run %d: %s, %s", p.ref.Task, p.ref.Run, reason, outcome)
 	c.event(Event{Name: "run lost", Job: p.ref.Task.Job, Worker: p.worker.id, Detail: detail})
