--- a/scheduler/guarantee_test.go
+++ b/scheduler/guarantee_test.go
@@ -51,3 +51,20 @@
 		t.Errorf("the claim started after %s", waited)
 	}
 }
+
+// TestStartThatHasNotRunIsStoppedFirst guards against a claim that stops a job which has run for minutes and spares one that was placed
+// earlier and whose members do not run yet, as if it had lost work since it was placed.
+func TestStartThatHasNotRunIsStoppedFirst(t *testing.T) {
+	f := newFixture(t, 2, withGuarantee("a", 1, shape(1, 8, resource.AdjacencyNone)))
+	f.submit("placed", "b", shape(1, 8, resource.AdjacencyNone))
+	f.plan()
+	f.now = f.now.Add(time.Minute)
+	f.submit("running", "b", shape(1, 8, resource.AdjacencyNone))
+	f.plan()
+	f.core.Started("running", f.core.jobs["running"].attempt, f.now)
+	f.now = f.now.Add(time.Minute)
+	f.submit("claim", "a", shape(1, 8, resource.AdjacencyNone))
+	f.plan()
+	f.wantState("placed", jobs.StateStopping)
+	f.wantState("running", jobs.StateRunning)
+}
--- a/scheduler/reclaim.go
+++ b/scheduler/reclaim.go
@@ -46,11 +46,11 @@
 	return j.lossValue
 }
 
-// computeLoss computes the result of loss.
+// computeLoss computes the result of loss. A job has worked since all its members ran.
 func (c *Core) computeLoss(j *job) float64 {
 	lost := restartLoss
-	if !j.CanCheckpoint && !j.startedAt.IsZero() {
-		lost += c.now.Sub(j.startedAt)
+	if !j.CanCheckpoint && !j.runningSince.IsZero() {
+		lost += c.now.Sub(j.runningSince)
 	}
 	for _, w := range j.placement {
 		if w.health == HealthUnreachable {
