--- a/dispatch/begin_test.go
+++ b/dispatch/begin_test.go
@@ -21,14 +21,11 @@
 	}
 }
 
-// loseProcess ends the worker's process with all its runs and starts another one under the same id.
+// loseProcess restarts the worker under its id, as a holder that is in contact with it learns of it.
 func (c *cluster) loseProcess(worker string) {
-	w := c.workers[worker]
-	w.info.Incarnation++
-	w.running, w.ended, w.lastSequence = map[workload.RunRef]*simRun{}, nil, 0
 	c.core.SetUnreachable(worker, false)
-	c.core.SetWorker(w.info)
-	c.list(worker)
+	c.restart(worker)
+	c.core.SetWorker(c.workers[worker].info)
 }
 
 // TestJobWhoseStartsFailedWaits guards against a job that is counted as running although nothing of it has begun: starts of it are
--- a/dispatch/crash_takeover_test.go
+++ b/dispatch/crash_takeover_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 
@@ -19,9 +20,7 @@
 		c.takeOver()
 		c.listAll()
 	}
-	if plan := c.plan(); len(plan.Starts) != 0 || c.phases["a"] != workload.PhaseFailed {
-		t.Fatalf("after %d crashes and takeovers the job is %v and starts %v, want failed and none", suspectCrashes, c.phases["a"], plan.Starts)
-	}
+	c.checkGivenUp(fmt.Sprintf("%d crashes and takeovers", suspectCrashes))
 }
 
 // TestCrashesBetweenTakeoversCount guards against a task that crashes workers without a limit because each holder of the schedule ends
@@ -38,9 +37,7 @@
 		c.crash(starts[0].Worker)
 		c.listAll()
 	}
-	if plan := c.plan(); len(plan.Starts) != 0 || c.phases["a"] != workload.PhaseFailed {
-		t.Fatalf("after %d crashes the job is %v and starts %v, want failed and none", maxCrashes, c.phases["a"], plan.Starts)
-	}
+	c.checkGivenUp(fmt.Sprintf("%d crashes", maxCrashes))
 }
 
 // TestWorkerCutOffAtATakeoverIsNoCrash guards against the same, if the cut begins before the holder has reached the worker.
@@ -81,9 +78,7 @@
 		c.listAll()
 		c.core.MarkWorkerGone(worker, GoneUnlisted)
 	}
-	if plan := c.plan(); len(plan.Starts) != 0 || c.phases["a"] != workload.PhaseFailed {
-		t.Errorf("after %d crashes the job is %v and starts %v, want failed and none", maxCrashes, c.phases["a"], plan.Starts)
-	}
+	c.checkGivenUp(fmt.Sprintf("%d crashes", maxCrashes))
 }
 
 // TestRestartBetweenHoldersCounts guards against a start that the next holder sends again to a worker that it has crashed, because the
--- a/scheduler/doc.go
+++ b/scheduler/doc.go
@@ -33,7 +33,7 @@
 //   - guarantee.go, binding.go: cells and their bindings to healthy workers. On every healthy worker
 //     bound + unstoppable <= capacity, so stopping the rest always makes room for every guarantee. A binding moves when
 //     its worker fails, when a claim fits elsewhere with less loss, and when unstoppable work can use its free capacity.
-//   - reclaim.go: stops of borrowed work for claims and reservations, least lost work first, and the quota of claims.
+//   - reclaim.go, loss.go: stops of borrowed work for claims and reservations, least lost work first, and the quota of claims.
 //   - reserve.go: reservations for jobs that waited too long; a gang gets one after policy.max_wait_ms. Victims get time
 //     to end by themselves as long as the loss of stopping them exceeds an allowance that grows with the wait, until the
 //     reservation reaches its deadline.
