dispatch: a queued job whose stored state shows a begin runs

An earlier version that takes over between a start and the record of its begin keeps the job queued, and stores that again with each change. If the job waits between two steps when a holder of this version takes over, no worker can tell, and a begun job counted as waiting. The units of the state tell: a task that is done, a failed run, a checkpoint or a certain crash.

TestQueuedStateThatShowsABegin failed before. The record of a begin is also looked up once in place of twice for each listed run.

--- a/dispatch/begin.go
+++ b/dispatch/begin.go
@@ -27,13 +27,15 @@
 	c.setPhase(j, workload.PhaseRunning, worker, fmt.Sprintf("%v run %d: %s", ref.Task, ref.Run, evidence))
 }
 
-// noteRunBegun records that a run has begun, which may have no placement any more.
-func (c *Core) noteRunBegun(worker string, ref workload.RunRef, evidence string) {
+// noteRunBegun records that the run has begun on the worker. p is its placement there; nil if it has none any more.
+func (c *Core) noteRunBegun(p *placement, worker string, ref workload.RunRef, evidence string) {
+	if p != nil && p.beganAt >= 0 {
+		return
+	}
 	if j := c.jobs[ref.Task.Job]; j != nil {
 		c.noteBegun(j, worker, ref, evidence)
 	}
-	p := c.placement(worker, ref)
-	if p == nil || p.unit == nil || p.beganAt >= 0 {
+	if p == nil || p.unit == nil {
 		return
 	}
 	p.unit.begun = true
@@ -61,12 +63,19 @@
 	return c.now - since
 }
 
-// restoreEarlierPhase restores whether the job has begun from a state of an earlier version, in which it runs from the decision to start
-// it. Such a job has begun if anything else in the state shows that. Otherwise its workers tell: it is queued again if none of them has
-// begun the run that was meant for it.
-func (c *Core) restoreEarlierPhase(j *job, state *workload.JobState) {
-	j.unprovenRuns = j.placements
-	j.begun = j.placements == 0 || slices.ContainsFunc(state.Repetitions, showsBegin)
+// restoreBegin restores whether the job has begun. In a state of an earlier version a job runs from the decision to start it, unless that
+// holder has taken it over as queued. Such a job has begun if anything else in the state shows that. Otherwise its workers tell: it is
+// queued again if none of them has begun the run that was meant for it.
+func (c *Core) restoreBegin(j *job, state *workload.JobState) {
+	running := state.Phase == workload.PhaseRunning
+	j.begun = state.Begun || running && j.placements == 0 || slices.ContainsFunc(state.Repetitions, showsBegin)
+	switch {
+	case j.begun && !running:
+		c.setPhase(j, workload.PhaseRunning, "", "the state that an earlier version has stored shows a begin")
+		c.markChanged(j)
+	case !j.begun && running:
+		j.unprovenRuns = j.placements
+	}
 }
 
 // showsBegin reports whether the stored steps of a repetition show that a run of it has begun.
--- a/dispatch/begin_test.go
+++ b/dispatch/begin_test.go
@@ -292,6 +292,32 @@
 	}
 }
 
+// TestQueuedStateThatShowsABegin guards against a begun job that is counted as waiting: an earlier version has taken it over as queued,
+// since its begin was not stored yet, and goes on storing that.
+func TestQueuedStateThatShowsABegin(t *testing.T) {
+	c := newCluster(t, 1)
+	second := tasks(1, 8)
+	second.After = []int{0}
+	c.submitJob(&workload.Job{
+		ID: beginJob, Queue: "normal", Service: "svc", Account: "large", Steps: []workload.Step{tasks(1, 8), second}, AcceptedAt: c.wall(),
+	})
+	c.plan()
+	c.endAll(string(beginJob), workload.EndDone)
+	c.listAll()
+	c.store()
+	state, err := c.storedState(beginJob)
+	if err != nil {
+		t.Fatal(err)
+	}
+	state.Phase, state.Begun = workload.PhaseQueued, false
+	c.stored[beginJob], c.phases[beginJob] = state.Encode(), workload.PhaseQueued
+	c.takeOver()
+	c.checkStoredPhase(beginJob, workload.PhaseRunning)
+	c.takeOver()
+	c.decide()
+	c.checkStoredPhase(beginJob, workload.PhaseRunning)
+}
+
 // TestListedRunIsNotAbandoned guards against lost work: a run that its worker lists is stopped because the response to its start was lost
 // and a later attempt is refused, its failure domain is evacuated, or the worker's capacity has shrunk. A run of a process that has ended
 // is given up.
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -179,7 +179,7 @@
 	begun   bool
 	begunAt time.Duration
 	// unprovenRuns is the number of runs restored from the state of an earlier version that are yet to show whether the job has begun;
-	// see restoreEarlierPhase.
+	// see restoreBegin.
 	unprovenRuns int
 	// chains and work describe one repetition of the job.
 	chains overload.Chains
--- a/dispatch/crash.go
+++ b/dispatch/crash.go
@@ -72,7 +72,8 @@
 
 // ranUntilCrash reports whether the run is certain to have been under way when its worker crashed. It is not if the start had no
 // response, if an earlier holder has sent the start and the run was not listed since, if the run was being stopped, or if the worker was
-// silent for some time, as the run may have ended meanwhile. An end that was not listed before the crash is not known here, so that such a run counts as certain.
+// silent for some time, as the run may have ended meanwhile. An end that was not listed before the crash is not known here, so that such
+// a run counts as certain.
 func (p *placement) ranUntilCrash() bool {
 	return p.liveUntilCrash() && p.beganAt >= 0 && p.confirmedAt >= 0 && (p.worker.reachable || !p.worker.silent)
 }
--- a/dispatch/state.go
+++ b/dispatch/state.go
@@ -78,7 +78,7 @@
 // them. Repetitions beyond those of the job are not restored.
 func (c *Core) restore(j *job, state *workload.JobState) {
 	j.phase = state.Phase
-	j.begun = state.Begun
+	defer c.restoreBegin(j, state)
 	if len(state.Repetitions) > j.spec.RepetitionCount() {
 		return
 	}
@@ -95,9 +95,6 @@
 			c.restoreStep(steps[i], &stored[i])
 		}
 	}
-	if state.Phase == workload.PhaseRunning && !state.Begun {
-		c.restoreEarlierPhase(j, state)
-	}
 }
 
 func (c *Core) restoreStep(s *step, state *workload.StepState) {
--- a/dispatch/units.go
+++ b/dispatch/units.go
@@ -133,7 +133,7 @@
 
 // StartAccepted records that the worker has accepted the start, so that the run has begun there.
 func (c *Core) StartAccepted(workerID string, ref workload.RunRef) {
-	c.noteRunBegun(workerID, ref, "start accepted")
+	c.noteRunBegun(c.placement(workerID, ref), workerID, ref, "start accepted")
 	c.confirm(workerID, ref)
 }
 
@@ -178,8 +178,8 @@
 
 // applyEnd applies the end of a run in a listing. clock is the worker's clock at the listing.
 func (c *Core) applyEnd(w *worker, end *workload.EndedRun, clock time.Duration) {
-	c.noteRunBegun(w.id, end.RunRef, "end listed")
 	p := w.runs[end.RunRef]
+	c.noteRunBegun(p, w.id, end.RunRef, "end listed")
 	if p == nil {
 		c.applyUnknownEnd(end)
 		return
--- a/dispatch/workers.go
+++ b/dispatch/workers.go
@@ -281,8 +281,8 @@
 
 // applyRunning applies one listed running run.
 func (c *Core) applyRunning(w *worker, r *workload.RunningRun) {
-	c.noteRunBegun(w.id, r.RunRef, "run listed")
 	p := w.runs[r.RunRef]
+	c.noteRunBegun(p, w.id, r.RunRef, "run listed")
 	if p == nil {
 		c.stopOrphan(w, r.RunRef)
 		return
