--- a/joblog/view.go
+++ b/joblog/view.go
@@ -131,7 +131,7 @@
 type View struct {
 	mu      sync.Mutex
 	entries map[workload.JobID]*entry
-	// waiting maps the name of each queue to its number of accepted jobs that have not started and are not cancelled.
+	// waiting maps the name of each queue to its number of accepted jobs that are queued and not cancelled.
 	waiting      map[string]int
 	earlyCancels earlyCancels
 	// newVoids are those that takeVoids has not returned yet.
@@ -363,7 +363,7 @@
 	return e.export(), true
 }
 
-// Waiting returns how many accepted jobs of the queue have not started and are not cancelled.
+// Waiting returns how many accepted jobs of the queue are not known to have begun and are not cancelled.
 func (v *View) Waiting(queue string) int {
 	v.mu.Lock()
 	defer v.mu.Unlock()
--- a/node/frontend.go
+++ b/node/frontend.go
@@ -187,7 +187,7 @@
 	return n.follower.Refresh(ctx, maxAge, streams...)
 }
 
-// Waiting returns how many accepted jobs of the queue have not started, as far as this VM knows.
+// Waiting returns how many accepted jobs of the queue have not begun, as far as this VM knows.
 func (n *Node) Waiting(ctx context.Context, access Access) int {
 	// Without the store the last count is used; the follower logs the outage.
 	_ = n.refresh(ctx, waitingMaxAge, n.follower.Streams()...)
--- a/workload/state.go
+++ b/workload/state.go
@@ -13,7 +13,9 @@
 
 // The phases of a job. The last three are final.
 const (
+	// PhaseQueued jobs have no run that a worker is known to have begun.
 	PhaseQueued Phase = iota
+	// PhaseRunning jobs have, or have had, such a run.
 	PhaseRunning
 	PhaseCompleted
 	PhaseFailed
