dispatch: the start-up of a run is lost with it when it is stopped

The lost work of a stop counted from the begin alone, so that stops became cheaper by the time between decision and begin, which comes again with the next start.

The start-up counts now, up to 1 s: a longer one means that the start was refused for a while. A start that has not begun loses nothing, as before. TestStartUpIsLostWithARun failed before.

--- a/dispatch/reclaim.go
+++ b/dispatch/reclaim.go
@@ -21,6 +21,8 @@
 	urgentDelayFactor = 2
 	// restartLoss is the time that any unit loses between a stop and its new start, while its capacity is idle.
 	restartLoss = 700 * time.Millisecond
+	// maxStartUp bounds the start-up of a run that counts as lost with it. A longer one means that the start was refused for a while.
+	maxStartUp = time.Second
 	// reclaimRetryInterval is the least time between two searches for work to stop for the same step.
 	reclaimRetryInterval = 100 * time.Millisecond
 	// maxCheckpointLoss is the most run time that a checkpointing task is assumed to lose when it is stopped.
@@ -341,9 +343,18 @@
 	return c.withinGuarantee(s) && c.accountUse[j.spec.Account] > c.guarantee(j.spec.Account)
 }
 
+// timeLost returns the run time that a stop of the unit loses: its work, and its start-up, which comes again; 0 if no worker has begun it.
+func (c *Core) timeLost(u *unit) time.Duration {
+	worked := c.workedFor(u)
+	if worked == 0 {
+		return 0
+	}
+	return worked + min(c.now-u.startedAt-worked, maxStartUp)
+}
+
 // stopCost returns the cost of stopping the unit: the work that is lost, in core seconds on a worker of speed 1, weighted by priority.
 func (c *Core) stopCost(u *unit) float64 {
-	lost := c.workedFor(u)
+	lost := c.timeLost(u)
 	if u.step.spec.Checkpointing {
 		lost = min(lost, maxCheckpointLoss)
 	}
--- a/dispatch/reclaim_test.go
+++ b/dispatch/reclaim_test.go
@@ -95,3 +95,23 @@
 		t.Errorf("the stops are %v, want one, of the start that no worker has begun", stops)
 	}
 }
+
+// TestStartUpIsLostWithARun guards against stops that are taken for cheaper than they are: the start-up of a run comes again, but the time for
+// which its start was refused is not lost with it.
+func TestStartUpIsLostWithARun(t *testing.T) {
+	for _, c := range []struct{ startUp, want time.Duration }{{200 * time.Millisecond, 2200 * time.Millisecond}, {5 * time.Second, 2*time.Second + maxStartUp}} {
+		cl := newCluster(t, 1)
+		cl.submit(string(beginJob), "batch", "small", gangOf(1, 8))
+		start := cl.decide().Starts[0]
+		cl.advance(c.startUp)
+		u := cl.core.unitOf(start.Ref.Task)
+		if lost := cl.core.timeLost(u); lost != 0 {
+			t.Errorf("a stop of a start that has not begun loses %s", lost)
+		}
+		cl.start(start)
+		cl.advance(2 * time.Second)
+		if lost := cl.core.timeLost(u); lost != c.want {
+			t.Errorf("a stop 2 s after the begin and a start-up of %s loses %s, want %s", c.startUp, lost, c.want)
+		}
+	}
+}
--- a/overload/order.go
+++ b/overload/order.go
@@ -127,8 +127,8 @@
 // Due reports whether it is the turn of hopeless work.
 func (t *Turns) Due() bool { return t.credit > 0 }
 
-// Started counts started work, or takes it back if it is negative: nothing of it has begun. maxCredit bounds the credit, and the excess that a single large job leaves: without a bound, hopeless work
-// would be served for a long time at once, or not at all.
+// Started counts started work, or takes it back if it is negative: nothing of it has begun. maxCredit bounds the credit, and the excess
+// that a single large job leaves: without a bound, hopeless work would be served for a long time at once, or not at all.
 func (t *Turns) Started(class Class, work, maxCredit float64) {
 	if class == Hopeless {
 		t.credit -= work * (1 - hopelessShare)
